--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Experiments with their baselines, plots and slopes.
+ */
+package io.sequoialink.bench;
--- /dev/null
+++ b/cli/src/main/java/io/sequoialink/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' commands and the demo.
+ */
+package io.sequoialink.cli;
--- /dev/null
+++ b/decision/src/main/java/io/sequoialink/decision/CrashGuard.java
@@ -0,0 +1,37 @@
+package io.sequoialink.decision;
+
+import java.util.Optional;
+
+import io.sequoialink.model.Brake;
+import io.sequoialink.model.Refusal;
+
+/**
+ * Contains requests that crash backend servers. Implementations are thread-safe.
+ */
+public interface CrashGuard {
+
+	/**
+	 * Decides whether a request may be dispatched now.
+	 * @param request the request
+	 * @param nowMillis the injected clock
+	 * @return empty if it may; otherwise why not
+	 */
+	Optional<Refusal> beforeDispatch(RequestFacts request, long nowMillis);
+
+	/**
+	 * Takes the end of an attempt.
+	 * @param request the request
+	 * @param attempt the attempt
+	 * @param serverCrashed whether the server stopped answering during the attempt
+	 * @param nowMillis the injected clock
+	 * @return a brake to spread, if the request is now known to crash servers
+	 */
+	Optional<Brake> afterAttempt(RequestFacts request, Attempt attempt, boolean serverCrashed, long nowMillis);
+
+	/**
+	 * Takes a brake that a peer has spread.
+	 * @param brake the brake
+	 */
+	void accept(Brake brake);
+
+}
--- /dev/null
+++ b/model/src/main/java/io/sequoialink/model/ClassId.java
@@ -0,0 +1,30 @@
+package io.sequoialink.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a class of requests that share a quality target. Immutable and thread-safe;
+ * the value is never blank.
+ *
+ * @param value the identifier's text: 1 to 128 letters, digits, dots, dashes, colons or
+ * underscores
+ */
+public record ClassId(@JsonValue String value) implements Comparable<ClassId> {
+
+	@JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+	public ClassId {
+		Identifiers.check("request class", value);
+	}
+
+	@Override
+	public int compareTo(ClassId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/sequoialink/model/ConfigObject.java
@@ -0,0 +1,33 @@
+package io.sequoialink.model;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/**
+ * An object that operators create, label and change through the configuration stream.
+ * Implementations are immutable and thread-safe.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
+@JsonSubTypes({ @JsonSubTypes.Type(value = ClientAccount.class, name = "account"),
+		@JsonSubTypes.Type(value = ModelVersion.class, name = "version"),
+		@JsonSubTypes.Type(value = RequestClass.class, name = "class"),
+		@JsonSubTypes.Type(value = Cascade.class, name = "cascade"),
+		@JsonSubTypes.Type(value = Rollout.class, name = "rollout"),
+		@JsonSubTypes.Type(value = PlainService.class, name = "service") })
+public sealed interface ConfigObject permits ClientAccount, ModelVersion, RequestClass, Cascade, Rollout, PlainService {
+
+	/**
+	 * Returns the key under which the object is changed.
+	 * @return kind and name
+	 */
+	@JsonIgnore
+	ObjectKey key();
+
+	/**
+	 * Returns the labels that selectors match.
+	 * @return the labels
+	 */
+	Labels labels();
+
+}
--- /dev/null
+++ b/model/src/main/java/io/sequoialink/model/RolloutStage.java
@@ -0,0 +1,18 @@
+package io.sequoialink.model;
+
+/**
+ * One stage of a roll-out. Immutable and thread-safe.
+ *
+ * @param share share in (0, 1] of the selected new work that the candidate receives
+ * @param ratedAnswers rated answers of the candidate that end the stage
+ */
+public record RolloutStage(double share, int ratedAnswers) {
+
+	public RolloutStage {
+		if (!(share > 0 && share <= 1) || ratedAnswers <= 0) {
+			throw new IllegalArgumentException("roll-out stage with share " + share + " and " + ratedAnswers
+					+ " rated answers: use a share above 0 and up to 1, and a positive count");
+		}
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/sequoialink/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Immutable records, identifiers, labels and selectors that every other module shares.
+ */
+package io.sequoialink.model;
