--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -0,0 +1,33 @@
+package io.sequoialink.bench;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * All experiments of this module. Stateless and thread-safe.
+ */
+public final class Experiments {
+
+	private static final List<Experiment> ALL = List.of();
+
+	private Experiments() {
+	}
+
+	/**
+	 * Returns all experiments.
+	 * @return the experiments in the order in which they are listed
+	 */
+	public static List<Experiment> all() {
+		return ALL;
+	}
+
+	/**
+	 * Returns one experiment.
+	 * @param name its name
+	 * @return the experiment, or empty if there is none of that name
+	 */
+	public static Optional<Experiment> named(String name) {
+		return ALL.stream().filter((experiment) -> experiment.name().equals(name)).findFirst();
+	}
+
+}
