Pass class and account to the engines

Cause: the engine's request gained both, so that engines can keep accounts by them; the router did not compile with it. Change: the router fills them in. Seen: the whole workspace compiles.

--- a/router/src/main/java/io/sequoialink/router/AttemptRunner.java
+++ b/router/src/main/java/io/sequoialink/router/AttemptRunner.java
@@ -111,7 +111,7 @@
 		long started = this.context.clock().monotonicMillis();
 		EngineClient.EngineRequest request = new EngineClient.EngineRequest(chat.facts().id(), index, version.id(),
 				chat.request().messages(), chat.request().maxTokens(), chat.account().priority(),
-				remaining(chat.facts()), collector.tokens());
+				remaining(chat.facts()), collector.tokens(), chat.requestClass().id(), chat.account().id());
 		this.context.servers().started(server.id());
 		this.context.observer().dispatched(version.id(), VersionGate.isCandidate(chat.view(), version.id()));
 		boolean failed = true;
