--- /dev/null
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/RolloutSettings.java
@@ -0,0 +1,70 @@
+package io.sequoialink.decision.rollout;
+
+/**
+ * Parameters of roll-outs. Immutable and thread-safe; every value lies in its range.
+ *
+ * @param credits unresolved answers that a candidate may have in the whole fleet at
+ * first, 1 to 10,000
+ * @param maxCredits the same once it has many rated answers, at least {@code credits}
+ * @param answersPerCredit rated answers that add one credit, at least 1
+ * @param alpha chance that one test ever stops a candidate that is equal to the version
+ * in force, in (0, 0.5)
+ * @param restartAlpha the same for one restart of a test that watches for later changes,
+ * in (0, 0.5); there is a restart every {@code restartAnswers}
+ * @param beta chance that the test misses a bad candidate, in (0, 0.5); used for its
+ * expected sample size
+ * @param restartAnswers answers between two restarts, at least 1
+ * @param restarts restarts that are kept, 1 to 1,000
+ * @param referenceAnswers answers of the version in force before the candidate receives
+ * any, at least 1
+ * @param ratingTolerance drop of the mean rating that is accepted, in [0, 1)
+ * @param minFailureShare failure share that is always accepted, in (0, 1)
+ * @param ratingTimeoutMillis time after an answer until its rating is given up, in
+ * milliseconds
+ */
+public record RolloutSettings(int credits, int maxCredits, int answersPerCredit, double alpha, double restartAlpha,
+		double beta, int restartAnswers, int restarts, int referenceAnswers, double ratingTolerance,
+		double minFailureShare, long ratingTimeoutMillis) {
+
+	public RolloutSettings {
+		require(credits >= 1 && credits <= 10_000, "credits", credits);
+		require(maxCredits >= credits, "maxCredits", maxCredits);
+		require(answersPerCredit >= 1, "answersPerCredit", answersPerCredit);
+		require(alpha > 0 && alpha < 0.5, "alpha", alpha);
+		require(restartAlpha > 0 && restartAlpha < 0.5, "restartAlpha", restartAlpha);
+		require(beta > 0 && beta < 0.5, "beta", beta);
+		require(restartAnswers >= 1, "restartAnswers", restartAnswers);
+		require(restarts >= 1 && restarts <= 1_000, "restarts", restarts);
+		require(referenceAnswers >= 1, "referenceAnswers", referenceAnswers);
+		require(ratingTolerance >= 0 && ratingTolerance < 1, "ratingTolerance", ratingTolerance);
+		require(minFailureShare > 0 && minFailureShare < 1, "minFailureShare", minFailureShare);
+		require(ratingTimeoutMillis > 0, "ratingTimeoutMillis", ratingTimeoutMillis);
+	}
+
+	/**
+	 * Returns the default parameters.
+	 * @return the defaults
+	 */
+	public static RolloutSettings defaults() {
+		return new RolloutSettings(16, 64, 16, 0.003, 0.0002, 0.05, 16, 16, 200, 0.02, 0.01, 60_000);
+	}
+
+	/**
+	 * Returns a copy with other credits.
+	 * @param newCredits credits at first
+	 * @param newMaxCredits the most credits
+	 * @return the changed copy
+	 */
+	public RolloutSettings withCredits(int newCredits, int newMaxCredits) {
+		return new RolloutSettings(newCredits, newMaxCredits, this.answersPerCredit, this.alpha, this.restartAlpha,
+				this.beta, this.restartAnswers, this.restarts, this.referenceAnswers, this.ratingTolerance,
+				this.minFailureShare, this.ratingTimeoutMillis);
+	}
+
+	private static void require(boolean holds, String name, double value) {
+		if (!holds) {
+			throw new IllegalArgumentException("roll-out setting " + name + " is out of its range: " + value);
+		}
+	}
+
+}
