--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -3,12 +3,14 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.sequoialink.bench.cascade.CascadeExperiment;
+
 /**
  * All experiments of this module. Stateless and thread-safe.
  */
 public final class Experiments {
 
-	private static final List<Experiment> ALL = List.of();
+	private static final List<Experiment> ALL = List.of(new CascadeExperiment());
 
 	private Experiments() {
 	}
--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/cascade/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The cascade experiment: cost at the quality target over seeded tables of outcomes.
+ */
+package io.sequoialink.bench.cascade;
