--- a/catalogue/src/main/java/io/sequoialink/catalogue/Verdict.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/Verdict.java
@@ -10,7 +10,7 @@
  * @param change the change
  * @param offset the record's offset
  * @param kind the conclusion
- * @param current on a conflict, the object as it stands, empty if it does not exist
+ * @param current the object as it stood before the record, empty if it did not exist
  * @param explanation one sentence for the operator
  */
 public record Verdict(Change change, long offset, Kind kind, Optional<CatalogueView.Entry> current,
