--- /dev/null
+++ b/decision/src/main/java/io/sequoialink/decision/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of the backend server of an attempt.
+ */
+package io.sequoialink.decision.routing;
--- /dev/null
+++ b/decision/src/test/java/io/sequoialink/decision/routing/OutlierTableTests.java
@@ -0,0 +1,58 @@
+package io.sequoialink.decision.routing;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import io.sequoialink.model.ServerId;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OutlierTableTests {
+
+	private static final OutlierParameters PARAMETERS = OutlierParameters.DEFAULT;
+
+	@Property(tries = 200, seed = "4")
+	void neverEjectsMoreThanTheStatedShare(@ForAll @IntRange(min = 1, max = 40) int size, @ForAll long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		OutlierTable table = new OutlierTable(PARAMETERS);
+		List<ServerId> servers = IntStream.range(0, size).mapToObj(Views::id).toList();
+		for (int i = 0; i < 400; i++) {
+			table.record(servers.get(random.nextInt(size)), random.nextInt(10) > 0, i * 10L);
+			assertThat(table.ejected(servers, i * 10L)).hasSizeLessThanOrEqualTo((int) (PARAMETERS.maxShare() * size));
+		}
+	}
+
+	@Test
+	void ejectsAfterFailuresInARowForATimeThatDoubles() {
+		OutlierTable table = new OutlierTable(PARAMETERS);
+		List<ServerId> servers = IntStream.range(0, 10).mapToObj(Views::id).toList();
+		long now = fail(table, 0);
+		assertThat(table.ejected(servers, now)).containsExactly(Views.id(0));
+		assertThat(table.ejected(servers, now + PARAMETERS.baseMillis())).isEmpty();
+		now = fail(table, now + PARAMETERS.baseMillis());
+		assertThat(table.ejected(servers, now + PARAMETERS.baseMillis())).containsExactly(Views.id(0));
+		assertThat(table.ejected(servers, now + 2 * PARAMETERS.baseMillis())).isEmpty();
+	}
+
+	@Test
+	void aSuccessBreaksTheRow() {
+		OutlierTable table = new OutlierTable(PARAMETERS);
+		for (int i = 0; i < 40; i++) {
+			table.record(Views.id(0), i % PARAMETERS.consecutiveFailures() != 0, i);
+		}
+		assertThat(table.ejected(IntStream.range(0, 10).mapToObj(Views::id).toList(), 41)).isEmpty();
+	}
+
+	private static long fail(OutlierTable table, long now) {
+		for (int i = 0; i < PARAMETERS.consecutiveFailures(); i++) {
+			table.record(Views.id(0), true, now);
+		}
+		return now;
+	}
+
+}
