--- /dev/null
+++ b/decision/src/main/java/io/sequoialink/decision/retry/BudgetedRetryPolicy.java
@@ -0,0 +1,83 @@
+package io.sequoialink.decision.retry;
+
+import java.util.List;
+
+import io.sequoialink.decision.Attempt;
+import io.sequoialink.decision.RequestFacts;
+import io.sequoialink.decision.RetryPolicy;
+import io.sequoialink.model.Effect;
+
+/**
+ * Retries by effect, idempotence, deadline and budget.
+ * <p>
+ * Invariants: work that may have been run is repeated only if it is idempotent; this host
+ * starts at most {@code burst + budgetShare x successes} retries and hedges, so all hosts
+ * together start at most a tenth of the fleet's successes and a constant, whichever hosts
+ * a caller goes through. Thread-safe: the budget is guarded by the policy's lock. Needs
+ * no clock; the jitter of a delay depends on the request's identifier alone.
+ */
+public final class BudgetedRetryPolicy implements RetryPolicy {
+
+	private static final int MAX_EXPONENT = 16;
+
+	private final RetrySettings settings;
+
+	private double budget;
+
+	/**
+	 * Creates the policy with a full budget.
+	 * @param settings the parameters
+	 */
+	public BudgetedRetryPolicy(RetrySettings settings) {
+		this.settings = settings;
+		this.budget = settings.burst();
+	}
+
+	/**
+	 * Counts a success, which pays for a part of a retry.
+	 */
+	public synchronized void succeeded() {
+		this.budget = Math.min(this.settings.burst(), this.budget + this.settings.budgetShare());
+	}
+
+	/**
+	 * Takes the cost of one retry or hedge from the budget.
+	 * @return whether there was enough
+	 */
+	public synchronized boolean tryAcquire() {
+		if (this.budget < 1) {
+			return false;
+		}
+		this.budget -= 1;
+		return true;
+	}
+
+	@Override
+	public Verdict decide(RequestFacts request, List<Attempt> attempts, boolean idempotent, double remainingMillis) {
+		Attempt last = attempts.get(attempts.size() - 1);
+		if (last.effect() != Effect.NONE && !idempotent) {
+			return refuse((last.effect() == Effect.UNKNOWN) ? "effect_unknown" : "already_run");
+		}
+		if (attempts.size() >= this.settings.maxAttempts()) {
+			return refuse("attempts_used");
+		}
+		long delay = delay(request, attempts.size());
+		if (delay + this.settings.minAttemptMillis() > remainingMillis) {
+			return refuse("deadline");
+		}
+		return tryAcquire() ? new Verdict(true, delay, "retry") : refuse("budget");
+	}
+
+	private long delay(RequestFacts request, int failures) {
+		long exponential = this.settings.baseDelayMillis() << Math.min(MAX_EXPONENT, failures - 1);
+		long longest = Math.min(this.settings.maxDelayMillis(), exponential);
+		int hash = (request.id().value() + '/' + failures).hashCode() * 0x9E3779B1;
+		double jitter = (hash >>> 1) / (double) Integer.MAX_VALUE;
+		return Math.round(longest * (0.5 + 0.5 * jitter));
+	}
+
+	private static Verdict refuse(String reason) {
+		return new Verdict(false, 0, reason);
+	}
+
+}
