Add stand-ins of the outside systems and tests of the HTTP clients against their faults

Change: log, list, rating service, engines and plain services as small HTTP servers with faults that are switched while they run; each keeps its own books, from which verdicts are taken.

--- /dev/null
+++ b/standin/src/test/java/io/sequoialink/standin/LogClientTests.java
@@ -0,0 +1,117 @@
+package io.sequoialink.standin;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.sequoialink.platform.AppendUnknownException;
+import io.sequoialink.platform.HttpClientPool;
+import io.sequoialink.platform.HttpPlatformLog;
+import io.sequoialink.platform.LogStream;
+import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.platform.PlatformException;
+import io.sequoialink.platform.PlatformLog;
+import io.sequoialink.platform.TrimmedException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+/**
+ * Tests of {@link HttpPlatformLog} against the faults of {@link StandinLog}.
+ */
+class LogClientTests {
+
+	private final AtomicLong now = new AtomicLong(1000);
+
+	private final StandinLog log = new StandinLog(this.now::get);
+
+	private final HttpClientPool pool = new HttpClientPool();
+
+	private LogStream stream;
+
+	@BeforeEach
+	void startLog() throws IOException {
+		this.log.up();
+		this.stream = new HttpPlatformLog(this.pool, this.log.address(), Duration.ofMillis(300))
+			.stream(PlatformLog.CONFIG);
+	}
+
+	@AfterEach
+	void stopLog() {
+		this.log.close();
+		this.pool.close();
+	}
+
+	@Test
+	void recordsAreReadInTheOrderOfTheirOffsets() throws PlatformException {
+		assertThat(this.stream.append(records("a", "b"))).isZero();
+		assertThat(this.stream.append(records("c"))).isEqualTo(2);
+		assertThat(this.stream.read(1, 10)).extracting((record) -> new String(record.payload(), StandardCharsets.UTF_8))
+			.containsExactly("b", "c");
+		assertThat(this.stream.read(3, 10)).isEmpty();
+		assertThat(this.stream.read(0, 1)).singleElement().satisfies((record) -> {
+			assertThat(record.offset()).isZero();
+			assertThat(record.atMillis()).isEqualTo(1000);
+		});
+		assertThat(this.stream.bounds()).isEqualTo(new LogStream.Bounds(0, 3));
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void refusedAppendHadNoEffect(boolean unreachable) throws IOException {
+		this.log.unavailable(!unreachable);
+		if (unreachable) {
+			this.log.down();
+		}
+		assertThatExceptionOfType(LogUnavailableException.class).isThrownBy(() -> this.stream.append(records("a")));
+		assertThatExceptionOfType(LogUnavailableException.class).isThrownBy(() -> this.stream.bounds());
+		assertThat(this.log.records(PlatformLog.CONFIG)).isEmpty();
+	}
+
+	@Test
+	void lostAnswerIsUnknownAndIsNotRepeated() throws PlatformException {
+		this.log.loseAnswers(1);
+		assertThatExceptionOfType(AppendUnknownException.class).isThrownBy(() -> this.stream.append(records("a")));
+		assertThat(this.stream.read(0, 10)).hasSize(1);
+		assertThat(this.stream.append(records("b"))).isEqualTo(1);
+	}
+
+	@Test
+	void slowAppendIsUnknown() {
+		this.log.slow(2000);
+		assertThatExceptionOfType(AppendUnknownException.class).isThrownBy(() -> this.stream.append(records("a")));
+		assertThatExceptionOfType(LogUnavailableException.class).isThrownBy(() -> this.stream.read(0, 1));
+	}
+
+	@Test
+	void oversizeAppendHadNoEffect() {
+		List<byte[]> huge = List.of(new byte[StandinLog.MAX_APPEND_BYTES + 1]);
+		assertThatExceptionOfType(LogUnavailableException.class).isThrownBy(() -> this.stream.append(huge));
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "count", "age" })
+	void trimIsToldWithTheOldestOffset(String retention) throws PlatformException {
+		this.stream.append(records("a", "b"));
+		this.now.addAndGet(100);
+		this.stream.append(records("c"));
+		this.log.retain("count".equals(retention) ? 1 : 100, "age".equals(retention) ? 50 : 1_000_000);
+		TrimmedException trimmed = catchThrowableOfType(TrimmedException.class, () -> this.stream.read(1, 10));
+		assertThat(trimmed.first()).isEqualTo(2);
+		assertThat(this.stream.bounds()).isEqualTo(new LogStream.Bounds(2, 3));
+		assertThat(this.stream.read(2, 10)).hasSize(1);
+	}
+
+	private static List<byte[]> records(String... texts) {
+		return List.of(texts).stream().map((text) -> text.getBytes(StandardCharsets.UTF_8)).toList();
+	}
+
+}
--- /dev/null
+++ b/standin/src/test/java/io/sequoialink/standin/StandinsTests.java
@@ -0,0 +1,168 @@
+package io.sequoialink.standin;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.sequoialink.model.BackendServer;
+import io.sequoialink.model.ClassId;
+import io.sequoialink.model.Effect;
+import io.sequoialink.model.RequestId;
+import io.sequoialink.model.ServerId;
+import io.sequoialink.model.ServerKind;
+import io.sequoialink.platform.BackendException;
+import io.sequoialink.platform.BackendException.Kind;
+import io.sequoialink.platform.HttpClientPool;
+import io.sequoialink.platform.HttpHostDirectory;
+import io.sequoialink.platform.HttpRatingService;
+import io.sequoialink.platform.HttpServiceClient;
+import io.sequoialink.platform.PlatformException;
+import io.sequoialink.platform.RatingService.RatedAnswer;
+import io.sequoialink.platform.RatingUnavailableException;
+import io.sequoialink.platform.ServiceClient.ServiceCall;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+import static org.assertj.core.api.Assertions.within;
+
+/**
+ * Tests of {@link Standins} and of the clients of rating, list and plain services.
+ */
+class StandinsTests {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+	private final HttpClientPool pool = new HttpClientPool();
+
+	@AfterEach
+	void closePool() {
+		this.pool.close();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "magnolia, 12, us-south-a, 4", "bergvik, 8, vest-norge-a, 3" })
+	void deploymentStandsOnFourZones(String deployment, int engines, String zone, int smallest) throws Exception {
+		try (Standins standins = Standins.of(deployment).start()) {
+			Map<ServerKind, List<BackendServer>> servers = directory(standins).list()
+				.stream()
+				.collect(Collectors.groupingBy(BackendServer::kind));
+			assertThat(servers.get(ServerKind.ENGINE)).hasSize(engines);
+			assertThat(servers.get(ServerKind.SERVICE)).hasSize(4);
+			assertThat(servers.get(ServerKind.ENGINE)).extracting(BackendServer::zone)
+				.contains(zone)
+				.doesNotContainNull();
+			String cheapest = standins.outcomes().table().versions().get(0).id();
+			assertThat(servers.get(ServerKind.ENGINE)).filteredOn((server) -> server.offers().contains(cheapest))
+				.hasSize(smallest);
+		}
+	}
+
+	@Test
+	void listLagsAndMarksLeavingServers() throws Exception {
+		try (Standins standins = Standins.of("bergvik").candidate("contract-small-3", "contract-small-2", 1).start()) {
+			standins.directory().leave(new ServerId("engine-1"));
+			assertThat(directory(standins).list()).filteredOn(BackendServer::leaving)
+				.singleElement()
+				.satisfies((server) -> assertThat(server.offers()).contains("contract-small-3"));
+			Thread.sleep(2);
+			standins.directory().lag(60_000);
+			assertThat(directory(standins).list()).isEmpty();
+			standins.directory().unavailable(true);
+			assertThatExceptionOfType(PlatformException.class).isThrownBy(() -> directory(standins).list());
+		}
+	}
+
+	@Test
+	void ratingsTellGoodFromPoorAnswers() throws Exception {
+		try (Standins standins = Standins.of("magnolia").speed(0.001).start()) {
+			HttpRatingService rating = new HttpRatingService(this.pool, standins.rating().address(), TIMEOUT);
+			standins.rating().deviate(0, 0.02, 0);
+			for (int index = 0; index < 20; index++) {
+				RatedAnswer answer = answer(standins, "r" + index);
+				boolean good = standins.outcomes().meetsTarget("r" + index, "listing-copy", "caption-small-3");
+				assertThat(rating.rate(answer).getAsDouble())
+					.isCloseTo(good ? StandinRatingService.GOOD : StandinRatingService.POOR, within(0.1));
+			}
+			standins.rating().deviate(0, 0.02, 1);
+			assertThat(rating.rate(answer(standins, "r1"))).isEqualTo(OptionalDouble.empty());
+			standins.rating().unavailable(true);
+			assertThatExceptionOfType(RatingUnavailableException.class)
+				.isThrownBy(() -> rating.rate(answer(standins, "r1")));
+		}
+	}
+
+	@Test
+	void degradedVersionMeetsItsTargetLessOften() throws IOException {
+		Outcomes outcomes = new Outcomes(OutcomeTable.shipped("magnolia"), 3);
+		double before = share(outcomes);
+		outcomes.degrade("caption-large-1", 0.5);
+		assertThat(before).isCloseTo(0.97, within(0.03));
+		assertThat(share(outcomes)).isCloseTo(before / 2, within(0.05));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "REJECT, REJECTED, NONE, 0", "DROP_ANSWER, CUT_OFF, UNKNOWN, 1" })
+	void failedServiceCallSaysWhatWasExecuted(StandinService.Fault fault, Kind kind, Effect effect, int executed)
+			throws Exception {
+		try (Standins standins = Standins.of("magnolia").start()) {
+			StandinService service = standins.services().get("webapp-1");
+			service.fault(fault, 1);
+			BackendException failure = catchThrowableOfType(BackendException.class,
+					() -> call(standins, "webapp-1", "k1"));
+			assertThat(failure.kind()).isEqualTo(kind);
+			assertThat(failure.effect()).isEqualTo(effect);
+			assertThat(standins.books().executions("k1")).isEqualTo(executed);
+			service.fault(fault, 0);
+			assertThat(call(standins, "webapp-1", "k1")).isEqualTo(200);
+			assertThat(standins.books().executedTwice()).isEqualTo(executed);
+		}
+	}
+
+	@Test
+	void serviceErrorIsPassedOnAsItIs() throws Exception {
+		try (Standins standins = Standins.of("bergvik").start()) {
+			standins.services().get("booking-2").fault(StandinService.Fault.FAIL, 1);
+			assertThat(call(standins, "booking-2", "k2")).isEqualTo(500);
+			assertThat(standins.books().executions("k2")).isEqualTo(1);
+		}
+	}
+
+	private int call(Standins standins, String id, String key) throws BackendException {
+		StandinService service = standins.services().get(id);
+		BackendServer server = new BackendServer(new ServerId(id), ServerKind.SERVICE, service.address().ip(),
+				service.address().port(), "a", Set.of("orders"), false);
+		return new HttpServiceClient(this.pool)
+			.call(server,
+					new ServiceCall(new RequestId("q-" + key), "POST", "/orders?x=1",
+							Map.of(StandinService.KEY_HEADER, key), "{}".getBytes(StandardCharsets.UTF_8), TIMEOUT))
+			.status();
+	}
+
+	private HttpHostDirectory directory(Standins standins) {
+		return new HttpHostDirectory(this.pool, standins.directory().address(), TIMEOUT);
+	}
+
+	private static RatedAnswer answer(Standins standins, String request) {
+		String mark = standins.outcomes().mark(request, "listing-copy", "caption-small-3");
+		return new RatedAnswer(new RequestId(request), 0, new ClassId("listing-copy"), "prompt", mark + " w1");
+	}
+
+	private static double share(Outcomes outcomes) {
+		int good = 0;
+		for (int index = 0; index < 2000; index++) {
+			good += outcomes.meetsTarget("s" + index, "tagline", "caption-large-1") ? 1 : 0;
+		}
+		return good / 2000.0;
+	}
+
+}
