--- a/catalogue/src/main/java/io/sequoialink/catalogue/CatalogueFold.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/CatalogueFold.java
@@ -99,9 +99,14 @@
 				new Verdict(change, offset, Verdict.Kind.ACCEPTED, current, "in force from offset " + offset));
 	}
 
+	static long digest(Change change) {
+		return Long.parseUnsignedLong(Checkpoint.digest(ConfigRecords.write(change)).substring(0, Long.BYTES * 2), 16);
+	}
+
 	private static Step remember(FoldState state, Verdict verdict) {
+		Change change = verdict.change();
 		return Step.of(state.remembering(
-				new ChangeIds.Entry(verdict.change().id(), verdict.offset(), state.logMillis(), verdict.kind())),
+				new ChangeIds.Entry(change.id(), verdict.offset(), state.logMillis(), verdict.kind(), digest(change))),
 				verdict);
 	}
 
--- a/catalogue/src/main/java/io/sequoialink/catalogue/ChangeIds.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/ChangeIds.java
@@ -105,8 +105,10 @@
 	 * @param offset where it was first folded
 	 * @param atMillis when the log took it
 	 * @param kind the verdict
+	 * @param digest start of the SHA-256 of the change, to tell a repetition from another
+	 * change with the same id
 	 */
-	record Entry(String id, long offset, long atMillis, Verdict.Kind kind) {
+	record Entry(String id, long offset, long atMillis, Verdict.Kind kind, long digest) {
 	}
 
 }
--- a/catalogue/src/main/java/io/sequoialink/catalogue/Checkpoint.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/Checkpoint.java
@@ -68,7 +68,7 @@
 		return decode(joined.toByteArray(), head.covers());
 	}
 
-	private static FoldState decode(byte[] bytes, long covers) throws MalformedRecordException {
+	static FoldState decode(byte[] bytes, long covers) throws MalformedRecordException {
 		try (GZIPInputStream input = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
 			byte[] plain = input.readNBytes(MAX_STATE_BYTES);
 			FoldState state = Json.mapper().readValue(plain, Content.class).state();
@@ -93,7 +93,7 @@
 		return output.toByteArray();
 	}
 
-	private static String digest(byte[] bytes) {
+	static String digest(byte[] bytes) {
 		try {
 			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
 		}
--- a/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointAssembler.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointAssembler.java
@@ -24,6 +24,8 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(CheckpointAssembler.class);
 
+	private final CheckpointReader reader;
+
 	private final Map<Group, Pending> pending = new LinkedHashMap<>() {
 
 		@Override
@@ -33,6 +35,10 @@
 
 	};
 
+	CheckpointAssembler(CheckpointReader reader) {
+		this.reader = reader;
+	}
+
 	/**
 	 * Takes a record.
 	 * @param record any record of the configuration stream
@@ -64,10 +70,10 @@
 		return read(chunks);
 	}
 
-	private static Optional<Whole> read(Pending chunks) {
+	private Optional<Whole> read(Pending chunks) {
 		List<ConfigRecord.ChunkRecord> list = List.of(chunks.chunks);
 		try {
-			return Optional.of(new Whole(Checkpoint.read(list), chunks.oldest));
+			return Optional.of(new Whole(this.reader.read(list), chunks.oldest));
 		}
 		catch (MalformedRecordException ex) {
 			logger.warn(CatalogueEvents.CHECKPOINT_SKIPPED, list.get(0).id(), ex.getMessage());
--- a/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointFinder.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointFinder.java
@@ -23,12 +23,14 @@
 	/**
 	 * Returns the newest whole checkpoint whose tail can still be read.
 	 * @param stream the configuration stream
+	 * @param reader reads the checkpoints
 	 * @return the checkpoint, or empty if the stream holds none
 	 * @throws LogUnavailableException if the log did not answer
 	 */
-	static Optional<CheckpointAssembler.Whole> newest(LogStream stream) throws LogUnavailableException {
+	static Optional<CheckpointAssembler.Whole> newest(LogStream stream, CheckpointReader reader)
+			throws LogUnavailableException {
 		LogStream.Bounds bounds = stream.bounds();
-		CheckpointAssembler assembler = new CheckpointAssembler();
+		CheckpointAssembler assembler = new CheckpointAssembler(reader);
 		long high = bounds.next();
 		while (high > bounds.first()) {
 			long low = Math.max(bounds.first(), high - WINDOW_RECORDS);
--- a/catalogue/src/main/java/io/sequoialink/catalogue/FoldTable.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/FoldTable.java
@@ -25,7 +25,9 @@
 
 	private static final int MAX_PEER_RECORDS = 4096;
 
-	private final RecordTail tail = new RecordTail();
+	private final CheckpointReader reader;
+
+	private final RecordTail tail;
 
 	private final Deque<Verdict> history = new ArrayDeque<>();
 
@@ -37,6 +39,11 @@
 
 	private volatile Optional<Long> confirmedNanos = Optional.empty();
 
+	FoldTable(CheckpointReader reader) {
+		this.reader = reader;
+		this.tail = new RecordTail(reader);
+	}
+
 	FoldState state() {
 		return this.state;
 	}
@@ -143,8 +150,9 @@
 	private Optional<Verdict> rememberedVerdict(Change change) {
 		return this.state.changeIds()
 			.find(change.id(), this.state.logMillis())
-			.map((entry) -> new Verdict(change, entry.offset(), entry.kind(), this.state.view().entry(change.key()),
-					"folded at offset " + entry.offset()));
+			.map((entry) -> new Verdict(change, entry.offset(),
+					(entry.digest() == CatalogueFold.digest(change)) ? entry.kind() : Verdict.Kind.DUPLICATE,
+					this.state.view().entry(change.key()), "folded at offset " + entry.offset()));
 	}
 
 	private void foldNext(LogRecord record) {
@@ -177,7 +185,7 @@
 	}
 
 	private int joinFromPeer() {
-		CheckpointAssembler assembler = new CheckpointAssembler();
+		CheckpointAssembler assembler = new CheckpointAssembler(this.reader);
 		for (LogRecord record : List.copyOf(this.peerRecords)) {
 			Optional<CheckpointAssembler.Whole> whole = assembler.add(record)
 				.filter((found) -> found.covers() + 1 >= this.peerRecords.get(0).offset());
--- a/catalogue/src/main/java/io/sequoialink/catalogue/LogCatalogue.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/LogCatalogue.java
@@ -43,7 +43,9 @@
 
 	private final LongSupplier nanos;
 
-	private final FoldTable table = new FoldTable();
+	private final FoldTable table;
+
+	private final CheckpointReader reader;
 
 	private final ReentrantLock pollLock = new ReentrantLock();
 
@@ -60,6 +62,8 @@
 	private LogCatalogue(Builder builder) {
 		this.stream = builder.stream;
 		this.nanos = builder.nanos;
+		this.reader = builder.checkpointReader;
+		this.table = new FoldTable(this.reader);
 		this.checkpoints = new CheckpointWriter(builder.stream, builder.checkpointWriter, builder.wallMillis,
 				builder.checkpointChanges, builder.checkpointAge);
 		this.publisher = new ChangePublisher(builder.stream, this.table, this::poll,
@@ -222,7 +226,7 @@
 	}
 
 	private void join() throws LogUnavailableException {
-		Optional<CheckpointAssembler.Whole> newest = CheckpointFinder.newest(this.stream);
+		Optional<CheckpointAssembler.Whole> newest = CheckpointFinder.newest(this.stream, this.reader);
 		newest.ifPresent((whole) -> {
 			this.table.jump(whole);
 			logger.info(CatalogueEvents.JOINED, whole.covers(), this.table.state().next() - 1);
@@ -231,7 +235,7 @@
 	}
 
 	private boolean rebuild(long first) throws LogUnavailableException {
-		Optional<CheckpointAssembler.Whole> newest = CheckpointFinder.newest(this.stream);
+		Optional<CheckpointAssembler.Whole> newest = CheckpointFinder.newest(this.stream, this.reader);
 		if (newest.isEmpty()) {
 			logger.error(CatalogueEvents.NO_CHECKPOINT, first, this.table.state().next() - 1);
 			return false;
@@ -274,6 +278,8 @@
 
 		private Duration pollPeriod = Duration.ofMillis(500);
 
+		private CheckpointReader checkpointReader = Checkpoint::read;
+
 		private BooleanSupplier checkpointWriter = () -> false;
 
 		private int checkpointChanges = 256;
@@ -376,6 +382,11 @@
 			return this;
 		}
 
+		Builder checkpointReader(CheckpointReader reader) {
+			this.checkpointReader = reader;
+			return this;
+		}
+
 		/**
 		 * Builds the catalogue. Nothing is read before the first poll.
 		 * @return the catalogue
--- a/catalogue/src/main/java/io/sequoialink/catalogue/RecordTail.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/RecordTail.java
@@ -20,7 +20,7 @@
 
 	private final Deque<LogRecord> records = new ArrayDeque<>();
 
-	private final CheckpointAssembler assembler = new CheckpointAssembler();
+	private final CheckpointAssembler assembler;
 
 	private long bytes;
 
@@ -28,6 +28,10 @@
 
 	private int changes;
 
+	RecordTail(CheckpointReader reader) {
+		this.assembler = new CheckpointAssembler(reader);
+	}
+
 	/**
 	 * Takes the next folded record.
 	 * @param record the record
