Serve from settings as a process of its own, and run the stand-ins as another

Change: serve maps validated settings to a host, drains it on SIGTERM and exits with 0 when nothing was cut off; standins runs the outside systems on given ports; logging follows the settings as text or JSON; the header section is bounded.

--- a/cli/src/main/java/io/sequoialink/cli/Main.java
+++ b/cli/src/main/java/io/sequoialink/cli/Main.java
@@ -7,7 +7,7 @@
  */
 @CommandLine.Command(name = "sequoialink", mixinStandardHelpOptions = true, version = "sequoialink 0.1.0",
 		description = "Model-aware router for model versions and cascades.",
-		subcommands = { DemoCommand.class, BenchCommand.class })
+		subcommands = { ServeCommand.class, DemoCommand.class, StandinsCommand.class, BenchCommand.class })
 public final class Main implements Runnable {
 
 	@CommandLine.Spec
--- /dev/null
+++ b/cli/src/main/java/io/sequoialink/cli/ServeCommand.java
@@ -0,0 +1,61 @@
+package io.sequoialink.cli;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+
+import io.sequoialink.daemon.host.ConfiguredHost;
+import io.sequoialink.daemon.host.EntryHost;
+import io.sequoialink.daemon.settings.Settings;
+import io.sequoialink.daemon.settings.SettingsException;
+import io.sequoialink.daemon.settings.SettingsFile;
+import io.sequoialink.platform.HttpClientPool;
+import picocli.CommandLine;
+
+/**
+ * Runs one entry host until it is told to stop. Confined to the main thread, but for the
+ * shutdown hook, which drains the host.
+ */
+@CommandLine.Command(name = "serve", mixinStandardHelpOptions = true,
+		description = "Runs one entry host until SIGTERM, then drains it.",
+		footer = { "", "Example:", "  sequoialink serve --settings examples/magnolia/host-1.yaml" })
+final class ServeCommand implements Callable<Integer> {
+
+	private static final int SETTINGS_INVALID = 2;
+
+	@CommandLine.Spec
+	private CommandLine.Model.CommandSpec spec;
+
+	@CommandLine.Option(names = "--settings", required = true, paramLabel = "FILE", description = "the host's settings")
+	private Path file;
+
+	@Override
+	public Integer call() throws Exception {
+		Settings settings;
+		try {
+			settings = SettingsFile.read(this.file);
+		}
+		catch (SettingsException ex) {
+			PrintWriter err = this.spec.commandLine().getErr();
+			ex.errors().forEach(err::println);
+			err.flush();
+			return SETTINGS_INVALID;
+		}
+		LogOutput.configure(settings.logging());
+		HttpClientPool pool = new HttpClientPool(HttpClientPool.DEFAULT_MAX_CLIENTS,
+				settings.platform().connectTimeout());
+		EntryHost host = EntryHost.start(ConfiguredHost.identity(settings, System.currentTimeMillis()),
+				ConfiguredHost.outside(settings.platform(), pool), ConfiguredHost.policies(settings.policy()));
+		CountDownLatch stopped = new CountDownLatch(1);
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			int cutOff = host.stop();
+			pool.close();
+			stopped.countDown();
+			Runtime.getRuntime().halt((cutOff > 0) ? 1 : 0);
+		}, "drain"));
+		stopped.await();
+		return 0;
+	}
+
+}
--- a/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 import io.sequoialink.catalogue.Catalogue;
@@ -15,7 +16,6 @@
 import io.sequoialink.daemon.http.Frontend;
 import io.sequoialink.daemon.http.Metrics;
 import io.sequoialink.daemon.http.PublicRoutes;
-import io.sequoialink.decision.routing.OutlierParameters;
 import io.sequoialink.decision.routing.OutlierTable;
 import io.sequoialink.ledger.claims.LogClaimTable;
 import io.sequoialink.membership.GossipPeers;
@@ -94,9 +94,11 @@
 			.build();
 		this.claims = LogClaimTable.builder(outside.log().stream(PlatformLog.CLAIMS)).build();
 		this.bills = new HostBills(outside.log().stream(PlatformLog.BILLS));
-		this.servers = new ServerTable(identity.zone(), Clock.SYSTEM, new OutlierTable(OutlierParameters.DEFAULT));
+		AtomicReference<ServerTable> table = new AtomicReference<>();
 		this.policies = factory.create(identity.host(), identity.incarnation(), this::liveHosts,
-				this.servers::reportedCapacity);
+				() -> table.get().reportedCapacity());
+		this.servers = new ServerTable(identity.zone(), Clock.SYSTEM, new OutlierTable(this.policies.outliers()));
+		table.set(this.servers);
 		this.ratingExecutor = ratingExecutor(identity.host());
 		BrakeTable brakeTable = new BrakeTable();
 		BrakeExchange brakes = new BrakeExchange(this.peers, brakeTable, this.policies.crash());
--- a/daemon/src/main/java/io/sequoialink/daemon/host/HostPolicies.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/HostPolicies.java
@@ -18,6 +18,7 @@
 import io.sequoialink.decision.rollout.RolloutSettings;
 import io.sequoialink.decision.rollout.SharedRolloutPolicy;
 import io.sequoialink.decision.routing.LoadAwareServerPolicy;
+import io.sequoialink.decision.routing.OutlierParameters;
 import io.sequoialink.decision.routing.RoutingParameters;
 import io.sequoialink.model.HostId;
 
@@ -27,12 +28,13 @@
  * @param cascade chooses versions
  * @param rollout places and judges candidates
  * @param servers chooses backend servers
+ * @param outliers when servers that fail are held back
  * @param retry decides on failed attempts
  * @param admission admits requests
  * @param crash contains requests that crash servers
  */
-public record HostPolicies(CascadePolicy cascade, RolloutPolicy rollout, ServerPolicy servers, RetryPolicy retry,
-		FleetAdmissionPolicy admission, CrashGuard crash) {
+public record HostPolicies(CascadePolicy cascade, RolloutPolicy rollout, ServerPolicy servers,
+		OutlierParameters outliers, RetryPolicy retry, FleetAdmissionPolicy admission, CrashGuard crash) {
 
 	/**
 	 * Builds the policies from their parameters.
@@ -44,7 +46,8 @@
 		Factory DEFAULT = (host, incarnation, members, capacity) -> new HostPolicies(
 				new AdaptiveCascadePolicy(CascadeParameters.DEFAULT),
 				new SharedRolloutPolicy(host, incarnation, members, RolloutSettings.defaults()),
-				new LoadAwareServerPolicy(RoutingParameters.DEFAULT), new BudgetedRetryPolicy(RetrySettings.defaults()),
+				new LoadAwareServerPolicy(RoutingParameters.DEFAULT), OutlierParameters.DEFAULT,
+				new BudgetedRetryPolicy(RetrySettings.defaults()),
 				new FleetAdmissionPolicy(host, members, capacity, LimitSettings.defaults()), CrashGuard.NONE);
 
 		/**
--- a/daemon/src/main/java/io/sequoialink/daemon/http/Frontend.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/Frontend.java
@@ -21,6 +21,7 @@
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
 import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
 import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.ServerContext;
 import org.slf4j.Logger;
@@ -49,6 +50,8 @@
 
 	private final ThreadPoolExecutor workers;
 
+	private final int maxHeaderBytes;
+
 	private volatile ServerContext server;
 
 	/**
@@ -59,6 +62,7 @@
 	public Frontend(HttpLimits limits, Supplier<RequestId> ids) {
 		this.inFlight = new InFlight(limits.maxInFlight());
 		this.ids = ids;
+		this.maxHeaderBytes = limits.maxHeaderBytes();
 		AtomicInteger number = new AtomicInteger();
 		this.workers = new ThreadPoolExecutor(CORE_WORKERS, limits.maxInFlight() + SPARE_WORKERS, IDLE_SECONDS,
 				TimeUnit.SECONDS, new SynchronousQueue<>(), (task) -> {
@@ -90,6 +94,7 @@
 	public int start(String ip, int port) throws Exception {
 		this.server = HttpServers.forAddress(new InetSocketAddress(ip, port))
 			.executor(Executors.from(this.workers))
+			.protocols(HttpProtocolConfigs.h1().maxHeaderFieldLength(this.maxHeaderBytes).build())
 			.listenBlockingStreamingAndAwait(this::handle);
 		InetSocketAddress address = (InetSocketAddress) this.server.listenAddress();
 		LOG.info(HttpEvents.LISTENING, address);
--- a/standin/src/main/java/io/sequoialink/standin/StandinServer.java
+++ b/standin/src/main/java/io/sequoialink/standin/StandinServer.java
@@ -36,6 +36,14 @@
 	 */
 	abstract void handle(Exchange exchange) throws IOException, InterruptedException;
 
+	/**
+	 * Sets the port, before the first start.
+	 * @param fixed the port, 0 for any free one
+	 */
+	synchronized void port(int fixed) {
+		this.port = fixed;
+	}
+
 	/**
 	 * Starts the server, on the port that it had before if it was up before.
 	 * @throws IOException if the port can't be had
--- a/standin/src/main/java/io/sequoialink/standin/Standins.java
+++ b/standin/src/main/java/io/sequoialink/standin/Standins.java
@@ -115,6 +115,11 @@
 	}
 
 	private void start(Builder builder) throws IOException {
+		if (builder.basePort > 0) {
+			this.log.port(builder.basePort);
+			this.directory.port(builder.basePort + 1);
+			this.rating.port(builder.basePort + 2);
+		}
 		this.log.up();
 		this.directory.up();
 		this.rating.up();
@@ -171,6 +176,8 @@
 
 		private long directoryLagMillis;
 
+		private int basePort;
+
 		private LongSupplier clockMillis = System::currentTimeMillis;
 
 		private OutcomeTable table;
@@ -203,6 +210,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets fixed ports of the platform's services; the backend servers take free
+		 * ones.
+		 * @param port port of the log; the list and the rating service follow
+		 * @return this builder
+		 */
+		public Builder basePort(int port) {
+			this.basePort = port;
+			return this;
+		}
+
 		/**
 		 * Sets how old the shown list of servers is.
 		 * @param millis the lag in milliseconds
