--- a/membership/src/main/java/io/sequoialink/membership/BrakeSet.java
+++ b/membership/src/main/java/io/sequoialink/membership/BrakeSet.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -63,15 +65,16 @@
 	}
 
 	List<Brake> missingFrom(Collection<Long> held) {
+		Set<Long> distinct = new HashSet<>(held);
 		return this.byDigest.entrySet()
 			.stream()
-			.filter((entry) -> !held.contains(entry.getKey()))
+			.filter((entry) -> !distinct.contains(entry.getKey()))
 			.map(Map.Entry::getValue)
 			.toList();
 	}
 
 	List<Brake> withDigests(Collection<Long> wanted) {
-		return wanted.stream().filter(this.byDigest::containsKey).map(this.byDigest::get).toList();
+		return wanted.stream().distinct().filter(this.byDigest::containsKey).map(this.byDigest::get).toList();
 	}
 
 	private Brake removeLast() {
--- a/membership/src/main/java/io/sequoialink/membership/GossipCore.java
+++ b/membership/src/main/java/io/sequoialink/membership/GossipCore.java
@@ -306,7 +306,12 @@
 		List<Long> wanted = List.of();
 		if (sync.getWantedCount() == 0) {
 			missing.addAll(this.brakes.missingFrom(sync.getHeldList()));
-			wanted = sync.getHeldList().stream().filter((held) -> !this.brakes.digests().contains(held)).toList();
+			wanted = sync.getHeldList()
+				.stream()
+				.filter((held) -> !this.brakes.digests().contains(held))
+				.distinct()
+				.limit(BrakeSet.MAX_BRAKES)
+				.toList();
 		}
 		for (int from = 0; from < missing.size(); from += SYNC_BRAKES_PER_MESSAGE) {
 			int to = Math.min(missing.size(), from + SYNC_BRAKES_PER_MESSAGE);
