--- a/ledger/src/main/java/io/sequoialink/ledger/BillJournal.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/BillJournal.java
@@ -21,6 +21,16 @@
 	 */
 	Safety record(Bill bill, Duration patience);
 
+	/**
+	 * Returns whether new work may be admitted. It turns {@code false} while as many
+	 * bills wait for the log as this host can hold; bills of work that is already under
+	 * way are taken all the same.
+	 * @return whether there is room for the bills of new work
+	 */
+	default boolean accepting() {
+		return true;
+	}
+
 	/**
 	 * Appends what is held, for a graceful shutdown.
 	 * @param patience the longest time to wait for the log
