Estimate the noise of ratings and the length of the next answer

Escalations that could not be in time were started, since the length of the answer was taken for the mean. Change: the noise is estimated from the spread of ratings around the pass mark; the length of the last answer predicts the time and cost of the next; a start weighs three lengths.

--- a/decision/src/main/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicy.java
@@ -36,10 +36,17 @@
 
 	private static final double LOWER_BOUND_DEVIATIONS = 1.645;
 
+	/** Most that an answer is taken to differ from the expected length, as a factor. */
+	private static final double MOST_LENGTH = 4;
+
+	private static final double LEAST_SPREAD = 0.05;
+
 	private final CascadeParameters parameters;
 
 	private final ChanceSource source;
 
+	private final NoiseEstimate noise;
+
 	private final Map<ClassId, ClassState> classes = new ConcurrentHashMap<>();
 
 	public AdaptiveCascadePolicy(CascadeParameters parameters) {
@@ -49,6 +56,7 @@
 	public AdaptiveCascadePolicy(CascadeParameters parameters, ChanceSource source) {
 		this.parameters = parameters;
 		this.source = source;
+		this.noise = new NoiseEstimate(parameters.passMark(), parameters.ratingNoise());
 	}
 
 	@Override
@@ -60,7 +68,7 @@
 		if (request.sessionVersion().isPresent()) {
 			return new TierDecision(request.sessionVersion().get(), false, List.of());
 		}
-		EscalationPlan plan = state.plan(request, sorted, remainingMillis);
+		EscalationPlan plan = state.plan(request, sorted);
 		int explored = explored(state, sorted, random);
 		int chosen = (explored >= 0) ? explored : bestStart(request, plan, sorted, remainingMillis);
 		return decision(state, plan, sorted, chosen, explored >= 0, remainingMillis);
@@ -77,14 +85,15 @@
 		state.learnLast(attempts, chances);
 		int best = Math.max(0, BestAnswer.index(attempts));
 		List<Candidate> sorted = sorted(candidates);
-		EscalationPlan plan = state.plan(request, sorted, remainingMillis);
+		EscalationPlan plan = state.plan(request, sorted);
 		int last = indexOf(sorted, attempts.get(attempts.size() - 1).version());
+		plan.solve(length(sorted, last, attempts), remainingMillis, this.parameters.ratingWaitMillis());
 		int bestTier = indexOf(sorted, attempts.get(best).version());
 		int chosen = EscalationPlan.STOP;
 		double most = 0;
 		for (int i = last + 1; last >= 0 && i < sorted.size(); i++) {
 			double gain = plan.gain(Math.max(0, bestTier), chances[best], last, i);
-			if (gain > most && sorted.get(i).expectedMillis() <= remainingMillis) {
+			if (gain > most && plan.millis(i) <= remainingMillis) {
 				most = gain;
 				chosen = i;
 			}
@@ -104,20 +113,39 @@
 	}
 
 	private int bestStart(RequestFacts request, EscalationPlan plan, List<Candidate> sorted, double remainingMillis) {
+		double[] worth = new double[sorted.size()];
+		double spread = this.parameters.answerSpread();
+		for (double length = 1 - spread; length < 1 + 1.5 * spread; length += Math.max(spread, LEAST_SPREAD)) {
+			plan.solve(length, remainingMillis, this.parameters.ratingWaitMillis());
+			for (int i = 0; i < worth.length; i++) {
+				worth[i] += single(request) ? plan.singleWorth(i) : plan.startWorth(i);
+			}
+		}
 		int best = -1;
-		double most = Double.NEGATIVE_INFINITY;
 		int fastest = 0;
-		for (int i = 0; i < sorted.size(); i++) {
-			double worth = single(request) ? plan.singleWorth(i) : plan.startWorth(i);
-			fastest = (plan.millis[i] < plan.millis[fastest]) ? i : fastest;
-			if (worth > most && inTime(sorted.get(i), remainingMillis)) {
-				most = worth;
+		for (int i = 0; i < worth.length; i++) {
+			fastest = (sorted.get(i).expectedMillis() < sorted.get(fastest).expectedMillis()) ? i : fastest;
+			if (inTime(sorted.get(i), remainingMillis) && (best < 0 || worth[i] > worth[best])) {
 				best = i;
 			}
 		}
 		return (best >= 0) ? best : fastest;
 	}
 
+	private double length(List<Candidate> sorted, int last, List<Attempt> attempts) {
+		if (last < 0) {
+			return 1;
+		}
+		Candidate candidate = sorted.get(last);
+		double expected = candidate.expectedMillis() - candidate.expectedFirstTokenMillis();
+		double taken = attempts.get(attempts.size() - 1).millis() - candidate.expectedFirstTokenMillis();
+		if (expected <= 0 || taken <= 0) {
+			return 1;
+		}
+		return Math.pow(Math.max(1 / MOST_LENGTH, Math.min(MOST_LENGTH, taken / expected)),
+				this.parameters.lengthTrust());
+	}
+
 	private int explored(ClassState state, List<Candidate> sorted, RandomGenerator random) {
 		double draw = random.nextDouble();
 		if (draw < this.parameters.driftShare()) {
@@ -168,7 +196,7 @@
 
 	private ClassState state(RequestFacts request) {
 		return this.classes.computeIfAbsent(request.requestClass(),
-				(id) -> new ClassState(id, this.parameters, this.source));
+				(id) -> new ClassState(id, this.parameters, this.source, this.noise));
 	}
 
 	private static boolean single(RequestFacts request) {
--- a/decision/src/main/java/io/sequoialink/decision/cascade/CascadeParameters.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/CascadeParameters.java
@@ -4,7 +4,8 @@
  * Settings of {@link AdaptiveCascadePolicy}. Immutable and thread-safe.
  *
  * @param passMark rating in (0, 1) from which on an answer is good enough
- * @param ratingNoise standard deviation of ratings around the true score, in (0, 0.5]
+ * @param ratingNoise standard deviation of ratings around the true score that is assumed
+ * until ratings show it, in (0, 0.5]
  * @param ratingWaitMillis time that a rating is expected to take, in milliseconds, at
  * least 0
  * @param priorCheapest chance assumed of the cheapest version before any evidence, in (0,
@@ -30,6 +31,10 @@
  * @param targetWindow answers over which the target is kept, at least 100
  * @param answerShare expected tokens of an answer as a share of the most allowed, in (0,
  * 1]
+ * @param answerSpread half the range of lengths that are weighed at the start, as a share
+ * of the expected length, in [0, 0.9]
+ * @param lengthTrust power in [0, 1] with which the length of one version's answer
+ * predicts that of the next
  * @param startSlack expected time, as a multiple of the time left, above which no version
  * is started; at least 1
  * @param missingMemory ratings over which the share of missing ones is averaged, at least
@@ -38,7 +43,8 @@
 public record CascadeParameters(double passMark, double ratingNoise, double ratingWaitMillis, double priorCheapest,
 		double priorDearest, double priorStrength, double failureDiscount, double evidenceWindow,
 		double explorationShare, double explorationFloor, double driftShare, double startPrice, double priceGain,
-		double safety, double targetWindow, double answerShare, double startSlack, double missingMemory) {
+		double safety, double targetWindow, double answerShare, double answerSpread, double lengthTrust,
+		double startSlack, double missingMemory) {
 
 	/** The default settings. */
 	public static final CascadeParameters DEFAULT = new Builder().build();
@@ -60,6 +66,8 @@
 		require(safety >= 0, "safety", safety, "at least 0 standard deviations");
 		require(targetWindow >= 100, "targetWindow", targetWindow, "at least 100 answers");
 		require(answerShare > 0 && answerShare <= 1, "answerShare", answerShare, "above 0 and up to 1");
+		require(answerSpread >= 0 && answerSpread <= 0.9, "answerSpread", answerSpread, "0 to 0.9");
+		require(lengthTrust >= 0 && lengthTrust <= 1, "lengthTrust", lengthTrust, "0 to 1");
 		require(startSlack >= 1, "startSlack", startSlack, "at least 1");
 		require(missingMemory >= 1, "missingMemory", missingMemory, "at least 1 rating");
 	}
@@ -115,6 +123,10 @@
 
 		private double answerShare = 0.6;
 
+		private double answerSpread = 0.4;
+
+		private double lengthTrust = 0.8;
+
 		private double startSlack = 1.25;
 
 		private double missingMemory = 30;
@@ -282,6 +294,26 @@
 			return this;
 		}
 
+		/**
+		 * Sets the answer spread.
+		 * @param value see {@link CascadeParameters#answerSpread()}
+		 * @return this builder
+		 */
+		public Builder answerSpread(double value) {
+			this.answerSpread = value;
+			return this;
+		}
+
+		/**
+		 * Sets the length trust.
+		 * @param value see {@link CascadeParameters#lengthTrust()}
+		 * @return this builder
+		 */
+		public Builder lengthTrust(double value) {
+			this.lengthTrust = value;
+			return this;
+		}
+
 		/**
 		 * Sets the start slack.
 		 * @param value see {@link CascadeParameters#startSlack()}
@@ -311,7 +343,8 @@
 			return new CascadeParameters(this.passMark, this.ratingNoise, this.ratingWaitMillis, this.priorCheapest,
 					this.priorDearest, this.priorStrength, this.failureDiscount, this.evidenceWindow,
 					this.explorationShare, this.explorationFloor, this.driftShare, this.startPrice, this.priceGain,
-					this.safety, this.targetWindow, this.answerShare, this.startSlack, this.missingMemory);
+					this.safety, this.targetWindow, this.answerShare, this.answerSpread, this.lengthTrust,
+					this.startSlack, this.missingMemory);
 		}
 
 	}
--- a/decision/src/main/java/io/sequoialink/decision/cascade/ChanceTable.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ChanceTable.java
@@ -16,12 +16,17 @@
 	/** The row of first attempts; the row of a failed version follows its index. */
 	static final int FIRST = 0;
 
+	/** Chance assumed of a version whose rank among others is not known. */
+	private static final double UNRANKED = 0.8;
+
 	private final Map<VersionId, Integer> indices = new HashMap<>();
 
 	private double[][] good = new double[1][0];
 
 	private double[][] bad = new double[1][0];
 
+	private double[] assumed = new double[0];
+
 	/**
 	 * Returns the index of a version and adds it if it is new.
 	 * @param version the version
@@ -36,9 +41,29 @@
 		this.indices.put(version, index);
 		this.good = grown(this.good, index + 1);
 		this.bad = grown(this.bad, index + 1);
+		this.assumed = Arrays.copyOf(this.assumed, index + 1);
+		this.assumed[index] = UNRANKED;
 		return index;
 	}
 
+	/**
+	 * Sets the chance assumed of a version before any evidence.
+	 * @param index index of the version
+	 * @param chance chance of a good first answer
+	 */
+	void assume(int index, double chance) {
+		this.assumed[index] = chance;
+	}
+
+	/**
+	 * Returns the chance assumed of a version before any evidence.
+	 * @param index index of the version
+	 * @return chance of a good first answer
+	 */
+	double assumed(int index) {
+		return this.assumed[index];
+	}
+
 	/**
 	 * Returns the weight of the evidence.
 	 * @param row {@link #FIRST}, or one more than the index of the failed version
--- a/decision/src/main/java/io/sequoialink/decision/cascade/ClassState.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ClassState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import io.sequoialink.decision.Attempt;
 import io.sequoialink.decision.Candidate;
@@ -29,6 +30,8 @@
 
 	private final ChanceSource source;
 
+	private final NoiseEstimate noise;
+
 	private final RatingModel ratings;
 
 	private final ChanceTable table = new ChanceTable();
@@ -45,11 +48,12 @@
 
 	private double missingShare;
 
-	ClassState(ClassId id, CascadeParameters parameters, ChanceSource source) {
+	ClassState(ClassId id, CascadeParameters parameters, ChanceSource source, NoiseEstimate noise) {
 		this.id = id;
 		this.parameters = parameters;
 		this.source = source;
-		this.ratings = new RatingModel(parameters.passMark(), parameters.ratingNoise());
+		this.noise = noise;
+		this.ratings = new RatingModel(parameters.passMark(), noise);
 		this.account = new TargetAccount(parameters);
 	}
 
@@ -74,30 +78,33 @@
 	 * Fills a plan for a request.
 	 * @param request the request
 	 * @param candidates the candidates, cheapest first
-	 * @param remainingMillis time left until the deadline
-	 * @return the solved plan
+	 * @return the plan, not solved yet
 	 */
-	synchronized EscalationPlan plan(RequestFacts request, List<Candidate> candidates, double remainingMillis) {
+	synchronized EscalationPlan plan(RequestFacts request, List<Candidate> candidates) {
 		int size = candidates.size();
 		double price = this.account.price() * this.dearestCost;
 		EscalationPlan plan = new EscalationPlan(size, price, this.missingShare);
-		double tokens = tokens(request);
+		double answerTokens = this.parameters.answerShare() * request.maxAnswerTokens();
 		double laterTurns = request.sessionStart() ? this.sessionTurns / this.sessionStarts - 1 : 0;
+		int[] indices = new int[size];
 		for (int i = 0; i < size; i++) {
-			ModelVersion version = candidates.get(i).version();
-			plan.cost[i] = version.cost() * tokens / ModelVersion.TOKENS_PER_COST_UNIT;
-			plan.millis[i] = candidates.get(i).expectedMillis();
-			plan.first[i] = first(version.id(), i, size);
-			double laterCost = version.cost() * this.meanTokens / ModelVersion.TOKENS_PER_COST_UNIT;
-			plan.bound[i] = laterTurns * (price * plan.first[i] - laterCost);
+			Candidate candidate = candidates.get(i);
+			double tokenCost = (double) candidate.version().cost() / ModelVersion.TOKENS_PER_COST_UNIT;
+			indices[i] = this.table.index(candidate.version().id());
+			plan.promptCost[i] = tokenCost * request.promptTokens();
+			plan.answerCost[i] = tokenCost * answerTokens;
+			plan.firstMillis[i] = candidate.expectedFirstTokenMillis();
+			plan.answerMillis[i] = candidate.expectedMillis() - candidate.expectedFirstTokenMillis();
+			rank(indices[i], i, size);
+			plan.first[i] = first(candidate.version().id(), indices[i]);
+			plan.bound[i] = laterTurns * (price * plan.first[i] - tokenCost * this.meanTokens);
 		}
 		for (int failed = 0; failed < size; failed++) {
 			for (int next = failed + 1; next < size; next++) {
-				plan.after[failed][next] = after(candidates.get(failed).version().id(),
-						candidates.get(next).version().id(), plan.first[next]);
+				plan.after[failed][next] = after(candidates.get(failed).version().id(), indices[failed],
+						candidates.get(next).version().id(), indices[next], plan.first[next]);
 			}
 		}
-		plan.solve(remainingMillis, this.parameters.ratingWaitMillis());
 		return plan;
 	}
 
@@ -118,8 +125,7 @@
 	 */
 	synchronized void learnSingle(RequestFacts request, Attempt attempt, double weight) {
 		int index = this.table.index(attempt.version());
-		double prior = first(attempt.version(), 1, 2);
-		double chance = learn(ChanceTable.FIRST, index, prior, attempt, weight);
+		double chance = learn(ChanceTable.FIRST, index, first(attempt.version(), index), attempt, weight);
 		this.account.add(request.qualityTarget(), chance, weight);
 	}
 
@@ -133,8 +139,7 @@
 		for (int i = 0; i <= last; i++) {
 			Attempt attempt = attempts.get(i);
 			int index = this.table.index(attempt.version());
-			double first = first(attempt.version(), 1, 2);
-			double prior = (i == 0) ? first : after(attempts.get(i - 1).version(), attempt.version(), first);
+			double prior = prior(attempts, i);
 			if (i < last) {
 				chances[i] = chance(attempt, prior);
 				continue;
@@ -158,6 +163,7 @@
 		this.missingShare += ((missing ? 1 : 0) - this.missingShare) / this.parameters.missingMemory();
 		double chance = chance(attempt, prior);
 		if (!missing) {
+			this.noise.add(attempt.rating().getAsDouble());
 			this.table.add(row, index, chance, weight, this.parameters.evidenceWindow());
 		}
 		return chance;
@@ -167,19 +173,33 @@
 		return attempt.rating().isPresent() ? this.ratings.chance(attempt.rating().getAsDouble(), prior) : prior;
 	}
 
-	private double first(VersionId version, int rank, int size) {
+	private double prior(List<Attempt> attempts, int number) {
+		Attempt attempt = attempts.get(number);
+		int index = this.table.index(attempt.version());
+		double first = first(attempt.version(), index);
+		if (number == 0) {
+			return first;
+		}
+		VersionId failed = attempts.get(number - 1).version();
+		return after(failed, this.table.index(failed), attempt.version(), index, first);
+	}
+
+	private void rank(int index, int rank, int size) {
 		double step = (size > 1) ? (double) rank / (size - 1) : 1;
-		double prior = this.parameters.priorCheapest()
-				+ step * (this.parameters.priorDearest() - this.parameters.priorCheapest());
-		return this.source.chance(this.id, Optional.empty(), version)
-			.orElseGet(() -> this.table.mean(ChanceTable.FIRST, this.table.index(version), prior,
-					this.parameters.priorStrength()));
+		this.table.assume(index, this.parameters.priorCheapest()
+				+ step * (this.parameters.priorDearest() - this.parameters.priorCheapest()));
+	}
+
+	private double first(VersionId version, int index) {
+		OptionalDouble known = this.source.chance(this.id, Optional.empty(), version);
+		return known.isPresent() ? known.getAsDouble()
+				: this.table.mean(ChanceTable.FIRST, index, this.table.assumed(index), this.parameters.priorStrength());
 	}
 
-	private double after(VersionId failed, VersionId version, double first) {
-		return this.source.chance(this.id, Optional.of(failed), version)
-			.orElseGet(() -> this.table.mean(this.table.index(failed) + 1, this.table.index(version),
-					first * this.parameters.failureDiscount(), this.parameters.priorStrength()));
+	private double after(VersionId failed, int failedIndex, VersionId version, int index, double first) {
+		OptionalDouble known = this.source.chance(this.id, Optional.of(failed), version);
+		return known.isPresent() ? known.getAsDouble() : this.table.mean(failedIndex + 1, index,
+				first * this.parameters.failureDiscount(), this.parameters.priorStrength());
 	}
 
 	private double tokens(RequestFacts request) {
--- a/decision/src/main/java/io/sequoialink/decision/cascade/EscalationPlan.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/EscalationPlan.java
@@ -13,14 +13,20 @@
 
 	private final int size;
 
-	/** Cost of one answer, in micro-euros, ascending. */
-	final double[] cost;
+	/** Cost of the prompt, in micro-euros, ascending. */
+	final double[] promptCost;
+
+	/** Cost of an answer of the expected length, in micro-euros. */
+	final double[] answerCost;
 
 	/** Chance of a good answer as first attempt. */
 	final double[] first;
 
-	/** Expected time to the whole answer, in milliseconds. */
-	final double[] millis;
+	/** Expected time to the first token, in milliseconds. */
+	final double[] firstMillis;
+
+	/** Expected time from the first to the last token, in milliseconds. */
+	final double[] answerMillis;
 
 	/** Worth of a session that stays on the version, in micro-euros. */
 	final double[] bound;
@@ -28,6 +34,10 @@
 	/** Chance of a good answer after a failed version: failed version, then version. */
 	final double[][] after;
 
+	private final double[] cost;
+
+	private final double[] millis;
+
 	private final double[] worthAfterFailure;
 
 	private final double[] laterCost;
@@ -42,6 +52,10 @@
 		this.size = size;
 		this.price = price;
 		this.missingShare = missingShare;
+		this.promptCost = new double[size];
+		this.answerCost = new double[size];
+		this.firstMillis = new double[size];
+		this.answerMillis = new double[size];
 		this.cost = new double[size];
 		this.first = new double[size];
 		this.millis = new double[size];
@@ -54,10 +68,15 @@
 
 	/**
 	 * Works out what follows each failed version.
+	 * @param length length of the answer, as a multiple of the expected one
 	 * @param remainingMillis time left before the first of two attempts
 	 * @param waitMillis time that a rating takes between attempts
 	 */
-	void solve(double remainingMillis, double waitMillis) {
+	void solve(double length, double remainingMillis, double waitMillis) {
+		for (int i = 0; i < this.size; i++) {
+			this.cost[i] = this.promptCost[i] + length * this.answerCost[i];
+			this.millis[i] = this.firstMillis[i] + length * this.answerMillis[i];
+		}
 		for (int failed = this.size - 1; failed >= 0; failed--) {
 			this.worthAfterFailure[failed] = this.bound[failed];
 			this.nextTier[failed] = STOP;
@@ -75,6 +94,15 @@
 		}
 	}
 
+	/**
+	 * Returns the expected time to the whole answer.
+	 * @param version index of the version
+	 * @return milliseconds
+	 */
+	double millis(int version) {
+		return this.millis[version];
+	}
+
 	/**
 	 * Returns the worth of a first attempt whose answer cannot be taken back.
 	 * @param version index of the version
--- a/decision/src/main/java/io/sequoialink/decision/cascade/RatingModel.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/RatingModel.java
@@ -3,7 +3,7 @@
 /**
  * Reads a noisy rating as the chance that the answer is good enough: scores are taken to
  * be spread evenly near the pass mark, on each side as densely as the share of answers on
- * that side, and ratings to be scores with normal noise. Immutable and thread-safe.
+ * that side, and ratings to be scores with normal noise. Thread-safe.
  */
 final class RatingModel {
 
@@ -12,9 +12,9 @@
 
 	private final double passMark;
 
-	private final double noise;
+	private final NoiseEstimate noise;
 
-	RatingModel(double passMark, double noise) {
+	RatingModel(double passMark, NoiseEstimate noise) {
 		this.passMark = passMark;
 		this.noise = noise;
 	}
@@ -26,7 +26,7 @@
 	 * @return the chance after it
 	 */
 	double chance(double rating, double prior) {
-		double above = 1 / (1 + Math.exp(-LOGISTIC_SCALE * (rating - this.passMark) / this.noise));
+		double above = 1 / (1 + Math.exp(-LOGISTIC_SCALE * (rating - this.passMark) / this.noise.noise()));
 		double good = prior * above;
 		double bad = (1 - prior) * (1 - above);
 		return (good + bad > 0) ? good / (good + bad) : prior;
