Keep every class at its target with a slower, foreseeing price

Cause: a quick price swung, since the later turns of a session are paid for long after its version is chosen, and the margin was one standard deviation. After a drift, evidence of the old chances stayed. A second answer that left no time for a third was handed out unrated in the experiment, although the first may have been better. Change: the price follows slowly (gain 0.03, memory 1000 answers, faster when answers are missed), later turns are booked when a session starts, safety is 2.5 standard deviations, older evidence is dropped when recent answers differ, unrated answers count less while ratings are down; the experiment waits for the second rating while there is time. The report page, relaxed constraints, faults and decision times are new.

--- a/bench/src/main/java/io/sequoialink/bench/cascade/CascadeExperiment.java
+++ b/bench/src/main/java/io/sequoialink/bench/cascade/CascadeExperiment.java
@@ -70,6 +70,9 @@
 		notes.add(String.format(Locale.ROOT, "best fixed cascade: starts at tier %d, goes up below %.2f, margin %.4f",
 				fixed.tier(), fixed.threshold(), fixed.margin()));
 		runs.forEach((name, books) -> notes.addAll(describe(name, table, books)));
+		notes.addAll(relaxed(table, options));
+		notes.addAll(faults(table, requests, options));
+		notes.add(DecisionCost.measure(options.seed()));
 		Map<String, List<Point>> series = new LinkedHashMap<>();
 		runs.forEach((name, books) -> series.put("cost per request: " + name, books.costSeries()));
 		return new ExperimentResult(figures(requests, runs), notes, series);
@@ -84,6 +87,39 @@
 		return new AdaptiveCascadePolicy(CascadeParameters.DEFAULT);
 	}
 
+	private static List<String> relaxed(OutcomeTable table, ExperimentOptions options) {
+		List<String> lines = new ArrayList<>();
+		lines.add(relaxed("without sessions", table.relaxed(true), options, RequestDraws.STREAMED_SHARE));
+		lines
+			.add(relaxed("without sessions and deadlines", table.relaxed(false), options, RequestDraws.STREAMED_SHARE));
+		lines.add(relaxed("without sessions, deadlines and streams", table.relaxed(false), options, 0));
+		return lines;
+	}
+
+	private static String relaxed(String name, OutcomeTable table, ExperimentOptions options, double streamedShare) {
+		List<DrawnRequest> requests = RequestDraws.draw(table, options.seed(), REQUESTS, streamedShare);
+		double dearest = run(table, requests, options, Baselines.alwaysDearest(table), Scenario.NONE).costPerRequest();
+		double oracle = Baselines.oracleCost(requests);
+		Books known = run(table, requests, options,
+				new AdaptiveCascadePolicy(CascadeParameters.DEFAULT, new KnownChances(table)), Scenario.NONE);
+		Books books = run(table, requests, options, adaptive(), Scenario.NONE);
+		return String.format(Locale.ROOT,
+				"%s: %.3f of always-dearest, %.3f of the oracle, margin %+.4f; with the true chances %.3f, %.3f, %+.4f",
+				name, books.costPerRequest() / dearest, books.costPerRequest() / oracle, books.leastMargin(),
+				known.costPerRequest() / dearest, known.costPerRequest() / oracle, known.leastMargin());
+	}
+
+	private static List<String> faults(OutcomeTable table, List<DrawnRequest> requests, ExperimentOptions options) {
+		Map<String, Scenario> scenarios = new LinkedHashMap<>();
+		scenarios.put("ratings down", Scenario.outage(0.4, 0.7));
+		scenarios.put("cheapest x0.7", Scenario.drift(0.4, 0, 0.7));
+		scenarios.put("second x0.7", Scenario.drift(0.4, 1, 0.7));
+		List<String> lines = new ArrayList<>();
+		scenarios.forEach((name, scenario) -> lines
+			.addAll(describe(name, table, run(table, requests, options, adaptive(), scenario))));
+		return lines;
+	}
+
 	private static ObjectNode figures(List<DrawnRequest> requests, Map<String, Books> runs) {
 		Books books = runs.get(POLICY);
 		int worst = books.worstClass();
@@ -108,12 +144,12 @@
 	private static List<String> describe(String name, OutcomeTable table, Books books) {
 		List<String> lines = new ArrayList<>();
 		lines.add(String.format(Locale.ROOT,
-				"%-12s %8.1f micro-euros a request, %.3f attempts, %.4f explored, %.4f late, first token p95 %d ms, "
+				"%-14s %8.1f micro-euros a request, %.3f attempts, %.4f explored, %.4f late, first token p95 %d ms, "
 						+ "whole answer p95 %d ms",
 				name, books.costPerRequest(), books.attemptsPerRequest(), books.exploredShare(), books.lateShare(),
 				books.firstTokenP95(), books.wholeAnswerP95()));
 		for (int i = 0; i < table.classes().size(); i++) {
-			lines.add(String.format(Locale.ROOT, "%-12s   %-14s met %.4f of %.2f, %8.1f micro-euros", "",
+			lines.add(String.format(Locale.ROOT, "%-14s   %-14s met %.4f of %.2f, %8.1f micro-euros", "",
 					table.classes().get(i).id(), books.met(i), table.classes().get(i).qualityTarget(),
 					books.costOf(i)));
 		}
--- a/bench/src/main/java/io/sequoialink/bench/cascade/CascadeRun.java
+++ b/bench/src/main/java/io/sequoialink/bench/cascade/CascadeRun.java
@@ -123,20 +123,17 @@
 				: Math.round(RATING_TIMEOUT * this.table.rating().delay());
 		Attempt attempt = new Attempt(new VersionId(this.table.versions().get(version).id()), SERVER, Effect.DONE,
 				rating, "whole", millis);
-		if (progress.facts().streamed() || progress.facts().sessionVersion().isPresent()
-				|| !escalable(progress, version, now)) {
-			finish(progress, version, firstToken, now);
-			at(now + delay, (at) -> rated(progress, attempt, at, false));
-		}
-		else {
-			at(now + delay, (at) -> rated(progress, attempt, at, true));
+		boolean open = !single(progress) && worthWaiting(progress, version, now, delay);
+		if (!open) {
+			finish(progress, bestOf(progress, attempt), firstToken, now);
 		}
+		at(now + delay, (at) -> rated(progress, attempt, at, open));
 	}
 
 	private void rated(Progress progress, Attempt attempt, long now, boolean open) {
 		this.policy.learn(progress.facts(), attempt, 1);
 		progress.attempts().add(attempt);
-		if (progress.facts().streamed() || progress.facts().sessionVersion().isPresent()) {
+		if (single(progress)) {
 			return;
 		}
 		double remaining = progress.facts().deadlineMillis() - now;
@@ -146,17 +143,31 @@
 			dispatch(progress, next.get(), now);
 		}
 		else if (open) {
-			int best = this.indices.get(progress.attempts().get(BestAnswer.index(progress.attempts())).version());
-			finish(progress, best, 0, now);
+			finish(progress, best(progress.attempts()), 0, now);
 		}
 	}
 
-	private boolean escalable(Progress progress, int version, long now) {
-		OutcomeTable.VersionRow next = this.table.versions()
-			.get(Math.min(version + 1, this.table.versions().size() - 1));
-		double remaining = progress.facts().deadlineMillis() - now - this.table.rating().delay();
-		return version + 1 < this.table.versions().size()
-				&& next.millis(progress.request().row().answerTokens().min()) <= remaining;
+	private static boolean single(Progress progress) {
+		return progress.facts().streamed() || progress.facts().sessionVersion().isPresent();
+	}
+
+	private int bestOf(Progress progress, Attempt last) {
+		List<Attempt> all = new ArrayList<>(progress.attempts());
+		all.add(new Attempt(last.version(), SERVER, Effect.DONE, OptionalDouble.empty(), "whole", last.millis()));
+		return best(all);
+	}
+
+	private int best(List<Attempt> attempts) {
+		return this.indices.get(attempts.get(BestAnswer.index(attempts)).version());
+	}
+
+	// Waits only where a rating can still change, in time, which answer the caller gets.
+	private boolean worthWaiting(Progress progress, int version, long now, long delay) {
+		double remaining = progress.facts().deadlineMillis() - now - delay;
+		int above = Math.min(version + 1, this.table.versions().size() - 1);
+		double soonest = this.table.versions().get(above).millis(progress.request().row().answerTokens().min());
+		boolean escalable = above > version && soonest <= remaining;
+		return escalable || (!progress.attempts().isEmpty() && remaining >= 0);
 	}
 
 	private void finish(Progress progress, int version, long firstToken, long now) {
--- a/bench/src/main/java/io/sequoialink/bench/outcomes/OutcomeTable.java
+++ b/bench/src/main/java/io/sequoialink/bench/outcomes/OutcomeTable.java
@@ -24,6 +24,8 @@
  */
 public record OutcomeTable(List<VersionRow> versions, RatingRow rating, List<ClassRow> classes) {
 
+	private static final long NO_DEADLINE = 3_600_000;
+
 	private static final double SHARE_TOLERANCE = 1e-6;
 
 	private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
@@ -84,6 +86,21 @@
 		}
 	}
 
+	/**
+	 * Returns the same table without sessions and, if asked for, without deadlines, to
+	 * see what these constraints cost.
+	 * @param withDeadlines whether deadlines stay
+	 * @return the changed copy
+	 */
+	public OutcomeTable relaxed(boolean withDeadlines) {
+		List<ClassRow> rows = this.classes.stream()
+			.map((row) -> new ClassRow(row.id(), row.share(), row.qualityTarget(),
+					withDeadlines ? row.deadline() : NO_DEADLINE, Span.ONE, row.promptTokens(), row.answerTokens(),
+					row.difficulties()))
+			.toList();
+		return new OutcomeTable(this.versions, this.rating, rows);
+	}
+
 	private static void requireWhole(String what, double sum) {
 		if (Math.abs(sum - 1) > SHARE_TOLERANCE) {
 			throw new IllegalArgumentException("shares of " + what + " add up to " + sum + ": they must add up to 1");
@@ -163,15 +180,6 @@
 			return this.sessionTurns.max() > 1;
 		}
 
-		/**
-		 * Returns the same class without sessions.
-		 * @return the changed copy
-		 */
-		public ClassRow withoutSessions() {
-			return new ClassRow(this.id, this.share, this.qualityTarget, this.deadline, Span.ONE, this.promptTokens,
-					this.answerTokens, this.difficulties);
-		}
-
 	}
 
 	/**
--- a/bench/src/main/java/io/sequoialink/bench/outcomes/RequestDraws.java
+++ b/bench/src/main/java/io/sequoialink/bench/outcomes/RequestDraws.java
@@ -31,12 +31,24 @@
 	 * @return the requests in order of arrival
 	 */
 	public static List<DrawnRequest> draw(OutcomeTable table, long seed, int count) {
+		return draw(table, seed, count, STREAMED_SHARE);
+	}
+
+	/**
+	 * Draws requests with another share of streamed ones.
+	 * @param table the table of outcomes
+	 * @param seed the seed of all draws
+	 * @param count how many requests
+	 * @param streamedShare share of requests whose answers are streamed
+	 * @return the requests in order of arrival
+	 */
+	public static List<DrawnRequest> draw(OutcomeTable table, long seed, int count, double streamedShare) {
 		List<Slot> slots = slots(table, new SplittableRandom(seed), count);
 		slots.sort(Comparator.comparingDouble(Slot::at).thenComparingInt(Slot::session));
 		List<DrawnRequest> requests = new ArrayList<>(count);
 		for (Slot slot : slots.subList(0, count)) {
 			requests.add(new DrawnRequest(table, seed, requests.size(), Math.round(slot.at()), slot.classIndex(),
-					slot.session(), slot.turn(), STREAMED_SHARE));
+					slot.session(), slot.turn(), streamedShare));
 		}
 		return requests;
 	}
--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTML pages with plots of experiments.
+ */
+package io.sequoialink.bench.report;
--- a/cli/src/main/java/io/sequoialink/cli/BenchCommand.java
+++ b/cli/src/main/java/io/sequoialink/cli/BenchCommand.java
@@ -12,6 +12,7 @@
 import io.sequoialink.bench.ExperimentResult;
 import io.sequoialink.bench.Experiments;
 import io.sequoialink.bench.Target;
+import io.sequoialink.bench.report.HtmlReport;
 import picocli.CommandLine;
 
 /**
@@ -76,6 +77,7 @@
 		for (Experiment experiment : Experiments.all()) {
 			ExperimentResult result = experiment.run(options());
 			missed += printTable(experiment, result);
+			HtmlReport.write(experiment, options(), result);
 		}
 		out().flush();
 		return (missed > 0) ? 1 : 0;
@@ -99,6 +101,7 @@
 					+ this.name + "': use one of " + Experiments.all().stream().map(Experiment::name).toList()));
 		ExperimentResult result = experiment.run(options());
 		result.notes().forEach(out()::println);
+		HtmlReport.write(experiment, options(), result).ifPresent((page) -> out().println("report: " + page));
 		boolean missed = experiment.targets().stream().anyMatch((target) -> !target.met(result.figures()));
 		out().println(result.figures());
 		out().flush();
--- a/decision/src/main/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicy.java
@@ -99,7 +99,7 @@
 			}
 		}
 		if (chosen == EscalationPlan.STOP) {
-			state.given(request, chances[best]);
+			state.given(request, attempts.get(best).version(), chances[best]);
 			return Optional.empty();
 		}
 		return Optional.of(decision(state, plan, sorted, chosen, false, remainingMillis));
--- a/decision/src/main/java/io/sequoialink/decision/cascade/CascadeParameters.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/CascadeParameters.java
@@ -26,6 +26,10 @@
  * the dearest version, above 0; a higher one makes a more cautious start
  * @param priceGain relative change of the price for each answer missed or gained, in (0,
  * 1)
+ * @param urgency answers missed at which the price rises twice as fast as
+ * {@code priceGain} says, at least 1
+ * @param priceMemory answers over which the price follows what was needed to keep the
+ * target, at least 10
  * @param safety standard deviations of what is not rated that the target is exceeded by,
  * at least 0
  * @param targetWindow answers over which the target is kept, at least 100
@@ -37,14 +41,16 @@
  * predicts that of the next
  * @param startSlack expected time, as a multiple of the time left, above which no version
  * is started; at least 1
+ * @param outageDiscount share in [0, 0.5] by which the chance of an unrated answer is
+ * lowered while the rating service is down, which moves requests to dearer versions
  * @param missingMemory ratings over which the share of missing ones is averaged, at least
  * 1
  */
 public record CascadeParameters(double passMark, double ratingNoise, double ratingWaitMillis, double priorCheapest,
 		double priorDearest, double priorStrength, double failureDiscount, double evidenceWindow,
 		double explorationShare, double explorationFloor, double driftShare, double startPrice, double priceGain,
-		double safety, double targetWindow, double answerShare, double answerSpread, double lengthTrust,
-		double startSlack, double missingMemory) {
+		double urgency, double priceMemory, double safety, double targetWindow, double answerShare, double answerSpread,
+		double lengthTrust, double startSlack, double outageDiscount, double missingMemory) {
 
 	/** The default settings. */
 	public static final CascadeParameters DEFAULT = new Builder().build();
@@ -63,12 +69,15 @@
 		require(driftShare >= 0 && driftShare <= 0.1, "driftShare", driftShare, "0 to 0.1");
 		require(startPrice > 0, "startPrice", startPrice, "above 0");
 		require(priceGain > 0 && priceGain < 1, "priceGain", priceGain, "between 0 and 1");
+		require(urgency >= 1, "urgency", urgency, "at least 1 answer");
+		require(priceMemory >= 10, "priceMemory", priceMemory, "at least 10 answers");
 		require(safety >= 0, "safety", safety, "at least 0 standard deviations");
 		require(targetWindow >= 100, "targetWindow", targetWindow, "at least 100 answers");
 		require(answerShare > 0 && answerShare <= 1, "answerShare", answerShare, "above 0 and up to 1");
 		require(answerSpread >= 0 && answerSpread <= 0.9, "answerSpread", answerSpread, "0 to 0.9");
 		require(lengthTrust >= 0 && lengthTrust <= 1, "lengthTrust", lengthTrust, "0 to 1");
 		require(startSlack >= 1, "startSlack", startSlack, "at least 1");
+		require(outageDiscount >= 0 && outageDiscount <= 0.5, "outageDiscount", outageDiscount, "0 to 0.5");
 		require(missingMemory >= 1, "missingMemory", missingMemory, "at least 1 rating");
 	}
 
@@ -105,7 +114,7 @@
 
 		private double failureDiscount = 0.85;
 
-		private double evidenceWindow = 4000;
+		private double evidenceWindow = 1000;
 
 		private double explorationShare = 0.01;
 
@@ -115,9 +124,13 @@
 
 		private double startPrice = 10;
 
-		private double priceGain = 0.1;
+		private double priceGain = 0.03;
 
-		private double safety = 1;
+		private double urgency = 10;
+
+		private double priceMemory = 1000;
+
+		private double safety = 2.5;
 
 		private double targetWindow = 20_000;
 
@@ -129,6 +142,8 @@
 
 		private double startSlack = 1.25;
 
+		private double outageDiscount = 0.05;
+
 		private double missingMemory = 30;
 
 		private Builder() {
@@ -264,6 +279,26 @@
 			return this;
 		}
 
+		/**
+		 * Sets the urgency.
+		 * @param value see {@link CascadeParameters#urgency()}
+		 * @return this builder
+		 */
+		public Builder urgency(double value) {
+			this.urgency = value;
+			return this;
+		}
+
+		/**
+		 * Sets the price memory.
+		 * @param value see {@link CascadeParameters#priceMemory()}
+		 * @return this builder
+		 */
+		public Builder priceMemory(double value) {
+			this.priceMemory = value;
+			return this;
+		}
+
 		/**
 		 * Sets the safety.
 		 * @param value see {@link CascadeParameters#safety()}
@@ -324,6 +359,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the outage discount.
+		 * @param value see {@link CascadeParameters#outageDiscount()}
+		 * @return this builder
+		 */
+		public Builder outageDiscount(double value) {
+			this.outageDiscount = value;
+			return this;
+		}
+
 		/**
 		 * Sets the missing memory.
 		 * @param value see {@link CascadeParameters#missingMemory()}
@@ -343,8 +388,8 @@
 			return new CascadeParameters(this.passMark, this.ratingNoise, this.ratingWaitMillis, this.priorCheapest,
 					this.priorDearest, this.priorStrength, this.failureDiscount, this.evidenceWindow,
 					this.explorationShare, this.explorationFloor, this.driftShare, this.startPrice, this.priceGain,
-					this.safety, this.targetWindow, this.answerShare, this.answerSpread, this.lengthTrust,
-					this.startSlack, this.missingMemory);
+					this.urgency, this.priceMemory, this.safety, this.targetWindow, this.answerShare, this.answerSpread,
+					this.lengthTrust, this.startSlack, this.outageDiscount, this.missingMemory);
 		}
 
 	}
--- a/decision/src/main/java/io/sequoialink/decision/cascade/ChanceTable.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ChanceTable.java
@@ -9,7 +9,8 @@
 /**
  * Evidence of one class: aged counts of good and bad answers of each version, first and
  * after another version's answer was found bad. Counts are fractional, since ratings are
- * noisy. Not thread-safe: guarded by the lock of its {@link ClassState}.
+ * noisy. When recent answers differ from the usual share, older evidence is dropped. Not
+ * thread-safe: guarded by the lock of its {@link ClassState}.
  */
 final class ChanceTable {
 
@@ -19,12 +20,23 @@
 	/** Chance assumed of a version whose rank among others is not known. */
 	private static final double UNRANKED = 0.8;
 
+	/** Answers over which the recent share of good ones is averaged. */
+	private static final double RECENT = 30;
+
+	/** Standard deviations between recent and usual share that show a change. */
+	private static final double CHANGE_DEVIATIONS = 5;
+
+	/** Least difference between recent and usual share that shows a change. */
+	private static final double LEAST_CHANGE = 0.05;
+
 	private final Map<VersionId, Integer> indices = new HashMap<>();
 
 	private double[][] good = new double[1][0];
 
 	private double[][] bad = new double[1][0];
 
+	private double[][] recent = new double[1][0];
+
 	private double[] assumed = new double[0];
 
 	/**
@@ -41,6 +53,7 @@
 		this.indices.put(version, index);
 		this.good = grown(this.good, index + 1);
 		this.bad = grown(this.bad, index + 1);
+		this.recent = grown(this.recent, index + 1);
 		this.assumed = Arrays.copyOf(this.assumed, index + 1);
 		this.assumed[index] = UNRANKED;
 		return index;
@@ -98,6 +111,18 @@
 		double kept = Math.max(0, 1 - weight / window);
 		this.good[row][index] = this.good[row][index] * kept + weight * chance;
 		this.bad[row][index] = this.bad[row][index] * kept + weight * (1 - chance);
+		double total = weight(row, index);
+		double learning = Math.min(1, weight / Math.min(RECENT, total));
+		this.recent[row][index] += learning * (chance - this.recent[row][index]);
+		if (total > 2 * RECENT && changed(this.recent[row][index], this.good[row][index] / total)) {
+			this.good[row][index] = RECENT * this.recent[row][index];
+			this.bad[row][index] = RECENT * (1 - this.recent[row][index]);
+		}
+	}
+
+	private static boolean changed(double recent, double usual) {
+		double deviation = Math.sqrt(usual * (1 - usual) / (2 * RECENT - 1));
+		return Math.abs(recent - usual) > CHANGE_DEVIATIONS * deviation + LEAST_CHANGE;
 	}
 
 	private static double[][] grown(double[][] table, int size) {
--- a/decision/src/main/java/io/sequoialink/decision/cascade/ClassState.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ClassState.java
@@ -21,6 +21,9 @@
 	/** Turns that a session is taken to have before any has been seen. */
 	private static final double PRIOR_TURNS = 3;
 
+	/** Share of missing ratings above which the rating service counts as down. */
+	private static final double OUTAGE_SHARE = 0.7;
+
 	/** Requests over which sizes are averaged. */
 	private static final double SIZE_MEMORY = 200;
 
@@ -85,7 +88,7 @@
 		double price = this.account.price() * this.dearestCost;
 		EscalationPlan plan = new EscalationPlan(size, price, this.missingShare);
 		double answerTokens = this.parameters.answerShare() * request.maxAnswerTokens();
-		double laterTurns = request.sessionStart() ? this.sessionTurns / this.sessionStarts - 1 : 0;
+		double laterTurns = laterTurns(request);
 		int[] indices = new int[size];
 		for (int i = 0; i < size; i++) {
 			Candidate candidate = candidates.get(i);
@@ -127,6 +130,9 @@
 		int index = this.table.index(attempt.version());
 		double chance = learn(ChanceTable.FIRST, index, first(attempt.version(), index), attempt, weight);
 		this.account.add(request.qualityTarget(), chance, weight);
+		double usual = first(attempt.version(), index);
+		this.account.foresee(request.qualityTarget(), usual,
+				request.sessionVersion().isPresent() ? -weight : weight * laterTurns(request));
 	}
 
 	/**
@@ -152,10 +158,12 @@
 	/**
 	 * Puts an answer on the account that was given after a choice.
 	 * @param request the request
+	 * @param version the version that gave it
 	 * @param chance chance that it is good enough
 	 */
-	synchronized void given(RequestFacts request, double chance) {
+	synchronized void given(RequestFacts request, VersionId version, double chance) {
 		this.account.add(request.qualityTarget(), chance, 1);
+		this.account.foresee(request.qualityTarget(), first(version, this.table.index(version)), laterTurns(request));
 	}
 
 	private double learn(int row, int index, double prior, Attempt attempt, double weight) {
@@ -170,7 +178,11 @@
 	}
 
 	private double chance(Attempt attempt, double prior) {
-		return attempt.rating().isPresent() ? this.ratings.chance(attempt.rating().getAsDouble(), prior) : prior;
+		if (attempt.rating().isPresent()) {
+			return this.ratings.chance(attempt.rating().getAsDouble(), prior);
+		}
+		boolean ratingsDown = this.missingShare > OUTAGE_SHARE;
+		return ratingsDown ? prior * (1 - this.parameters.outageDiscount()) : prior;
 	}
 
 	private double prior(List<Attempt> attempts, int number) {
@@ -202,6 +214,10 @@
 				first * this.parameters.failureDiscount(), this.parameters.priorStrength());
 	}
 
+	private double laterTurns(RequestFacts request) {
+		return request.sessionStart() ? this.sessionTurns / this.sessionStarts - 1 : 0;
+	}
+
 	private double tokens(RequestFacts request) {
 		return request.promptTokens() + this.parameters.answerShare() * request.maxAnswerTokens();
 	}
--- a/decision/src/main/java/io/sequoialink/decision/cascade/TargetAccount.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/TargetAccount.java
@@ -8,20 +8,28 @@
  */
 final class TargetAccount {
 
-	/** Least price, in costs of an answer of the dearest version. */
-	private static final double MIN_PRICE = 0.02;
+	/** Logarithm of the least price, in costs of an answer of the dearest version. */
+	private static final double LOG_MIN_PRICE = Math.log(0.02);
 
-	/** Highest price, in costs of an answer of the dearest version. */
-	private static final double MAX_PRICE = 200;
+	/** Logarithm of the highest price, in costs of an answer of the dearest version. */
+	private static final double LOG_MAX_PRICE = Math.log(200);
+
+	/** Answers after which what was foreseen and never came has lost its weight. */
+	private static final double FORESEEN_MEMORY = 1000;
 
 	private final CascadeParameters parameters;
 
+	private double basePrice;
+
 	private double missed;
 
+	private double foreseen;
+
 	private double unratedVariance;
 
 	TargetAccount(CascadeParameters parameters) {
 		this.parameters = parameters;
+		this.basePrice = Math.log(parameters.startPrice());
 	}
 
 	/**
@@ -33,11 +41,25 @@
 	void add(double target, double chance, double weight) {
 		double kept = 1 - 1 / this.parameters.targetWindow();
 		this.unratedVariance = this.unratedVariance * kept + weight * chance * (1 - chance);
-		double margin = margin();
-		double next = this.missed * kept + weight * (target - chance);
-		double least = Math.log(MIN_PRICE / this.parameters.startPrice()) / this.parameters.priceGain() - margin;
-		double most = Math.log(MAX_PRICE / this.parameters.startPrice()) / this.parameters.priceGain() - margin;
-		this.missed = Math.max(least, Math.min(most, next));
+		this.missed = this.missed * kept + weight * (target - chance);
+		this.foreseen *= 1 - 1 / FORESEEN_MEMORY;
+		double error = this.missed + this.foreseen + margin();
+		double gain = this.parameters.priceGain();
+		this.basePrice = clamp(this.basePrice + push(error) / this.parameters.priceMemory());
+		double limited = Math.max((LOG_MIN_PRICE - this.basePrice) / gain,
+				Math.min((LOG_MAX_PRICE - this.basePrice) / gain, error));
+		this.missed += limited - error;
+	}
+
+	/**
+	 * Books answers that are still to come, such as the later turns of a session; each is
+	 * booked out again when it is given.
+	 * @param target the target of its class
+	 * @param chance chance that each is good enough
+	 * @param answers how many, negative to book out
+	 */
+	void foresee(double target, double chance, double answers) {
+		this.foreseen += answers * (target - chance);
 	}
 
 	/**
@@ -45,8 +67,15 @@
 	 * @return the price, in costs of an answer of the dearest version
 	 */
 	double price() {
-		double price = this.parameters.startPrice() * Math.exp(this.parameters.priceGain() * (this.missed + margin()));
-		return Math.max(MIN_PRICE, Math.min(MAX_PRICE, price));
+		return Math.exp(clamp(this.basePrice + push(this.missed + this.foreseen + margin())));
+	}
+
+	private double push(double error) {
+		return this.parameters.priceGain() * error * (1 + Math.max(0, error) / this.parameters.urgency());
+	}
+
+	private static double clamp(double logPrice) {
+		return Math.max(LOG_MIN_PRICE, Math.min(LOG_MAX_PRICE, logPrice));
 	}
 
 	private double margin() {
