Measure configuration and restarts of a fleet under faults of the log

Cause: 'in force everywhere within seconds and never reverts' and recovery of a fleet that starts all at once need figures counted at the stand-in. Change: experiments 'config' and 'restart' over HTTP on loopback. Peers are asked by calls within the process.

--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -4,13 +4,16 @@
 import java.util.Optional;
 
 import io.sequoialink.bench.cascade.CascadeExperiment;
+import io.sequoialink.bench.fleet.ConfigExperiment;
+import io.sequoialink.bench.fleet.RestartExperiment;
 
 /**
  * All experiments of this module. Stateless and thread-safe.
  */
 public final class Experiments {
 
-	private static final List<Experiment> ALL = List.of(new CascadeExperiment());
+	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new ConfigExperiment(),
+			new RestartExperiment());
 
 	private Experiments() {
 	}
--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/LoopbackLog.java
@@ -0,0 +1,44 @@
+package io.sequoialink.bench.fleet;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import io.sequoialink.platform.HttpClientPool;
+import io.sequoialink.platform.HttpPlatformLog;
+import io.sequoialink.platform.LogStream;
+import io.sequoialink.standin.StandinLog;
+
+/**
+ * The stand-in of the log with an HTTP client on loopback. Thread-safe.
+ */
+final class LoopbackLog implements AutoCloseable {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+	private final StandinLog log = new StandinLog(System::currentTimeMillis);
+
+	private final HttpClientPool pool = new HttpClientPool();
+
+	LoopbackLog() throws IOException {
+		this.log.up();
+	}
+
+	StandinLog standin() {
+		return this.log;
+	}
+
+	HttpClientPool pool() {
+		return this.pool;
+	}
+
+	LogStream stream(String name) {
+		return new HttpPlatformLog(this.pool, this.log.address(), TIMEOUT).stream(name);
+	}
+
+	@Override
+	public void close() {
+		this.pool.close();
+		this.log.close();
+	}
+
+}
