Measure charges under faults, and answer from known claims in an outage

Cause: 'at most once' and 'not run' need figures counted at the service. Change: experiment 'charge' over HTTP on loopback with lost append answers, two outages of the log, paused and killed hosts, refusing and dropping services; a claim that is known to stand is answered from the fold while the log is down. Bills are not part of it yet.

--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.sequoialink.bench.cascade.CascadeExperiment;
+import io.sequoialink.bench.fleet.ChargeExperiment;
 import io.sequoialink.bench.fleet.ConfigExperiment;
 import io.sequoialink.bench.fleet.RestartExperiment;
 
@@ -13,7 +14,7 @@
 public final class Experiments {
 
 	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new ConfigExperiment(),
-			new RestartExperiment());
+			new RestartExperiment(), new ChargeExperiment());
 
 	private Experiments() {
 	}
--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ChargeHost.java
@@ -0,0 +1,147 @@
+package io.sequoialink.bench.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+
+import io.sequoialink.ledger.ClaimDecision;
+import io.sequoialink.ledger.ClaimKey;
+import io.sequoialink.ledger.RecordedOutcome;
+import io.sequoialink.ledger.claims.LogClaimTable;
+import io.sequoialink.model.BackendServer;
+import io.sequoialink.model.Effect;
+import io.sequoialink.model.RequestId;
+import io.sequoialink.platform.BackendException;
+import io.sequoialink.platform.LogStream;
+import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.platform.ServiceClient;
+
+/**
+ * One entry host of the charge experiment: claims, dispatches and records. Thread-safe.
+ */
+final class ChargeHost {
+
+	private static final Duration CLAIM_TIMEOUT = Duration.ofMillis(1_500);
+
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration FRESHNESS = Duration.ofMillis(2_000);
+
+	private static final Duration MARGIN = Duration.ofMillis(500);
+
+	private static final long PAUSE_MILLIS = 2_500;
+
+	private final LogStream stream;
+
+	private final ServiceClient services;
+
+	private volatile LogClaimTable table;
+
+	ChargeHost(LogStream stream, ServiceClient services) {
+		this.stream = stream;
+		this.services = services;
+		restart();
+	}
+
+	/** Replaces the host by an empty one. */
+	void restart() {
+		this.table = LogClaimTable.builder(this.stream)
+			.window(Duration.ofMinutes(10))
+			.freshness(FRESHNESS, MARGIN)
+			.longestCall(CALL_TIMEOUT.plus(FRESHNESS))
+			.build();
+		this.table.start();
+	}
+
+	void close() {
+		this.table.close();
+	}
+
+	Answer charge(ClaimKey key, RequestId request, BackendServer server, Fault fault) {
+		LogClaimTable current = this.table;
+		try {
+			ClaimDecision decision = current.claim(key, request, "charge", CLAIM_TIMEOUT);
+			if (decision instanceof ClaimDecision.Granted claim) {
+				return dispatch(current, claim, request, server, fault);
+			}
+			if (decision instanceof ClaimDecision.Replay) {
+				return Answer.DONE;
+			}
+			return (decision instanceof ClaimDecision.InProgress) ? Answer.IN_PROGRESS : Answer.UNKNOWN;
+		}
+		catch (LogUnavailableException ex) {
+			return Answer.NOT_RUN;
+		}
+	}
+
+	private Answer dispatch(LogClaimTable current, ClaimDecision.Granted claim, RequestId request, BackendServer server,
+			Fault fault) {
+		pauseIf(fault == Fault.PAUSE);
+		if (!current.mayDispatch(claim)) {
+			current.recordNotDispatched(claim);
+			return Answer.NOT_RUN;
+		}
+		try {
+			ServiceClient.ServiceResponse response = this.services.call(server,
+					new ServiceClient.ServiceCall(request, "POST", "/charge",
+							Map.of("idempotency-key", claim.key().idempotencyKey()),
+							"{}".getBytes(StandardCharsets.UTF_8), CALL_TIMEOUT));
+			if (fault == Fault.KILL) {
+				restart();
+				return Answer.UNKNOWN;
+			}
+			current.recordOutcome(claim,
+					new RecordedOutcome(request, response.status(), response.contentType(), response.body()));
+			return Answer.DONE;
+		}
+		catch (BackendException ex) {
+			if (ex.effect() == Effect.NONE) {
+				current.recordNotDispatched(claim);
+				return Answer.NOT_RUN;
+			}
+			return Answer.UNKNOWN;
+		}
+	}
+
+	private static void pauseIf(boolean pause) {
+		try {
+			Thread.sleep(Optional.of(PAUSE_MILLIS).filter((millis) -> pause).orElse(0L));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/** What the host tells its caller. */
+	enum Answer {
+
+		/** The whole outcome, now or from the record. */
+		DONE,
+
+		/** Nothing was run and nothing will be. */
+		NOT_RUN,
+
+		/** Another host may be running it. */
+		IN_PROGRESS,
+
+		/** The outcome is unknown and the work is not repeated. */
+		UNKNOWN
+
+	}
+
+	/** What happens to the host during one charge. */
+	enum Fault {
+
+		/** Nothing. */
+		NONE,
+
+		/** It stands still between claim and dispatch until the claim has lapsed. */
+		PAUSE,
+
+		/** It is lost between the service's answer and the record of the outcome. */
+		KILL
+
+	}
+
+}
--- a/ledger/src/main/java/io/sequoialink/ledger/claims/LogClaimTable.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/claims/LogClaimTable.java
@@ -95,8 +95,7 @@
 	public ClaimDecision claim(ClaimKey key, RequestId request, String fingerprint, Duration timeout)
 			throws LogUnavailableException {
 		long started = this.nanos.getAsLong();
-		this.reader.poll();
-		Optional<ClaimDecision> standing = decide(key, fingerprint, "");
+		Optional<ClaimDecision> standing = pollAndDecide(key, fingerprint);
 		if (standing.isPresent()) {
 			return standing.get();
 		}
@@ -162,6 +161,21 @@
 		this.queue.close();
 	}
 
+	private Optional<ClaimDecision> pollAndDecide(ClaimKey key, String fingerprint) throws LogUnavailableException {
+		try {
+			this.reader.poll();
+			return decide(key, fingerprint, "");
+		}
+		catch (LogUnavailableException ex) {
+			// A claim that is known to stand is a better answer than 'not run'.
+			Optional<ClaimDecision> known = decide(key, fingerprint, "");
+			if (known.isEmpty()) {
+				throw ex;
+			}
+			return known;
+		}
+	}
+
 	private ClaimDecision settle(ClaimRecord.Claim claim, long started, long deadline) throws LogUnavailableException {
 		boolean appended = firstAppend(claim);
 		while (true) {
--- a/ledger/src/test/java/io/sequoialink/ledger/claims/LogClaimTableTests.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/claims/LogClaimTableTests.java
@@ -107,6 +107,13 @@
 		granted(this.second);
 	}
 
+	@Test
+	void hostThatKnowsTheClaimNeverSaysNotRunDuringAnOutage() throws Exception {
+		granted(this.first);
+		this.log.down(true);
+		assertThat(claim(this.first, "f")).isInstanceOf(ClaimDecision.InProgress.class);
+	}
+
 	@Test
 	void logOutageRefusesTheClaim() {
 		this.log.down(true);
