--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -4,13 +4,14 @@
 import java.util.Optional;
 
 import io.sequoialink.bench.cascade.CascadeExperiment;
+import io.sequoialink.bench.rollout.RolloutExperiment;
 
 /**
  * All experiments of this module. Stateless and thread-safe.
  */
 public final class Experiments {
 
-	private static final List<Experiment> ALL = List.of(new CascadeExperiment());
+	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new RolloutExperiment());
 
 	private Experiments() {
 	}
--- a/decision/src/main/java/io/sequoialink/decision/rollout/ChangeDetector.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/ChangeDetector.java
@@ -28,29 +28,40 @@
 
 	// Judges the evidence so far; empty while there is no cause to stop.
 	Optional<SequentialTests.Finding> judge(Evidence now, Evidence reference) {
-		if (now.started() < this.last.started()) {
-			this.restarts.clear();
+		if (!renew(now)) {
+			return Optional.empty();
 		}
-		this.last = now;
 		Optional<SequentialTests.Finding> found = exceeding(now, reference, this.settings.alpha())
 			.or(() -> sinceRestarts(now, reference));
 		restart(now);
 		return found;
 	}
 
-	// Judges only what came after the restarts, for a version with a long past.
-	Optional<SequentialTests.Finding> judgeChange(Evidence now) {
-		if (now.started() < this.last.started()) {
-			this.restarts.clear();
+	// Judges only what came after the restarts, against what came before them and any
+	// further reference, for a version with a long past.
+	Optional<SequentialTests.Finding> judgeChange(Evidence now, Evidence further) {
+		if (!renew(now)) {
+			return Optional.empty();
 		}
-		this.last = now;
-		Evidence past = this.restarts.isEmpty() ? now : this.restarts.peekFirst();
+		Evidence past = this.restarts.isEmpty() ? further : further.plus(this.restarts.peekFirst());
 		Optional<SequentialTests.Finding> found = (past.ended() < this.settings.referenceAnswers()) ? Optional.empty()
 				: sinceRestarts(now, past);
 		restart(now);
 		return found;
 	}
 
+	// Returns whether there is anything new; counts that fell belong to other hosts.
+	private boolean renew(Evidence now) {
+		if (now.equals(this.last)) {
+			return false;
+		}
+		if (now.started() < this.last.started()) {
+			this.restarts.clear();
+		}
+		this.last = now;
+		return true;
+	}
+
 	// Returns the score over all evidence, to hold a stage while in doubt.
 	double score(Evidence now, Evidence reference) {
 		return this.tests.worst(now, reference).score();
--- a/decision/src/main/java/io/sequoialink/decision/rollout/Evidence.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/Evidence.java
@@ -157,4 +157,14 @@
 		return sum;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof Evidence evidence && Arrays.equals(this.counts, evidence.counts);
+	}
+
+	@Override
+	public int hashCode() {
+		return Arrays.hashCode(this.counts);
+	}
+
 }
--- a/decision/src/main/java/io/sequoialink/decision/rollout/EvidenceTable.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/EvidenceTable.java
@@ -31,6 +31,9 @@
 	/** The most cells. */
 	static final int MAX_CELLS = 512;
 
+	/** Payloads from one whole one to the next. */
+	private static final int WHOLE_EVERY = 8;
+
 	private final String self;
 
 	private final Map<String, Map<String, Source>> cells = new HashMap<>();
@@ -39,6 +42,10 @@
 
 	private long clock;
 
+	private long payloads;
+
+	private long wholeAt;
+
 	EvidenceTable(String host, long incarnation) {
 		this.self = host + "/" + incarnation;
 	}
@@ -57,11 +64,13 @@
 	}
 
 	private Evidence sum(String cell) {
-		Evidence sum = Evidence.none();
+		long[] sum = new long[Evidence.SIZE];
 		for (Source source : this.cells.getOrDefault(cell, Map.of()).values()) {
-			sum = sum.plus(Evidence.of(source.counts));
+			for (int i = 0; i < sum.length; i++) {
+				sum[i] += source.counts[i];
+			}
 		}
-		return sum;
+		return Evidence.of(sum);
 	}
 
 	// Forgets the cells that a predicate does not keep.
@@ -74,19 +83,31 @@
 		return List.copyOf(this.cells.keySet());
 	}
 
-	// Returns this host's counters and then those of others that changed last, as far as
-	// they fit, so that evidence also travels through hosts that only talk to some peers.
+	// Returns what this host counted since the last whole payload. Every few calls the
+	// payload is whole: all of this host's counters and then those of others that changed
+	// last, as far as they fit, so that lost payloads are made up for and evidence also
+	// travels through hosts that only talk to some peers.
 	byte[] payload() {
+		boolean whole = this.payloads++ % WHOLE_EVERY == 0;
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		for (Source source : byFreshness()) {
+		for (Source source : whole ? byFreshness() : ownChanges()) {
 			byte[] encoded = source.encode();
 			if (bytes.size() + encoded.length <= MAX_PAYLOAD_BYTES) {
 				bytes.writeBytes(encoded);
 			}
 		}
+		this.wholeAt = whole ? this.clock : this.wholeAt;
 		return bytes.toByteArray();
 	}
 
+	private List<Source> ownChanges() {
+		return this.cells.values()
+			.stream()
+			.map((sources) -> sources.get(this.self))
+			.filter((source) -> source != null && source.changed > this.wholeAt)
+			.toList();
+	}
+
 	private List<Source> byFreshness() {
 		List<Source> sources = new ArrayList<>();
 		this.cells.values().forEach((cell) -> sources.addAll(cell.values()));
--- a/decision/src/main/java/io/sequoialink/decision/rollout/RolloutSettings.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/RolloutSettings.java
@@ -46,7 +46,7 @@
 	 * @return the defaults
 	 */
 	public static RolloutSettings defaults() {
-		return new RolloutSettings(16, 64, 16, 0.003, 0.0002, 0.05, 16, 16, 200, 0.02, 0.01, 60_000);
+		return new RolloutSettings(16, 64, 16, 0.003, 0.0001, 0.05, 16, 16, 200, 0.01, 0.01, 60_000);
 	}
 
 	/**
@@ -61,6 +61,18 @@
 				this.minFailureShare, this.ratingTimeoutMillis);
 	}
 
+	/**
+	 * Returns a copy with another reference.
+	 * @param newReferenceAnswers answers of the version in force before the candidate
+	 * receives any
+	 * @return the changed copy
+	 */
+	public RolloutSettings withReferenceAnswers(int newReferenceAnswers) {
+		return new RolloutSettings(this.credits, this.maxCredits, this.answersPerCredit, this.alpha, this.restartAlpha,
+				this.beta, this.restartAnswers, this.restarts, newReferenceAnswers, this.ratingTolerance,
+				this.minFailureShare, this.ratingTimeoutMillis);
+	}
+
 	private static void require(boolean holds, String name, double value) {
 		if (!holds) {
 			throw new IllegalArgumentException("roll-out setting " + name + " is out of its range: " + value);
--- a/decision/src/main/java/io/sequoialink/decision/rollout/SharedRolloutPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/SharedRolloutPolicy.java
@@ -84,11 +84,11 @@
 	public synchronized VersionId place(CatalogueView view, ClientAccount account, RequestFacts request,
 			VersionId chosen, long nowMillis) {
 		refresh(view);
-		if (request.sessionVersion().isPresent()) {
-			return chosen;
-		}
 		Optional<RolloutIndex.Entry> entry = this.index.of(chosen);
-		VersionId placed = entry.map((known) -> choose(view, account, request, known, chosen)).orElse(chosen);
+		boolean goesOn = request.sessionVersion().isPresent();
+		VersionId placed = entry.filter((known) -> !goesOn)
+			.map((known) -> choose(view, account, request, known, chosen))
+			.orElse(chosen);
 		if (!this.pending.holds(request, placed)) {
 			begin(account, request, placed, entry);
 		}
@@ -210,7 +210,7 @@
 
 	private Optional<Action> judgeCompleted(CatalogueView view, RolloutIndex.Entry entry, long nowMillis) {
 		Evidence evidence = this.table.total(RolloutIndex.versionCell(entry.rollout().candidate()));
-		return detector(entry.prefix() + "completed").judgeChange(evidence)
+		return detector(entry.prefix() + "completed").judgeChange(evidence, stableEvidence(entry))
 			.map((found) -> stop(view, entry, "after its roll-out, " + found.test() + " became worse than before",
 					nowMillis));
 	}
@@ -263,7 +263,7 @@
 			return Optional.empty();
 		}
 		String cell = RolloutIndex.versionCell(version);
-		Optional<SequentialTests.Finding> found = detector(cell).judgeChange(this.table.total(cell));
+		Optional<SequentialTests.Finding> found = detector(cell).judgeChange(this.table.total(cell), Evidence.none());
 		found.ifPresent((finding) -> this.detectors.remove(cell));
 		return found.map((finding) -> new Action(Optional.empty(), Optional.empty(),
 				version + " is in force and its " + finding.test() + " became worse than before"));
