Pass on the evidence of other hosts at every eighth payload

Cause: payloads that held only changes broke the property that one payload holds all of a host's own counts, and a replaced host learned too little from one exchange; two tests failed. Change: own counters always; those of others when they were not passed on in the last eight payloads. After: hostsAgreeOnEachAnswerCountedOnce and aGoodCandidateAdvancesAndResumesFromWhatIsRecorded pass again.

--- a/decision/src/main/java/io/sequoialink/decision/rollout/EvidenceTable.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/EvidenceTable.java
@@ -31,8 +31,8 @@
 	/** The most cells. */
 	static final int MAX_CELLS = 512;
 
-	/** Payloads from one whole one to the next. */
-	private static final int WHOLE_EVERY = 8;
+	/** Payloads after which the counters of another host are passed on again. */
+	private static final int RELAY_EVERY = 8;
 
 	private final String self;
 
@@ -44,8 +44,6 @@
 
 	private long payloads;
 
-	private long wholeAt;
-
 	EvidenceTable(String host, long incarnation) {
 		this.self = host + "/" + incarnation;
 	}
@@ -83,39 +81,36 @@
 		return List.copyOf(this.cells.keySet());
 	}
 
-	// Returns what this host counted since the last whole payload. Every few calls the
-	// payload is whole: all of this host's counters and then those of others that changed
-	// last, as far as they fit, so that lost payloads are made up for and evidence also
-	// travels through hosts that only talk to some peers.
+	// Returns this host's counters and then, as far as they fit, those of others that
+	// were
+	// not passed on lately, the latest change first: evidence also travels through hosts
+	// that only talk to some peers, and what a lost payload held is sent again.
 	byte[] payload() {
-		boolean whole = this.payloads++ % WHOLE_EVERY == 0;
+		this.payloads++;
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		for (Source source : whole ? byFreshness() : ownChanges()) {
+		for (Source source : due()) {
 			byte[] encoded = source.encode();
 			if (bytes.size() + encoded.length <= MAX_PAYLOAD_BYTES) {
 				bytes.writeBytes(encoded);
+				source.sentAt = this.payloads;
 			}
 		}
-		this.wholeAt = whole ? this.clock : this.wholeAt;
 		return bytes.toByteArray();
 	}
 
-	private List<Source> ownChanges() {
-		return this.cells.values()
-			.stream()
-			.map((sources) -> sources.get(this.self))
-			.filter((source) -> source != null && source.changed > this.wholeAt)
-			.toList();
-	}
-
-	private List<Source> byFreshness() {
+	private List<Source> due() {
 		List<Source> sources = new ArrayList<>();
 		this.cells.values().forEach((cell) -> sources.addAll(cell.values()));
-		sources.sort(Comparator.comparing((Source source) -> !source.name.equals(this.self))
-			.thenComparing((source) -> -source.changed));
+		sources.removeIf((source) -> !isOwn(source) && this.payloads - source.sentAt < RELAY_EVERY);
+		sources
+			.sort(Comparator.comparing((Source source) -> !isOwn(source)).thenComparing((source) -> -source.changed));
 		return sources;
 	}
 
+	private boolean isOwn(Source source) {
+		return source.name.equals(this.self);
+	}
+
 	// Merges a payload; what is malformed ends the merge and changes nothing more.
 	void merge(byte[] payload, Predicate<String> wanted) {
 		DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload));
@@ -194,6 +189,8 @@
 
 		private long changed;
 
+		private long sentAt = -RELAY_EVERY;
+
 		private Source(String cell, String name) {
 			this.cell = cell;
 			this.name = name;
