--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -7,14 +7,15 @@
 import io.sequoialink.bench.fleet.ChargeExperiment;
 import io.sequoialink.bench.fleet.ConfigExperiment;
 import io.sequoialink.bench.fleet.RestartExperiment;
+import io.sequoialink.bench.rollout.RolloutExperiment;
 
 /**
  * All experiments of this module. Stateless and thread-safe.
  */
 public final class Experiments {
 
-	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new ConfigExperiment(),
-			new RestartExperiment(), new ChargeExperiment());
+	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new RolloutExperiment(),
+			new ConfigExperiment(), new RestartExperiment(), new ChargeExperiment());
 
 	private Experiments() {
 	}
--- a/decision/src/main/java/io/sequoialink/decision/rollout/EvidenceTable.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/EvidenceTable.java
@@ -31,6 +31,9 @@
 	/** The most cells. */
 	static final int MAX_CELLS = 512;
 
+	/** Payloads after which the counters of another host are passed on again. */
+	private static final int RELAY_EVERY = 8;
+
 	private final String self;
 
 	private final Map<String, Map<String, Source>> cells = new HashMap<>();
@@ -39,6 +42,8 @@
 
 	private long clock;
 
+	private long payloads;
+
 	EvidenceTable(String host, long incarnation) {
 		this.self = host + "/" + incarnation;
 	}
@@ -57,11 +62,13 @@
 	}
 
 	private Evidence sum(String cell) {
-		Evidence sum = Evidence.none();
+		long[] sum = new long[Evidence.SIZE];
 		for (Source source : this.cells.getOrDefault(cell, Map.of()).values()) {
-			sum = sum.plus(Evidence.of(source.counts));
+			for (int i = 0; i < sum.length; i++) {
+				sum[i] += source.counts[i];
+			}
 		}
-		return sum;
+		return Evidence.of(sum);
 	}
 
 	// Forgets the cells that a predicate does not keep.
@@ -74,27 +81,36 @@
 		return List.copyOf(this.cells.keySet());
 	}
 
-	// Returns this host's counters and then those of others that changed last, as far as
-	// they fit, so that evidence also travels through hosts that only talk to some peers.
+	// Returns this host's counters and then, as far as they fit, those of others that
+	// were
+	// not passed on lately, the latest change first: evidence also travels through hosts
+	// that only talk to some peers, and what a lost payload held is sent again.
 	byte[] payload() {
+		this.payloads++;
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		for (Source source : byFreshness()) {
+		for (Source source : due()) {
 			byte[] encoded = source.encode();
 			if (bytes.size() + encoded.length <= MAX_PAYLOAD_BYTES) {
 				bytes.writeBytes(encoded);
+				source.sentAt = this.payloads;
 			}
 		}
 		return bytes.toByteArray();
 	}
 
-	private List<Source> byFreshness() {
+	private List<Source> due() {
 		List<Source> sources = new ArrayList<>();
 		this.cells.values().forEach((cell) -> sources.addAll(cell.values()));
-		sources.sort(Comparator.comparing((Source source) -> !source.name.equals(this.self))
-			.thenComparing((source) -> -source.changed));
+		sources.removeIf((source) -> !isOwn(source) && this.payloads - source.sentAt < RELAY_EVERY);
+		sources
+			.sort(Comparator.comparing((Source source) -> !isOwn(source)).thenComparing((source) -> -source.changed));
 		return sources;
 	}
 
+	private boolean isOwn(Source source) {
+		return source.name.equals(this.self);
+	}
+
 	// Merges a payload; what is malformed ends the merge and changes nothing more.
 	void merge(byte[] payload, Predicate<String> wanted) {
 		DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload));
@@ -173,6 +189,8 @@
 
 		private long changed;
 
+		private long sentAt = -RELAY_EVERY;
+
 		private Source(String cell, String name) {
 			this.cell = cell;
 			this.name = name;
