--- a/daemon/src/main/java/io/sequoialink/daemon/settings/CatalogueFile.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/settings/CatalogueFile.java
@@ -17,19 +17,25 @@
 import io.sequoialink.model.CatalogueView;
 import io.sequoialink.model.ClientAccount;
 import io.sequoialink.model.ConfigObject;
+import io.sequoialink.model.Identifiers;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.ModelVersion;
 import io.sequoialink.model.ObjectKey;
 import io.sequoialink.model.PlainService;
 import io.sequoialink.model.RequestClass;
 import io.sequoialink.model.Rollout;
+import io.sequoialink.model.VersionId;
 
 /**
  * Reads a file of configuration objects and checks it as a whole. Stateless and
- * thread-safe.
+ * thread-safe. A version or roll-out whose state the file does not give keeps the state
+ * in force, so that applying a file again neither offers a withdrawn version nor resumes
+ * a paused roll-out.
  */
 public final class CatalogueFile {
 
+	private static final String STATE = "state";
+
 	private static final Map<String, Section> SECTIONS = sections();
 
 	private CatalogueFile() {
@@ -74,19 +80,20 @@
 			}
 		});
 		Map<ObjectKey, Placed> objects = new LinkedHashMap<>();
-		SECTIONS.forEach((key, section) -> readSection(root.path(key), key, section, objects, problems));
+		SECTIONS.forEach((key, section) -> readSection(root.path(key), key, section, base, objects, problems));
 		checkReferences(objects.values(), base, problems);
 		problems.throwIfAny();
 		return objects.values().stream().map(Placed::object).toList();
 	}
 
-	private static void readSection(JsonNode list, String name, Section section, Map<ObjectKey, Placed> objects,
-			Problems problems) {
+	private static void readSection(JsonNode list, String name, Section section, CatalogueView base,
+			Map<ObjectKey, Placed> objects, Problems problems) {
 		if (!list.isMissingNode() && !list.isArray()) {
 			problems.notAccepted(name, list, "a list");
 		}
 		for (int i = 0; i < list.size(); i++) {
 			String path = name + "[" + i + "]";
+			keepState(list.get(i), section, base);
 			readObject(list.get(i), path, section, problems).ifPresent((object) -> {
 				if (objects.putIfAbsent(object.key(), new Placed(object, path)) != null) {
 					problems.add(path + ".id", object.key().name(), "is a duplicate", "use each identifier once");
@@ -95,6 +102,23 @@
 		}
 	}
 
+	private static void keepState(JsonNode node, Section section, CatalogueView base) {
+		if (!(node instanceof ObjectNode mapping) || mapping.has(STATE)
+				|| !Identifiers.valid(node.path("id").asText())) {
+			return;
+		}
+		String id = node.path("id").asText();
+		if (section.type() == ModelVersion.class) {
+			base.version(new VersionId(id)).ifPresent((version) -> mapping.put(STATE, version.state().name()));
+		}
+		else if (section.type() == Rollout.class && !mapping.has("stage")) {
+			base.rollouts().filter((rollout) -> rollout.id().equals(id)).forEach((rollout) -> {
+				mapping.put(STATE, rollout.state().name());
+				mapping.put("stage", Math.min(rollout.stage(), Math.max(0, node.path("stages").size() - 1)));
+			});
+		}
+	}
+
 	private static Optional<ConfigObject> readObject(JsonNode node, String path, Section section, Problems problems) {
 		if (!(node instanceof ObjectNode mapping)) {
 			problems.notAccepted(path, node, "a mapping with the keys " + section.keys());
