--- a/daemon/src/main/java/io/sequoialink/daemon/host/Duties.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/Duties.java
@@ -1,9 +1,11 @@
 package io.sequoialink.daemon.host;
 
 import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -41,6 +43,14 @@
 		this.executor.scheduleWithFixedDelay(() -> runOnce(name, duty), 0, interval.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Lets a part of the host schedule its own duties here.
+	 * @param starter takes the executor, which is shut down with the duties
+	 */
+	void run(Consumer<ScheduledExecutorService> starter) {
+		starter.accept(this.executor);
+	}
+
 	private static void runOnce(String name, Duty duty) {
 		try {
 			duty.run();
--- a/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
@@ -93,7 +93,7 @@
 			.checkpointWriter(() -> picked("checkpoint", CHECKPOINT_WRITERS))
 			.build();
 		this.claims = LogClaimTable.builder(outside.log().stream(PlatformLog.CLAIMS)).build();
-		this.bills = new HostBills(outside.log().stream(PlatformLog.BILLS));
+		this.bills = new HostBills(this.peers, outside.log().stream(PlatformLog.BILLS));
 		AtomicReference<ServerTable> table = new AtomicReference<>();
 		this.policies = factory.create(identity.host(), identity.incarnation(), this::liveHosts,
 				() -> table.get().reportedCapacity());
@@ -185,7 +185,7 @@
 		});
 		this.duties.repeat("write-checkpoint", Duration.ofSeconds(5), this.catalogue::writeCheckpointIfDue);
 		this.duties.repeat("record-claims", Duration.ofMillis(50), this.claims::flush);
-		this.duties.repeat("append-bills", Duration.ofMillis(20), this.bills::turn);
+		this.duties.run(this.bills.journal()::start);
 		this.duties.repeat("read-directory", Duration.ofSeconds(1), watch::readDirectory);
 		this.duties.repeat("read-loads", Duration.ofMillis(250), watch::readLoads);
 		this.duties.repeat("exchange-evidence", Duration.ofMillis(250), evidence::send);
--- a/daemon/src/main/java/io/sequoialink/daemon/host/HostBills.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/HostBills.java
@@ -1,87 +1,135 @@
 package io.sequoialink.daemon.host;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.Optional;
 
-import io.sequoialink.ledger.BillJournal;
+import io.sequoialink.ledger.bills.BillFold;
+import io.sequoialink.ledger.bills.BillPeers;
+import io.sequoialink.ledger.bills.BillSettings;
+import io.sequoialink.ledger.bills.CopyHolders;
+import io.sequoialink.ledger.bills.LogBillJournal;
+import io.sequoialink.membership.Member;
+import io.sequoialink.membership.Peers;
 import io.sequoialink.model.Bill;
-import io.sequoialink.model.Json;
-import io.sequoialink.model.RequestId;
+import io.sequoialink.model.HostId;
 import io.sequoialink.platform.LogRecord;
 import io.sequoialink.platform.LogStream;
 import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.PlatformException;
+import io.sequoialink.platform.TrimmedException;
 
 /**
- * Appends each bill before its answer ends, and keeps what the log refuses. Thread-safe.
+ * Ties the bill journal to the peers, and reads the stream of bills for operators.
+ * Thread-safe.
  */
-final class HostBills implements BillJournal {
+final class HostBills implements BillPeers {
 
-	private static final int READ_RECORDS = 1000;
+	private static final String TOPIC = "bills";
+
+	private static final int READ_RECORDS = 1_000;
+
+	private static final int MOST_BILLS = 10_000;
+
+	private final Peers peers;
 
 	private final LogStream stream;
 
-	private final Queue<Bill> held = new ConcurrentLinkedQueue<>();
+	private final LogBillJournal journal;
 
-	HostBills(LogStream stream) {
+	HostBills(Peers peers, LogStream stream) {
+		this.peers = peers;
 		this.stream = stream;
+		this.journal = new LogBillJournal(stream, this, BillSettings.DEFAULT, System::nanoTime);
+		peers.subscribe(TOPIC, (message) -> this.journal.receive(message.sender().host(), message.payload()));
 	}
 
-	BillJournal journal() {
-		return this;
+	LogBillJournal journal() {
+		return this.journal;
 	}
 
 	@Override
-	public Safety record(Bill bill, Duration patience) {
-		this.held.add(bill);
-		turn();
-		return this.held.contains(bill) ? Safety.LOCAL : Safety.LOGGED;
+	public Process self() {
+		return process(this.peers.self());
 	}
 
-	synchronized void turn() {
-		List<Bill> bills = new ArrayList<>(this.held);
-		if (bills.isEmpty()) {
-			return;
-		}
-		try {
-			this.stream
-				.append(bills.stream().map((bill) -> Json.write(bill).getBytes(StandardCharsets.UTF_8)).toList());
-			this.held.removeAll(bills);
-		}
-		catch (PlatformException ex) {
-			// kept for the next turn; a repeated bill is dropped by the consumer's fold
-		}
+	@Override
+	public List<Process> holders() {
+		List<CopyHolders.Candidate> candidates = this.peers.members()
+			.stream()
+			.filter((member) -> member.state() == Member.State.ALIVE && !member.host().equals(self().host()))
+			.map((member) -> new CopyHolders.Candidate(process(member), member.zone()))
+			.toList();
+		return CopyHolders.rank(self(), this.peers.self().zone(), candidates);
 	}
 
 	@Override
-	public int flush(Duration patience) {
-		turn();
-		return this.held.size();
+	public boolean present(Process process) {
+		return this.peers.members().stream().anyMatch((member) -> process(member).equals(process));
 	}
 
-	Object fold(long from) throws LogUnavailableException {
-		Map<RequestId, Bill> bills = new LinkedHashMap<>();
-		try {
-			List<LogRecord> records = this.stream.read(from, READ_RECORDS);
+	@Override
+	public int fleetSize() {
+		return Math.max(1, this.peers.members().size());
+	}
+
+	@Override
+	public void send(HostId receiver, byte[] message) {
+		Optional<Member> member = this.peers.members()
+			.stream()
+			.filter((known) -> known.host().equals(receiver))
+			.findFirst();
+		member.ifPresent((known) -> this.peers.send(TOPIC, message, List.of(known)));
+	}
+
+	private static Process process(Member member) {
+		return new Process(member.host(), member.incarnation());
+	}
+
+	/**
+	 * Reads and folds the stream of bills.
+	 * @param from the first offset
+	 * @return bills that count, and the offset to go on from
+	 * @throws LogUnavailableException if the log can't be read
+	 */
+	Page fold(long from) throws LogUnavailableException {
+		BillFold fold = new BillFold(BillFold.DEFAULT_WINDOW);
+		List<Bill> bills = new ArrayList<>();
+		long next = Math.max(from, this.stream.bounds().first());
+		while (bills.size() < MOST_BILLS) {
+			List<LogRecord> records = read(next);
+			if (records.isEmpty()) {
+				break;
+			}
 			for (LogRecord record : records) {
-				Bill bill = Json.mapper().readValue(record.payload(), Bill.class);
-				bills.putIfAbsent(bill.request(), bill);
+				fold.fold(record).counted().ifPresent(bills::add);
+				next = record.offset() + 1;
 			}
 		}
-		catch (LogUnavailableException ex) {
-			throw ex;
+		return new Page(bills, next);
+	}
+
+	private List<LogRecord> read(long from) throws LogUnavailableException {
+		try {
+			return this.stream.read(from, READ_RECORDS);
+		}
+		catch (TrimmedException ex) {
+			throw new LogUnavailableException("bills were trimmed while they were read; begin at offset " + ex.first(),
+					ex);
 		}
-		catch (PlatformException | IOException ex) {
-			throw new LogUnavailableException("the bills can't be read: " + ex.getMessage(), ex);
+	}
+
+	/**
+	 * Bills with the offset to go on from. Immutable and thread-safe.
+	 *
+	 * @param bills the bills, each request once
+	 * @param next the first offset that was not read
+	 */
+	record Page(List<Bill> bills, long next) {
+
+		Page {
+			bills = List.copyOf(bills);
 		}
-		return List.copyOf(bills.values());
+
 	}
 
 }
--- a/membership/src/main/java/io/sequoialink/membership/MemberTable.java
+++ b/membership/src/main/java/io/sequoialink/membership/MemberTable.java
@@ -111,7 +111,8 @@
 		if (known != null && !update.supersedes(known.update)) {
 			return List.of();
 		}
-		long revision = (known != null && sameProcess(known.update, update)) ? known.update.member().viewRevision() : 0;
+		long revision = (known != null && sameProcess(known.update, update)) ? known.update.member().viewRevision()
+				: -1;
 		List<MemberUpdate> news = new ArrayList<>();
 		news.add(put(settleAddress(update.withRevision(revision), news, nowMillis), nowMillis));
 		return news;
--- a/router/src/main/java/io/sequoialink/router/ChatRouter.java
+++ b/router/src/main/java/io/sequoialink/router/ChatRouter.java
@@ -36,6 +36,8 @@
 	/** The longest time that an answer waits for a second copy of its bill. */
 	private static final Duration BILL_PATIENCE = Duration.ofMillis(200);
 
+	private static final Duration BILLS_RETRY = Duration.ofSeconds(5);
+
 	/** Time before the deadline that is kept for giving the answer, in milliseconds. */
 	private static final double ANSWER_MARGIN_MILLIS = 20;
 
@@ -101,6 +103,7 @@
 
 	private ChatAnswer admitted(ResolvedChat chat, AnswerSink sink, Explanation explanation, long started)
 			throws RefusedException {
+		requireAcceptingBills(this.context);
 		Optional<Refusal> refusal = this.context.admissionPolicy()
 			.admit(chat.account(), chat.facts(), this.context.clock().monotonicMillis());
 		if (refusal.isPresent()) {
@@ -124,6 +127,14 @@
 		}
 	}
 
+	static void requireAcceptingBills(RouterContext context) throws RefusedException {
+		if (!context.bills().accepting()) {
+			throw new RefusedException(
+					Refusal.notRun(RefusalCode.LOG_UNAVAILABLE, "this host holds as many unrecorded bills as it may")
+						.retryAfter(BILLS_RETRY));
+		}
+	}
+
 	private AttemptAnswer cascade(ResolvedChat chat, AnswerSink sink, Explanation explanation,
 			List<AttemptAnswer> answers) throws RefusedException {
 		TierDecision decision = this.context.cascadePolicy()
--- a/router/src/main/java/io/sequoialink/router/ServiceRouter.java
+++ b/router/src/main/java/io/sequoialink/router/ServiceRouter.java
@@ -95,6 +95,7 @@
 	}
 
 	private ServiceClient.ServiceResponse admitted(Call call, long started) throws RefusedException {
+		ChatRouter.requireAcceptingBills(this.context);
 		Optional<Refusal> refusal = this.context.admissionPolicy()
 			.admit(call.account(), call.facts(), this.context.clock().monotonicMillis());
 		if (refusal.isPresent()) {
