--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -6,6 +6,7 @@
 import io.sequoialink.bench.cascade.CascadeExperiment;
 import io.sequoialink.bench.fleet.ChargeExperiment;
 import io.sequoialink.bench.fleet.ConfigExperiment;
+import io.sequoialink.bench.fleet.OutageExperiment;
 import io.sequoialink.bench.fleet.RestartExperiment;
 
 /**
@@ -14,7 +15,7 @@
 public final class Experiments {
 
 	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new ConfigExperiment(),
-			new RestartExperiment(), new ChargeExperiment());
+			new RestartExperiment(), new ChargeExperiment(), new OutageExperiment());
 
 	private Experiments() {
 	}
--- /dev/null
+++ b/ledger/src/main/java/io/sequoialink/ledger/leases/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Leases with fencing numbers, decided by the order of the platform log.
+ */
+package io.sequoialink.ledger.leases;
