--- a/decision/src/main/java/io/sequoialink/decision/rollout/PendingAnswers.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/PendingAnswers.java
@@ -62,7 +62,7 @@
 	void begin(RequestFacts request, VersionId version, List<String> cells, Optional<String> credit) {
 		String key = key(request, version);
 		this.forgotten.remove(key);
-		if (this.pending.putIfAbsent(key, new Pending(cells, credit, request.deadlineMillis())) == null) {
+		if (this.pending.putIfAbsent(key, new Pending(request, cells, credit)) == null) {
 			credit.ifPresent((rollout) -> this.credits.merge(rollout, 1, Integer::sum));
 			count(cells, Evidence.STARTED);
 		}
@@ -93,7 +93,10 @@
 		answer.ended = true;
 		answer.dueMillis = nowMillis + this.ratingTimeoutMillis;
 		count(answer.cells, Evidence.WHOLE);
-		count(answer.cells, Evidence.latencyIndex(attempt.millis()));
+		if (!answer.goesOn) {
+			// The turns of a session are of one class: their times are not independent.
+			count(answer.cells, Evidence.latencyIndex(attempt.millis()));
+		}
 		if (attempt.rating().isPresent()) {
 			rate(key, answer, attempt.rating());
 		}
@@ -155,14 +158,17 @@
 
 		private final Optional<String> credit;
 
+		private final boolean goesOn;
+
 		private long dueMillis;
 
 		private boolean ended;
 
-		private Pending(List<String> cells, Optional<String> credit, long dueMillis) {
+		private Pending(RequestFacts request, List<String> cells, Optional<String> credit) {
 			this.cells = cells;
 			this.credit = credit;
-			this.dueMillis = dueMillis;
+			this.goesOn = request.sessionVersion().isPresent();
+			this.dueMillis = request.deadlineMillis();
 		}
 
 	}
