--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.sequoialink.bench.cascade.CascadeExperiment;
+import io.sequoialink.bench.crash.CrashExperiment;
 import io.sequoialink.bench.fleet.ChargeExperiment;
 import io.sequoialink.bench.fleet.ConfigExperiment;
 import io.sequoialink.bench.fleet.RestartExperiment;
@@ -15,7 +16,7 @@
 public final class Experiments {
 
 	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new RolloutExperiment(),
-			new ConfigExperiment(), new RestartExperiment(), new ChargeExperiment());
+			new CrashExperiment(), new ConfigExperiment(), new RestartExperiment(), new ChargeExperiment());
 
 	private Experiments() {
 	}
--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/crash/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Containment of a request that crashes servers.
+ */
+package io.sequoialink.bench.crash;
--- /dev/null
+++ b/decision/src/main/java/io/sequoialink/decision/crash/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Containment of requests that crash backend servers.
+ */
+package io.sequoialink.decision.crash;
