--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.sequoialink.bench.cascade.CascadeExperiment;
+import io.sequoialink.bench.crash.CrashExperiment;
 import io.sequoialink.bench.fleet.ChargeExperiment;
 import io.sequoialink.bench.fleet.ConfigExperiment;
 import io.sequoialink.bench.fleet.OutageExperiment;
