--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -9,6 +9,7 @@
 import io.sequoialink.bench.fleet.OutageExperiment;
 import io.sequoialink.bench.fleet.RestartExperiment;
 import io.sequoialink.bench.rollout.RolloutExperiment;
+import io.sequoialink.bench.slopes.SlopesExperiment;
 
 /**
  * All experiments of this module. Stateless and thread-safe.
@@ -16,7 +17,8 @@
 public final class Experiments {
 
 	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new RolloutExperiment(),
-			new ConfigExperiment(), new RestartExperiment(), new ChargeExperiment(), new OutageExperiment());
+			new ConfigExperiment(), new RestartExperiment(), new ChargeExperiment(), new OutageExperiment(),
+			new SlopesExperiment());
 
 	private Experiments() {
 	}
--- a/daemon/src/main/java/io/sequoialink/daemon/host/HostBills.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/HostBills.java
@@ -22,9 +22,10 @@
  * Ties the bill journal to the peers, and reads the stream of bills for operators.
  * Thread-safe.
  */
-final class HostBills implements BillPeers {
+public final class HostBills implements BillPeers {
 
-	private static final String TOPIC = "bills";
+	/** The topic of messages about copies of bills. */
+	public static final String TOPIC = "bills";
 
 	private static final int READ_RECORDS = 1_000;
 
@@ -36,14 +37,23 @@
 
 	private final LogBillJournal journal;
 
-	HostBills(Peers peers, LogStream stream) {
+	/**
+	 * Creates the journal of a host; the owner starts it.
+	 * @param peers the other hosts
+	 * @param stream the stream of bills
+	 */
+	public HostBills(Peers peers, LogStream stream) {
 		this.peers = peers;
 		this.stream = stream;
 		this.journal = new LogBillJournal(stream, this, BillSettings.DEFAULT, System::nanoTime);
 		peers.subscribe(TOPIC, (message) -> this.journal.receive(message.sender().host(), message.payload()));
 	}
 
-	LogBillJournal journal() {
+	/**
+	 * Returns the journal.
+	 * @return the journal
+	 */
+	public LogBillJournal journal() {
 		return this.journal;
 	}
 
