--- a/cli/src/main/java/io/sequoialink/cli/BillsCommand.java
+++ b/cli/src/main/java/io/sequoialink/cli/BillsCommand.java
@@ -30,7 +30,7 @@
 					bill.path("tokens").asLong(), bill.path("cost").asLong());
 		}
 		table.print(out());
-		out().println(bills.size() + " bills, " + cost + " micro-euros");
+		out().println("Bills: " + bills.size() + ", micro-euros: " + cost);
 		return ExitCodes.OK;
 	}
 
--- a/cli/src/main/java/io/sequoialink/cli/ExplainCommand.java
+++ b/cli/src/main/java/io/sequoialink/cli/ExplainCommand.java
@@ -11,8 +11,8 @@
 		description = "Explains one request: what was allowed, weighed, chosen, tried, rated and billed.",
 		exitCodeListHeading = ExitCodes.HELP_HEADING,
 		exitCodeList = { "0:explained", "1:no host that answers remembers the request", "2:no request identifier" },
-		footer = { "", "The request identifier stands in the header x-request-id of the answer.", "", "Example:",
-				"  sequoialink explain 3f0c2a9e-1" })
+		footer = { "", "The request identifier stands in the header x-sequoialink-request of the answer.", "",
+				"Example:", "  sequoialink explain magnolia-3.mx84xlqj.1" })
 final class ExplainCommand extends CommandBase {
 
 	@CommandLine.Parameters(paramLabel = "REQUEST_ID", description = "the request")
--- a/daemon/src/test/java/io/sequoialink/daemon/settings/SettingsFileTests.java
+++ b/daemon/src/test/java/io/sequoialink/daemon/settings/SettingsFileTests.java
@@ -68,7 +68,7 @@
 					127.0.0.1:8202]         | 127.0.0.1:8201]         | peers.seeds[1] | is a duplicate | once
 					format: text            | format: xml             | logging.format | is not accepted | [text, json]
 					level: info             | levle: info             | logging.levle | unknown key | did you mean 'level'?
-					"retry: {maxAttempts: 3" | "retry: {maxAttempts: 99" | policy.retry.maxAttempts | is not accepted | attempts 99
+					"retry: {maxAttempts: 3" | "retry: {maxAttempts: 99" | policy.retry.maxAttempts | is not accepted | use 1 to 10
 					baseDelay: 20ms         | baseDelay: 20           | policy.retry.baseDelay | is not accepted | unit ms, s, m or h
 					baseDelay: 20ms         | baseDealy: 20ms         | policy.retry.baseDealy | unknown key | did you mean 'baseDelay'?
 					explorationShare: 0.01  | explorationShare: 0.5   | policy.cascade.explorationShare | is not accepted | 0 to 0.2
--- a/decision/src/main/java/io/sequoialink/decision/limits/LimitSettings.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/LimitSettings.java
@@ -22,16 +22,18 @@
 		long settleMillis, long silentMillis, long demandHalfLifeMillis, double evenShare, double priorityStep) {
 
 	public LimitSettings {
-		require(minConcurrency >= 1 && minConcurrency <= 10_000, "minConcurrency", minConcurrency);
-		require(maxConcurrency >= minConcurrency, "maxConcurrency", maxConcurrency);
-		require(latencyTolerance >= 1 && latencyTolerance <= 10, "latencyTolerance", latencyTolerance);
-		require(latencyWindowMillis >= 10 && latencyWindowMillis <= 60_000, "latencyWindowMillis", latencyWindowMillis);
-		require(settleMillis >= 0 && settleMillis <= 60_000, "settleMillis", settleMillis);
-		require(silentMillis >= settleMillis, "silentMillis", silentMillis);
+		require(minConcurrency >= 1 && minConcurrency <= 10_000, "minConcurrency", minConcurrency,
+				"1 to 10,000 requests");
+		require(maxConcurrency >= minConcurrency, "maxConcurrency", maxConcurrency, "at least minConcurrency");
+		require(latencyTolerance >= 1 && latencyTolerance <= 10, "latencyTolerance", latencyTolerance, "1 to 10");
+		require(latencyWindowMillis >= 10 && latencyWindowMillis <= 60_000, "latencyWindowMillis", latencyWindowMillis,
+				"10 ms to 60 s");
+		require(settleMillis >= 0 && settleMillis <= 60_000, "settleMillis", settleMillis, "0 to 60 s");
+		require(silentMillis >= settleMillis, "silentMillis", silentMillis, "at least settleMillis");
 		require(demandHalfLifeMillis >= 100 && demandHalfLifeMillis <= 600_000, "demandHalfLifeMillis",
-				demandHalfLifeMillis);
-		require(evenShare >= 0 && evenShare <= 1, "evenShare", evenShare);
-		require(priorityStep >= 0 && priorityStep <= 0.1, "priorityStep", priorityStep);
+				demandHalfLifeMillis, "100 ms to 10 minutes");
+		require(evenShare >= 0 && evenShare <= 1, "evenShare", evenShare, "0 to 1");
+		require(priorityStep >= 0 && priorityStep <= 0.1, "priorityStep", priorityStep, "0 to 0.1");
 	}
 
 	/**
@@ -42,9 +44,9 @@
 		return new LimitSettings(4, 10_000, 1.25, 500, 1_000, 3_000, 2_000, 0.1, 0.05);
 	}
 
-	private static void require(boolean holds, String name, double value) {
+	private static void require(boolean holds, String name, double value, String accepted) {
 		if (!holds) {
-			throw new IllegalArgumentException("limit setting " + name + " is out of its range: " + value);
+			throw new IllegalArgumentException("limits." + name + " is " + value + ": use " + accepted);
 		}
 	}
 
--- a/decision/src/main/java/io/sequoialink/decision/retry/RetrySettings.java
+++ b/decision/src/main/java/io/sequoialink/decision/retry/RetrySettings.java
@@ -15,15 +15,12 @@
 		long maxDelayMillis, long minAttemptMillis) {
 
 	public RetrySettings {
-		boolean counts = budgetShare >= 0 && budgetShare <= 1 && burst >= 1 && burst <= 10_000 && maxAttempts >= 1
-				&& maxAttempts <= 10;
-		boolean times = baseDelayMillis >= 0 && baseDelayMillis <= 60_000 && maxDelayMillis >= baseDelayMillis
-				&& minAttemptMillis >= 0;
-		if (!counts || !times) {
-			throw new IllegalArgumentException("retry settings are out of their ranges: budget share " + budgetShare
-					+ ", burst " + burst + ", attempts " + maxAttempts + ", delays " + baseDelayMillis + " to "
-					+ maxDelayMillis + " ms, least attempt " + minAttemptMillis + " ms");
-		}
+		require(budgetShare >= 0 && budgetShare <= 1, "budgetShare", budgetShare, "0 to 1");
+		require(burst >= 1 && burst <= 10_000, "burst", burst, "1 to 10,000 retries");
+		require(maxAttempts >= 1 && maxAttempts <= 10, "maxAttempts", maxAttempts, "1 to 10");
+		require(baseDelayMillis >= 0 && baseDelayMillis <= 60_000, "baseDelayMillis", baseDelayMillis, "0 to 60 s");
+		require(maxDelayMillis >= baseDelayMillis, "maxDelayMillis", maxDelayMillis, "at least baseDelayMillis");
+		require(minAttemptMillis >= 0, "minAttemptMillis", minAttemptMillis, "at least 0 ms");
 	}
 
 	/**
@@ -34,4 +31,10 @@
 		return new RetrySettings(0.1, 10, 3, 20, 2_000, 50);
 	}
 
+	private static void require(boolean holds, String name, double value, String accepted) {
+		if (!holds) {
+			throw new IllegalArgumentException("retry." + name + " is " + value + ": use " + accepted);
+		}
+	}
+
 }
--- a/decision/src/main/java/io/sequoialink/decision/rollout/RolloutSettings.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/RolloutSettings.java
@@ -27,18 +27,18 @@
 		double minFailureShare, long ratingTimeoutMillis) {
 
 	public RolloutSettings {
-		require(credits >= 1 && credits <= 10_000, "credits", credits);
-		require(maxCredits >= credits, "maxCredits", maxCredits);
-		require(answersPerCredit >= 1, "answersPerCredit", answersPerCredit);
-		require(alpha > 0 && alpha < 0.5, "alpha", alpha);
-		require(restartAlpha > 0 && restartAlpha < 0.5, "restartAlpha", restartAlpha);
-		require(beta > 0 && beta < 0.5, "beta", beta);
-		require(restartAnswers >= 1, "restartAnswers", restartAnswers);
-		require(restarts >= 1 && restarts <= 1_000, "restarts", restarts);
-		require(referenceAnswers >= 1, "referenceAnswers", referenceAnswers);
-		require(ratingTolerance >= 0 && ratingTolerance < 1, "ratingTolerance", ratingTolerance);
-		require(minFailureShare > 0 && minFailureShare < 1, "minFailureShare", minFailureShare);
-		require(ratingTimeoutMillis > 0, "ratingTimeoutMillis", ratingTimeoutMillis);
+		require(credits >= 1 && credits <= 10_000, "credits", credits, "1 to 10,000 answers");
+		require(maxCredits >= credits, "maxCredits", maxCredits, "at least credits");
+		require(answersPerCredit >= 1, "answersPerCredit", answersPerCredit, "at least 1 answer");
+		require(alpha > 0 && alpha < 0.5, "alpha", alpha, "above 0 and below 0.5");
+		require(restartAlpha > 0 && restartAlpha < 0.5, "restartAlpha", restartAlpha, "above 0 and below 0.5");
+		require(beta > 0 && beta < 0.5, "beta", beta, "above 0 and below 0.5");
+		require(restartAnswers >= 1, "restartAnswers", restartAnswers, "at least 1 answer");
+		require(restarts >= 1 && restarts <= 1_000, "restarts", restarts, "1 to 1,000");
+		require(referenceAnswers >= 1, "referenceAnswers", referenceAnswers, "at least 1 answer");
+		require(ratingTolerance >= 0 && ratingTolerance < 1, "ratingTolerance", ratingTolerance, "0 up to below 1");
+		require(minFailureShare > 0 && minFailureShare < 1, "minFailureShare", minFailureShare, "between 0 and 1");
+		require(ratingTimeoutMillis > 0, "ratingTimeoutMillis", ratingTimeoutMillis, "above 0 ms");
 	}
 
 	/**
@@ -73,9 +73,9 @@
 				this.minFailureShare, this.ratingTimeoutMillis);
 	}
 
-	private static void require(boolean holds, String name, double value) {
+	private static void require(boolean holds, String name, double value, String accepted) {
 		if (!holds) {
-			throw new IllegalArgumentException("roll-out setting " + name + " is out of its range: " + value);
+			throw new IllegalArgumentException("rollout." + name + " is " + value + ": use " + accepted);
 		}
 	}
 
