--- a/daemon/src/main/java/io/sequoialink/daemon/settings/SettingsError.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/settings/SettingsError.java
@@ -24,8 +24,9 @@
 
 	@Override
 	public String toString() {
-		String shown = this.value.isEmpty() ? "" : " '" + this.value + "'";
-		return this.file + ": " + this.path + ":" + shown + " " + this.problem + ": " + this.accepted;
+		String place = this.path.isEmpty() ? this.file : this.file + ": " + this.path;
+		String shown = this.value.isEmpty() ? "" : "'" + this.value + "' ";
+		return place + ": " + shown + this.problem + ": " + this.accepted;
 	}
 
 }
