Fuzz settings and configuration files

Cause: only unstructured text was tried, which rarely gets past the YAML parser. Change: two properties change a good file, by replacing a run of characters or one value by another shape of value (400 tries each, fixed seed); the reader either accepts or lists its errors.

--- a/daemon/src/test/java/io/sequoialink/daemon/settings/SettingsFileTests.java
+++ b/daemon/src/test/java/io/sequoialink/daemon/settings/SettingsFileTests.java
@@ -13,6 +13,8 @@
 import io.sequoialink.model.CatalogueView;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.StringLength;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -114,6 +116,40 @@
 		assertThat(refuse(text).errors()).isNotEmpty();
 	}
 
+	@Property(tries = 400, seed = "1")
+	void anyChangeOfAFileIsAcceptedOrRefusedWithErrors(@ForAll boolean host, @ForAll @IntRange(max = 100_000) int place,
+			@ForAll @IntRange(max = 30) int length, @ForAll @StringLength(max = 8) String replacement)
+			throws IOException {
+		String yaml = Files.readString(EXAMPLES.resolve(host ? "magnolia/host-1.yaml" : "magnolia/catalogue.yaml"));
+		int start = place % yaml.length();
+		String mutant = yaml.substring(0, start) + replacement
+				+ yaml.substring(Math.min(yaml.length(), start + length));
+		try {
+			parse(host, mutant);
+		}
+		catch (SettingsException ex) {
+			assertThat(ex.errors()).isNotEmpty();
+		}
+	}
+
+	@Property(tries = 400, seed = "1")
+	void anyOtherValueIsAcceptedOrRefusedWithErrors(@ForAll boolean host, @ForAll @IntRange(max = 1000) int place,
+			@ForAll @IntRange(max = 9) int value) throws IOException {
+		String yaml = Files.readString(EXAMPLES.resolve(host ? "magnolia/host-1.yaml" : "magnolia/catalogue.yaml"));
+		List<String> values = List.of("", "null", "[]", "{}", "-1", "1e999", "99999999999999999999", "[{}, 1]",
+				"{a: {b: [1]}}", "'\u0000'");
+		String[] parts = yaml.split("(?<=: )");
+		int part = 1 + place % (parts.length - 1);
+		parts[part] = values.get(value) + parts[part].replaceFirst("^[^,}\\n]*", "");
+		String mutant = String.join("", parts);
+		try {
+			parse(host, mutant);
+		}
+		catch (SettingsException ex) {
+			assertThat(ex.errors()).isNotEmpty();
+		}
+	}
+
 	@Test
 	void eachPolicyHasDefaults() {
 		assertThat(SettingsFile.policyDefaults()).containsOnlyKeys("cascade", "rollout", "routing", "outliers",
@@ -193,6 +229,15 @@
 		}
 	}
 
+	private static void parse(boolean host, String yaml) throws SettingsException {
+		if (host) {
+			SettingsFile.parse("mutant.yaml", yaml);
+		}
+		else {
+			CatalogueFile.parse("mutant.yaml", yaml, CatalogueView.empty());
+		}
+	}
+
 	private static String valid() throws IOException {
 		return Files.readString(EXAMPLES.resolve("magnolia/host-1.yaml"));
 	}
