--- a/bench/src/main/java/io/sequoialink/bench/live/LiveFleet.java
+++ b/bench/src/main/java/io/sequoialink/bench/live/LiveFleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 import io.sequoialink.catalogue.Change;
 import io.sequoialink.catalogue.Verdict;
@@ -59,9 +60,13 @@
 
 	private final List<HttpClientPool> pools = new ArrayList<>();
 
+	private final LongSupplier incarnations;
+
 	private int started;
 
-	private LiveFleet(String deployment, Standins standins, HostPolicies.Factory policies, long seed) {
+	private LiveFleet(String deployment, Standins standins, HostPolicies.Factory policies, long seed,
+			LongSupplier incarnations) {
+		this.incarnations = incarnations;
 		this.deployment = deployment;
 		this.standins = standins;
 		this.policies = policies;
@@ -81,7 +86,23 @@
 	 */
 	public static LiveFleet start(String deployment, Standins standins, int hosts, HostPolicies.Factory policies,
 			long seed) throws FleetException {
-		LiveFleet fleet = new LiveFleet(deployment, standins, policies, seed);
+		return start(deployment, standins, hosts, policies, seed, System::currentTimeMillis);
+	}
+
+	/**
+	 * Starts hosts whose identifiers of requests do not depend on the time.
+	 * @param deployment {@code magnolia} or {@code bergvik}
+	 * @param standins the stand-ins, which the fleet closes
+	 * @param hosts the number of hosts
+	 * @param policies builds the policies of each host
+	 * @param seed seed of the hosts' random choices
+	 * @param incarnations gives the start time of each host, epoch milliseconds
+	 * @return the running fleet
+	 * @throws FleetException if it can't be started
+	 */
+	public static LiveFleet start(String deployment, Standins standins, int hosts, HostPolicies.Factory policies,
+			long seed, LongSupplier incarnations) throws FleetException {
+		LiveFleet fleet = new LiveFleet(deployment, standins, policies, seed, incarnations);
 		try {
 			for (int i = 0; i < hosts; i++) {
 				fleet.addHost();
@@ -109,8 +130,8 @@
 			.map((host) -> host.peers().self())
 			.map((self) -> new InetSocketAddress(self.ip(), self.port()))
 			.toList();
-		HostIdentity identity = new HostIdentity(new HostId("host-" + number), System.currentTimeMillis(), zone(number),
-				"127.0.0.1", 0, 0, seeds, PeerKeys.builder().accept("p1", PEER_KEY).active("p1").build(),
+		HostIdentity identity = new HostIdentity(new HostId("host-" + number), this.incarnations.getAsLong(),
+				zone(number), "127.0.0.1", 0, 0, seeds, PeerKeys.builder().accept("p1", PEER_KEY).active("p1").build(),
 				new SessionTokens("s1", Map.of("s1", PEER_KEY)), Optional.empty(), HttpLimits.DEFAULT,
 				Duration.ofSeconds(30), this.seed + number);
 		EntryHost host = EntryHost.start(identity, outside(pool), this.policies);
