Contain crashing requests in the running fleet

Cause: the crash guard was not part of a host; a request that crashes engines could be resent through all hosts. Ruled out: handing a suspect to the owner of its fingerprint (peers carry no requests; innocents of a crash would be refused at seven of eight hosts). Each host tries its own suspects, one at a time, on an idle server, and waits for that while the deadline allows; suspicions are told to every peer within 25 ms. Seen: a scenario with 4 hosts, 20 repetitions through all hosts and an innocent request after each: at most 2 engines crashed, no innocent request refused, every host refuses the content afterwards. Not covered: the same content arriving at several hosts within those milliseconds.

--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -18,8 +18,8 @@
 public final class Experiments {
 
 	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new RolloutExperiment(),
-			new ConfigExperiment(), new RestartExperiment(), new ChargeExperiment(), new OutageExperiment(),
-			new SlopesExperiment());
+			new CrashExperiment(), new ConfigExperiment(), new RestartExperiment(), new ChargeExperiment(),
+			new OutageExperiment(), new SlopesExperiment());
 
 	private Experiments() {
 	}
--- a/cli/src/main/java/io/sequoialink/cli/DemoCommand.java
+++ b/cli/src/main/java/io/sequoialink/cli/DemoCommand.java
@@ -53,7 +53,7 @@
 		}
 		PrintWriter out = this.spec.commandLine().getOut();
 		Standins standins = Standins.of(this.deployment).seed(this.seed).speed(this.speed).start();
-		try (LiveFleet fleet = LiveFleet.start(this.deployment, standins, this.hosts, HostPolicies.Factory.DEFAULT,
+		try (LiveFleet fleet = LiveFleet.start(this.deployment, standins, this.hosts, HostPolicies.DEFAULT,
 				this.seed)) {
 			return this.once ? runOnce(fleet, out) : runUntilStopped(fleet, out);
 		}
--- a/cli/src/test/java/io/sequoialink/cli/GoldenSessionTests.java
+++ b/cli/src/test/java/io/sequoialink/cli/GoldenSessionTests.java
@@ -49,8 +49,8 @@
 			.filter((known) -> known.sessionTurns() != null)
 			.findFirst()
 			.orElseThrow();
-		try (LiveFleet fleet = LiveFleet.start(deployment, standins, 1, HostPolicies.Factory.DEFAULT, SEED,
-				() -> START_MILLIS); Caller caller = new Caller(fleet.hosts().get(0).httpPort())) {
+		try (LiveFleet fleet = LiveFleet.start(deployment, standins, 1, HostPolicies.DEFAULT, SEED, () -> START_MILLIS);
+				Caller caller = new Caller(fleet.hosts().get(0).httpPort())) {
 			session(caller, deployment, sessionClass.id());
 		}
 		Path golden = Path.of("src/test/resources/golden/" + deployment + "-session.txt");
--- a/cli/src/test/java/io/sequoialink/cli/OperatorCommandTests.java
+++ b/cli/src/test/java/io/sequoialink/cli/OperatorCommandTests.java
@@ -43,7 +43,7 @@
 			.candidate("caption-small-4", "caption-small-3", 1)
 			.speed(0.02)
 			.start();
-		fleet = LiveFleet.start("magnolia", standins, 2, HostPolicies.Factory.DEFAULT, 1);
+		fleet = LiveFleet.start("magnolia", standins, 2, HostPolicies.DEFAULT, 1);
 		assertThat(run("config", "apply", CATALOGUE, "--author", "kari", "--reason", "set-up").code()).isZero();
 	}
 
--- a/cli/src/test/java/io/sequoialink/cli/scenarios/FleetSteps.java
+++ b/cli/src/test/java/io/sequoialink/cli/scenarios/FleetSteps.java
@@ -28,6 +28,7 @@
 import io.sequoialink.model.ServerId;
 import io.sequoialink.standin.EngineFault;
 import io.sequoialink.standin.EngineRun;
+import io.sequoialink.standin.EngineSettings;
 import io.sequoialink.standin.StandinService;
 import io.sequoialink.standin.Standins;
 
@@ -52,6 +53,8 @@
 
 	private List<CompletableFuture<Caller.Reply>> streams = List.of();
 
+	private final List<Caller.Reply> innocent = new ArrayList<>();
+
 	private Optional<Caller.Reply> duringStop = Optional.empty();
 
 	private Optional<Caller.Reply> withdrawal = Optional.empty();
@@ -63,7 +66,7 @@
 	@Given("a {word} fleet of {int} hosts")
 	public void fleet(String deployment, int hosts) throws Exception {
 		Standins standins = Standins.of(deployment).seed(SEED).speed(SPEED).start();
-		this.world.start(LiveFleet.start(deployment, standins, hosts, HostPolicies.Factory.DEFAULT, SEED));
+		this.world.start(LiveFleet.start(deployment, standins, hosts, HostPolicies.DEFAULT, SEED));
 	}
 
 	@After
@@ -95,6 +98,35 @@
 							"Bearer " + DeploymentObjects.key(account), "x-sequoialink-class", "tagline"), body));
 	}
 
+	@When("account {string} resends a crashing request {int} times through all hosts, with an innocent one after each")
+	public void resendsCrashing(String account, int times) {
+		for (int i = 0; i < times; i++) {
+			crash(i, account);
+			this.innocent.add(this.world.chat(i + 1, "account-4", "tagline", "innocent " + i, TOKENS, false, Map.of()));
+		}
+	}
+
+	private Caller.Reply crash(int host, String account) {
+		return this.world.chat(host, account, "tagline", "please " + EngineSettings.POISON, TOKENS, false, Map.of());
+	}
+
+	@Then("at most {int} engines crashed")
+	public void crashed(int most) {
+		assertThat(this.world.fleet().standins().books().crashes()).isPositive().isLessThanOrEqualTo(most);
+	}
+
+	@Then("no innocent request was refused")
+	public void noInnocentRefused() {
+		assertThat(this.innocent).isNotEmpty().allMatch(Caller.Reply::answered);
+	}
+
+	@Then("the crashing request is refused at every host as {string}")
+	public void braked(String code) {
+		for (int i = 0; i < this.world.hosts(); i++) {
+			assertThat(crash(i, "account-3").error().path("code").asText()).isEqualTo(code);
+		}
+	}
+
 	@When("an operator withdraws the versions {string} at host {int}")
 	public void withdraws(String selector, int host) {
 		Caller.Reply reply = this.world.caller(host)
--- a/cli/src/test/resources/io/sequoialink/cli/scenarios/promises.feature
+++ b/cli/src/test/resources/io/sequoialink/cli/scenarios/promises.feature
@@ -132,3 +132,11 @@
     Given a magnolia fleet of 2 hosts
     When two operators change one class against the same revision
     Then one change is accepted and the other one is a conflict that shows the present object
+
+  Scenario: A request that crashes servers is contained in the whole fleet
+    Given a magnolia fleet of 4 hosts
+    When account "account-3" resends a crashing request 20 times through all hosts, with an innocent one after each
+    Then at most 2 engines crashed
+    And no innocent request was refused
+    And the crashing request is refused at every host as "request_braked"
+    And every promise held
--- a/daemon/src/main/java/io/sequoialink/daemon/host/ConfiguredHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/ConfiguredHost.java
@@ -9,12 +9,6 @@
 import io.sequoialink.daemon.settings.PlatformSettings;
 import io.sequoialink.daemon.settings.PolicySettings;
 import io.sequoialink.daemon.settings.Settings;
-import io.sequoialink.decision.CrashGuard;
-import io.sequoialink.decision.cascade.AdaptiveCascadePolicy;
-import io.sequoialink.decision.limits.FleetAdmissionPolicy;
-import io.sequoialink.decision.retry.BudgetedRetryPolicy;
-import io.sequoialink.decision.rollout.SharedRolloutPolicy;
-import io.sequoialink.decision.routing.LoadAwareServerPolicy;
 import io.sequoialink.membership.PeerKeys;
 import io.sequoialink.model.HostId;
 import io.sequoialink.platform.HttpAddress;
@@ -68,10 +62,7 @@
 	 * @return the factory
 	 */
 	public static HostPolicies.Factory policies(PolicySettings policy) {
-		return (host, incarnation, members, capacity) -> new HostPolicies(new AdaptiveCascadePolicy(policy.cascade()),
-				new SharedRolloutPolicy(host, incarnation, members, policy.rollout()),
-				new LoadAwareServerPolicy(policy.routing()), policy.outliers(), new BudgetedRetryPolicy(policy.retry()),
-				new FleetAdmissionPolicy(host, members, capacity, policy.limits()), CrashGuard.NONE);
+		return (inputs) -> HostPolicies.of(inputs, policy);
 	}
 
 	private static PeerKeys peerKeys(KeySettings.Ring ring) {
--- a/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
@@ -95,8 +95,8 @@
 		this.claims = LogClaimTable.builder(outside.log().stream(PlatformLog.CLAIMS)).build();
 		this.bills = new HostBills(this.peers, outside.log().stream(PlatformLog.BILLS));
 		AtomicReference<ServerTable> table = new AtomicReference<>();
-		this.policies = factory.create(identity.host(), identity.incarnation(), this::liveHosts,
-				() -> table.get().reportedCapacity());
+		this.policies = factory.create(new PolicyInputs(identity.host(), identity.incarnation(), this::liveHosts,
+				() -> table.get().reportedCapacity(), () -> this.catalogue.view().revision()));
 		this.servers = new ServerTable(identity.zone(), Clock.SYSTEM, new OutlierTable(this.policies.outliers()));
 		table.set(this.servers);
 		this.ratingExecutor = ratingExecutor(identity.host());
@@ -124,7 +124,7 @@
 	 * @throws Exception if a port can't be bound
 	 */
 	public static EntryHost start(HostIdentity identity, OutsideSystems outside) throws Exception {
-		return start(identity, outside, HostPolicies.Factory.DEFAULT);
+		return start(identity, outside, HostPolicies.DEFAULT);
 	}
 
 	/**
@@ -190,6 +190,8 @@
 		this.duties.repeat("read-loads", Duration.ofMillis(250), watch::readLoads);
 		this.duties.repeat("exchange-evidence", Duration.ofMillis(250), evidence::send);
 		this.duties.repeat("exchange-demand", Duration.ofMillis(500), demand::send);
+		SuspicionExchange suspicions = new SuspicionExchange(this.peers, this.policies.crash());
+		this.duties.repeat("tell-suspicions", Duration.ofMillis(25), suspicions::tellIfChanged);
 		this.duties.repeat("learn-brakes", Duration.ofMillis(100), brakes::learn);
 		this.duties.repeat("judge-rollouts", Duration.ofMillis(100), rollouts::judge);
 	}
--- a/daemon/src/main/java/io/sequoialink/daemon/host/HostPolicies.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/HostPolicies.java
@@ -1,9 +1,6 @@
 package io.sequoialink.daemon.host;
 
-import java.util.List;
-import java.util.function.DoubleSupplier;
-import java.util.function.Supplier;
-
+import io.sequoialink.daemon.settings.PolicySettings;
 import io.sequoialink.decision.CascadePolicy;
 import io.sequoialink.decision.CrashGuard;
 import io.sequoialink.decision.RetryPolicy;
@@ -11,6 +8,8 @@
 import io.sequoialink.decision.ServerPolicy;
 import io.sequoialink.decision.cascade.AdaptiveCascadePolicy;
 import io.sequoialink.decision.cascade.CascadeParameters;
+import io.sequoialink.decision.crash.CrashSettings;
+import io.sequoialink.decision.crash.FingerprintCrashGuard;
 import io.sequoialink.decision.limits.FleetAdmissionPolicy;
 import io.sequoialink.decision.limits.LimitSettings;
 import io.sequoialink.decision.retry.BudgetedRetryPolicy;
@@ -20,7 +19,6 @@
 import io.sequoialink.decision.routing.LoadAwareServerPolicy;
 import io.sequoialink.decision.routing.OutlierParameters;
 import io.sequoialink.decision.routing.RoutingParameters;
-import io.sequoialink.model.HostId;
 
 /**
  * The policies of one host. Immutable; each policy is thread-safe.
@@ -36,29 +34,40 @@
 public record HostPolicies(CascadePolicy cascade, RolloutPolicy rollout, ServerPolicy servers,
 		OutlierParameters outliers, RetryPolicy retry, FleetAdmissionPolicy admission, CrashGuard crash) {
 
+	/** The default policies with default parameters. */
+	public static final Factory DEFAULT = (inputs) -> of(inputs,
+			new PolicySettings(CascadeParameters.DEFAULT, RolloutSettings.defaults(), RoutingParameters.DEFAULT,
+					OutlierParameters.DEFAULT, LimitSettings.defaults(), RetrySettings.defaults()));
+
 	/**
-	 * Builds the policies from their parameters.
+	 * Builds the policies of one host from their parameters. Each host tries the requests
+	 * that it suspects itself, so that none is refused for want of a hand-over.
+	 * @param inputs what they may ask of the host
+	 * @param settings the parameters
+	 * @return the policies
+	 */
+	public static HostPolicies of(PolicyInputs inputs, PolicySettings settings) {
+		return new HostPolicies(new AdaptiveCascadePolicy(settings.cascade()),
+				new SharedRolloutPolicy(inputs.host(), inputs.incarnation(), inputs.members(), settings.rollout()),
+				new LoadAwareServerPolicy(settings.routing()), settings.outliers(),
+				new BudgetedRetryPolicy(settings.retry()),
+				new FleetAdmissionPolicy(inputs.host(), inputs.members(), inputs.capacity(), settings.limits()),
+				new FingerprintCrashGuard(inputs.host(), (fingerprint) -> true, inputs.revision(),
+						CrashSettings.defaults()));
+	}
+
+	/**
+	 * Builds the policies of one host.
 	 */
 	@FunctionalInterface
 	public interface Factory {
 
-		/** The default policies with default parameters. */
-		Factory DEFAULT = (host, incarnation, members, capacity) -> new HostPolicies(
-				new AdaptiveCascadePolicy(CascadeParameters.DEFAULT),
-				new SharedRolloutPolicy(host, incarnation, members, RolloutSettings.defaults()),
-				new LoadAwareServerPolicy(RoutingParameters.DEFAULT), OutlierParameters.DEFAULT,
-				new BudgetedRetryPolicy(RetrySettings.defaults()),
-				new FleetAdmissionPolicy(host, members, capacity, LimitSettings.defaults()), CrashGuard.NONE);
-
 		/**
-		 * Builds the policies of one host.
-		 * @param host the host
-		 * @param incarnation start of its process, epoch milliseconds
-		 * @param members the live hosts, this one among them
-		 * @param capacity requests that all backend servers can run at one time
+		 * Builds the policies.
+		 * @param inputs what they may ask of the host
 		 * @return the policies
 		 */
-		HostPolicies create(HostId host, long incarnation, Supplier<List<HostId>> members, DoubleSupplier capacity);
+		HostPolicies create(PolicyInputs inputs);
 
 	}
 
--- a/decision/src/main/java/io/sequoialink/decision/CrashGuard.java
+++ b/decision/src/main/java/io/sequoialink/decision/CrashGuard.java
@@ -1,8 +1,10 @@
 package io.sequoialink.decision;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.sequoialink.model.Brake;
+import io.sequoialink.model.HostId;
 import io.sequoialink.model.Refusal;
 
 /**
@@ -54,4 +56,32 @@
 	 */
 	void accept(Brake brake);
 
+	/**
+	 * Returns whether a request must run alone on its server, as a suspect.
+	 * @param request the request
+	 * @param nowMillis the injected clock
+	 * @return whether it is suspect and not braked
+	 */
+	default boolean needsSoleServer(RequestFacts request, long nowMillis) {
+		return false;
+	}
+
+	/**
+	 * Returns the fingerprints that this host suspects, to be spread to its peers.
+	 * @param nowMillis the injected clock
+	 * @return fingerprints, the newest last
+	 */
+	default List<String> suspects(long nowMillis) {
+		return List.of();
+	}
+
+	/**
+	 * Takes a suspicion that a peer has spread.
+	 * @param peer the host that saw the crash
+	 * @param fingerprint the fingerprint
+	 * @param nowMillis the injected clock
+	 */
+	default void suspect(HostId peer, String fingerprint, long nowMillis) {
+	}
+
 }
--- a/decision/src/main/java/io/sequoialink/decision/crash/FingerprintCrashGuard.java
+++ b/decision/src/main/java/io/sequoialink/decision/crash/FingerprintCrashGuard.java
@@ -100,12 +100,7 @@
 		return Refusal.notRun(RefusalCode.OVERLOADED, reason).retryAfter(TRIAL_RETRY);
 	}
 
-	/**
-	 * Returns whether a request must run alone on its server, as a suspect.
-	 * @param request the request
-	 * @param nowMillis the injected clock
-	 * @return whether it is suspect and not braked
-	 */
+	@Override
 	public synchronized boolean needsSoleServer(RequestFacts request, long nowMillis) {
 		return suspect(request.fingerprint(), nowMillis);
 	}
@@ -180,12 +175,7 @@
 		}
 	}
 
-	/**
-	 * Returns the fingerprints that this host suspects, to be spread to its peers at once
-	 * after a crash and then now and then.
-	 * @param nowMillis the injected clock
-	 * @return fingerprints, the newest last
-	 */
+	@Override
 	public synchronized List<String> suspects(long nowMillis) {
 		List<String> live = new ArrayList<>();
 		this.suspects.keySet().forEach((fingerprint) -> {
@@ -196,12 +186,7 @@
 		return live;
 	}
 
-	/**
-	 * Takes a suspicion that a peer has spread. It adds no crash to one known here.
-	 * @param peer the host that saw the crash
-	 * @param fingerprint the fingerprint
-	 * @param nowMillis the injected clock
-	 */
+	@Override
 	public synchronized void suspect(HostId peer, String fingerprint, long nowMillis) {
 		if (!peer.equals(this.self) && !this.suspects.containsKey(fingerprint)) {
 			keep(fingerprint, new Suspect(1, nowMillis));
--- a/router/src/main/java/io/sequoialink/router/AttemptRunner.java
+++ b/router/src/main/java/io/sequoialink/router/AttemptRunner.java
@@ -37,6 +37,8 @@
 
 	private static final Duration RETRY_LATER = Duration.ofSeconds(1);
 
+	private static final Duration TRIAL_POLL = Duration.ofMillis(50);
+
 	private final RouterContext context;
 
 	private final VersionGate gate;
@@ -69,6 +71,7 @@
 			BackendServer server = (resumeAt.isPresent()) ? resumeAt.get()
 					: chooseServer(chat, version.id(), avoided, effect);
 			requireAdmitted(chat, version.id(), effect, resumeAt.isPresent());
+			awaitCrashGuard(chat.facts(), effect);
 			try {
 				return dispatch(chat, version, server, collector, explanation);
 			}
@@ -86,6 +89,9 @@
 			throws RefusedException {
 		List<ServerView> views = this.context.servers()
 			.offering(ServerKind.ENGINE, version.value(), chat.facts().prefixHash());
+		if (this.context.crashGuard().needsSoleServer(chat.facts(), this.context.clock().monotonicMillis())) {
+			views = idleIfAny(views);
+		}
 		return this.context.serverPolicy()
 			.choose(chat.facts(), views, avoided, this.context.random())
 			.flatMap(this.context.servers()::server)
@@ -93,18 +99,44 @@
 					"no backend server that offers " + version + " can be used", effect, Optional.of(RETRY_LATER))));
 	}
 
+	private static List<ServerView> idleIfAny(List<ServerView> views) {
+		List<ServerView> idle = views.stream().filter((view) -> view.inFlight() + view.reportedRunning() == 0).toList();
+		return idle.isEmpty() ? views : idle;
+	}
+
 	private void requireAdmitted(ResolvedChat chat, VersionId version, Effect effect, boolean resumed)
 			throws RefusedException {
 		Optional<Refusal> refusal = resumed ? Optional.empty() : this.gate.check(chat.account(), version);
-		if (refusal.isEmpty()) {
-			refusal = this.context.crashGuard().beforeDispatch(chat.facts(), this.context.clock().monotonicMillis());
-		}
 		if (refusal.isPresent()) {
-			Refusal told = refusal.get();
-			throw new RefusedException(new Refusal(told.code(), told.reason(), effect, told.retryAfter()));
+			throw withEffect(refusal.get(), effect);
 		}
 	}
 
+	/**
+	 * Waits while another suspect is tried; a braked request is refused at once.
+	 * @param facts the request
+	 * @param effect what its earlier attempts did
+	 * @throws RefusedException if it may not be dispatched in time
+	 */
+	private void awaitCrashGuard(RequestFacts facts, Effect effect) throws RefusedException {
+		while (true) {
+			Optional<Refusal> refusal = this.context.crashGuard()
+				.beforeDispatch(facts, this.context.clock().monotonicMillis());
+			if (refusal.isEmpty()) {
+				return;
+			}
+			boolean waits = refusal.get().code() == RefusalCode.OVERLOADED;
+			if (!waits || remaining(facts).compareTo(TRIAL_POLL) <= 0) {
+				throw withEffect(refusal.get(), effect);
+			}
+			sleep(TRIAL_POLL.toMillis(), effect);
+		}
+	}
+
+	private static RefusedException withEffect(Refusal told, Effect effect) {
+		return new RefusedException(new Refusal(told.code(), told.reason(), effect, told.retryAfter()));
+	}
+
 	private AttemptAnswer dispatch(ResolvedChat chat, ModelVersion version, BackendServer server,
 			TokenCollector collector, Explanation explanation) throws BackendException {
 		int index = explanation.attemptCount();
@@ -176,8 +208,12 @@
 		if (!verdict.retry()) {
 			throw refused(RefusalCode.BACKEND_FAILED, ex.getMessage() + " (" + verdict.reason() + ")", effect);
 		}
+		sleep(verdict.delayMillis(), effect);
+	}
+
+	private static void sleep(long millis, Effect effect) throws RefusedException {
 		try {
-			Thread.sleep(verdict.delayMillis());
+			Thread.sleep(millis);
 		}
 		catch (InterruptedException interrupted) {
 			Thread.currentThread().interrupt();
