--- a/bench/src/main/java/io/sequoialink/bench/fleet/ChargeExperiment.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ChargeExperiment.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sequoialink.bench.Experiment;
@@ -19,6 +20,7 @@
 import io.sequoialink.bench.ExperimentResult;
 import io.sequoialink.bench.Target;
 import io.sequoialink.ledger.ClaimKey;
+import io.sequoialink.ledger.bills.BillFold;
 import io.sequoialink.model.AccountId;
 import io.sequoialink.model.BackendServer;
 import io.sequoialink.model.Json;
@@ -26,6 +28,7 @@
 import io.sequoialink.model.ServerId;
 import io.sequoialink.model.ServerKind;
 import io.sequoialink.platform.HttpServiceClient;
+import io.sequoialink.platform.LogRecord;
 import io.sequoialink.platform.PlatformLog;
 import io.sequoialink.standin.Books;
 import io.sequoialink.standin.StandinService;
@@ -67,7 +70,8 @@
 	@Override
 	public List<Target> targets() {
 		return List.of(Target.atLeast("requests", 1), Target.atMost("executed_twice", 0),
-				Target.atMost("refused_but_executed", 0), Target.atLeast("availability", 0.95));
+				Target.atMost("refused_but_executed", 0), Target.atMost("billed_twice", 0),
+				Target.atMost("unbilled", 0), Target.atLeast("availability", 0.95));
 	}
 
 	@Override
@@ -108,6 +112,8 @@
 
 		private final Queue<Ended> ended = new ConcurrentLinkedQueue<>();
 
+		private List<LogRecord> bills = List.of();
+
 		private volatile boolean down;
 
 		private volatile long lastOutageNanos = Long.MIN_VALUE / 2;
@@ -123,10 +129,11 @@
 			this.service.fault(StandinService.Fault.REJECT, 0.02);
 			this.service.fault(StandinService.Fault.DROP_ANSWER, 0.01);
 			for (int i = 0; i < options.hosts(); i++) {
-				this.hosts.add(new ChargeHost(log.stream(PlatformLog.CLAIMS), new HttpServiceClient(log.pool())));
+				this.hosts.add(new ChargeHost(log.client(), new HttpServiceClient(log.pool()), this.hosts));
 			}
 			drive();
 			this.hosts.forEach(ChargeHost::close);
+			this.bills = log.standin().records(PlatformLog.BILLS);
 			this.service.close();
 		}
 
@@ -198,7 +205,8 @@
 
 		private static ChargeHost.Fault fault(Random random) {
 			int draw = random.nextInt(200);
-			return (draw == 0) ? ChargeHost.Fault.KILL : (draw < 3) ? ChargeHost.Fault.PAUSE : ChargeHost.Fault.NONE;
+			return (draw == 0) ? ChargeHost.Fault.KILL : (draw < 3) ? ChargeHost.Fault.PAUSE
+					: (draw < 5) ? ChargeHost.Fault.KILL_AFTER : ChargeHost.Fault.NONE;
 		}
 
 		private ObjectNode figures() {
@@ -212,11 +220,27 @@
 			node.put("refused_but_executed", refusedButExecuted());
 			node.put("unknown_outcomes",
 					this.ended.stream().filter((end) -> end.answer() == ChargeHost.Answer.UNKNOWN).count());
+			Map<String, Long> billed = billed();
+			node.put("billed_twice", billed.values().stream().filter((count) -> count > 1).count());
+			node.put("unbilled",
+					this.ended.stream()
+						.filter((end) -> end.answer() == ChargeHost.Answer.DONE && !billed.containsKey(end.key()))
+						.count());
 			node.put("not_run", this.ended.stream().filter((end) -> end.answer() == ChargeHost.Answer.NOT_RUN).count());
 			node.put("availability", (asked > 0) ? (double) done / asked : 0);
 			return node;
 		}
 
+		private Map<String, Long> billed() {
+			BillFold fold = new BillFold(BillFold.DEFAULT_WINDOW);
+			return this.bills.stream()
+				.map(fold::fold)
+				.flatMap((outcome) -> outcome.counted().stream())
+				.map((bill) -> bill.request().value())
+				.collect(Collectors.groupingBy((request) -> request.substring(0, request.lastIndexOf('-')),
+						Collectors.counting()));
+		}
+
 		private long refusedButExecuted() {
 			long attempts = this.books.executions()
 				.stream()
@@ -229,8 +253,9 @@
 		}
 
 		private List<String> notes() {
-			return List.of("appends " + this.log.standin().appends() + ", executions " + this.books.executions().size()
-					+ ", charges outside outages " + this.ended.stream().filter((end) -> !end.outage()).count());
+			return List.of("appends " + this.log.standin().appends() + ", bill records " + this.bills.size()
+					+ ", executions " + this.books.executions().size() + ", charges outside outages "
+					+ this.ended.stream().filter((end) -> !end.outage()).count());
 		}
 
 		private static void pause() {
--- a/bench/src/main/java/io/sequoialink/bench/fleet/ChargeHost.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ChargeHost.java
@@ -2,19 +2,23 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import io.sequoialink.ledger.ClaimDecision;
 import io.sequoialink.ledger.ClaimKey;
 import io.sequoialink.ledger.RecordedOutcome;
+import io.sequoialink.ledger.bills.BillPeers;
 import io.sequoialink.ledger.claims.LogClaimTable;
 import io.sequoialink.model.BackendServer;
 import io.sequoialink.model.Effect;
+import io.sequoialink.model.HostId;
 import io.sequoialink.model.RequestId;
 import io.sequoialink.platform.BackendException;
 import io.sequoialink.platform.LogStream;
 import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.platform.PlatformLog;
 import io.sequoialink.platform.ServiceClient;
 
 /**
@@ -36,16 +40,37 @@
 
 	private final ServiceClient services;
 
+	private final LogStream billStream;
+
+	private final List<ChargeHost> hosts;
+
+	private final HostId id;
+
 	private volatile LogClaimTable table;
 
-	ChargeHost(LogStream stream, ServiceClient services) {
-		this.stream = stream;
+	private volatile ChargeBills bills;
+
+	private long incarnation;
+
+	ChargeHost(PlatformLog log, ServiceClient services, List<ChargeHost> hosts) {
+		this.stream = log.stream(PlatformLog.CLAIMS);
+		this.billStream = log.stream(PlatformLog.BILLS);
 		this.services = services;
+		this.hosts = hosts;
+		this.id = new HostId("host-" + hosts.size());
 		restart();
 	}
 
+	ChargeBills bills() {
+		return this.bills;
+	}
+
 	/** Replaces the host by an empty one. */
-	void restart() {
+	synchronized void restart() {
+		if (this.bills != null) {
+			this.bills.kill();
+		}
+		this.bills = new ChargeBills(new BillPeers.Process(this.id, ++this.incarnation), this.hosts, this.billStream);
 		this.table = LogClaimTable.builder(this.stream)
 			.window(Duration.ofMinutes(10))
 			.freshness(FRESHNESS, MARGIN)
@@ -54,8 +79,9 @@
 		this.table.start();
 	}
 
-	void close() {
+	int close() {
 		this.table.close();
+		return this.bills.stop();
 	}
 
 	Answer charge(ClaimKey key, RequestId request, BackendServer server, Fault fault) {
@@ -65,7 +91,8 @@
 			if (decision instanceof ClaimDecision.Granted claim) {
 				return dispatch(current, claim, request, server, fault);
 			}
-			if (decision instanceof ClaimDecision.Replay) {
+			if (decision instanceof ClaimDecision.Replay replay) {
+				this.bills.bill(replay.outcome().request());
 				return Answer.DONE;
 			}
 			return (decision instanceof ClaimDecision.InProgress) ? Answer.IN_PROGRESS : Answer.UNKNOWN;
@@ -93,6 +120,10 @@
 			}
 			current.recordOutcome(claim,
 					new RecordedOutcome(request, response.status(), response.contentType(), response.body()));
+			this.bills.bill(request);
+			if (fault == Fault.KILL_AFTER) {
+				restart();
+			}
 			return Answer.DONE;
 		}
 		catch (BackendException ex) {
@@ -140,7 +171,10 @@
 		PAUSE,
 
 		/** It is lost between the service's answer and the record of the outcome. */
-		KILL
+		KILL,
+
+		/** It is lost after it recorded the bill. */
+		KILL_AFTER
 
 	}
 
--- a/bench/src/main/java/io/sequoialink/bench/fleet/LoopbackLog.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/LoopbackLog.java
@@ -6,6 +6,7 @@
 import io.sequoialink.platform.HttpClientPool;
 import io.sequoialink.platform.HttpPlatformLog;
 import io.sequoialink.platform.LogStream;
+import io.sequoialink.platform.PlatformLog;
 import io.sequoialink.standin.StandinLog;
 
 /**
@@ -31,8 +32,12 @@
 		return this.pool;
 	}
 
+	PlatformLog client() {
+		return new HttpPlatformLog(this.pool, this.log.address(), TIMEOUT);
+	}
+
 	LogStream stream(String name) {
-		return new HttpPlatformLog(this.pool, this.log.address(), TIMEOUT).stream(name);
+		return client().stream(name);
 	}
 
 	@Override
--- a/catalogue/src/main/java/io/sequoialink/catalogue/LogCatalogue.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/LogCatalogue.java
@@ -174,12 +174,14 @@
 	 * Folds the answer of a peer and takes over its confirmation. The age stays true
 	 * however late the answer arrives, because it is counted from the question.
 	 * @param answer the peer's answer
-	 * @param askedNanos this host's monotonic clock before it asked the peer
+	 * @param askedNanos this process's monotonic clock before it asked the peer; an
+	 * answer to an earlier process must not be handed over
 	 * @return the number of folded records
 	 */
 	public int acceptFromPeer(PeerTail answer, long askedNanos) {
 		int folded = acceptFromPeer(answer.records());
-		if (answer.age().compareTo(NEVER) < 0) {
+		boolean asked = this.nanos.getAsLong() - askedNanos >= 0;
+		if (asked && !answer.age().isNegative() && answer.age().compareTo(NEVER) < 0) {
 			this.table.confirm(answer.next(), askedNanos - answer.age().toNanos());
 		}
 		return folded;
--- a/catalogue/src/test/java/io/sequoialink/catalogue/LogCatalogueTests.java
+++ b/catalogue/src/test/java/io/sequoialink/catalogue/LogCatalogueTests.java
@@ -7,6 +7,7 @@
 import io.sequoialink.platform.LogUnavailableException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -104,6 +105,13 @@
 		assertThat(old.next()).isZero();
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "0, -1", "1, 0" })
+	void impossibleConfirmationIsIgnored(long askedNanos, long ageNanos) {
+		this.second.acceptFromPeer(new PeerTail(List.of(), 0, Duration.ofNanos(ageNanos)), askedNanos);
+		assertThat(this.second.age()).isEqualTo(LogCatalogue.NEVER);
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 2, 100 })
 	void emptyHostJoinsFromThePagesOfAPeer(int page) throws Exception {
