Send claims of one host in common appends, and bound recorded outcomes

Cause: the log takes several hundred appends a second for the whole fleet, and an outcome above the log's message limit would have blocked all records behind it for ever. Change: claims that arrive during an append go out together in the next one; outcomes above 512 KiB are not recorded and their keys end as unknown.

--- a/ledger/src/main/java/io/sequoialink/ledger/claims/ClaimEvents.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/claims/ClaimEvents.java
@@ -13,7 +13,7 @@
 
 	static final String READER_TRIMMED = "SL-2204 retention overtook the reader of claims at offset {}; reading again from offset {}";
 
-	static final String OUTCOME_DROPPED = "SL-2205 outcome of claim {} dropped: {} bytes are waiting already";
+	static final String OUTCOME_DROPPED = "SL-2205 record of claim {} dropped: it has {} bytes and {} are waiting";
 
 	private ClaimEvents() {
 	}
--- a/ledger/src/main/java/io/sequoialink/ledger/claims/LogClaimTable.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/claims/LogClaimTable.java
@@ -44,7 +44,7 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(LogClaimTable.class);
 
-	private final LogStream stream;
+	private final GroupAppender appender;
 
 	private final ClaimReader reader;
 
@@ -69,7 +69,7 @@
 	private final Map<Long, OwnClaim> own = new HashMap<>();
 
 	private LogClaimTable(Builder builder) {
-		this.stream = builder.stream;
+		this.appender = new GroupAppender(builder.stream);
 		this.reader = new ClaimReader(builder.stream, builder.window.toMillis());
 		this.queue = new OutcomeQueue(builder.stream);
 		this.nanos = builder.nanos;
@@ -242,7 +242,7 @@
 
 	private boolean firstAppend(ClaimRecord.Claim claim) throws LogUnavailableException {
 		try {
-			this.stream.append(List.of(claim.write()));
+			this.appender.append(claim.write());
 			return true;
 		}
 		catch (AppendUnknownException ex) {
--- a/ledger/src/main/java/io/sequoialink/ledger/claims/OutcomeQueue.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/claims/OutcomeQueue.java
@@ -14,14 +14,18 @@
 /**
  * Outcomes and releases that wait for the log. They are appended in batches and again
  * after a lost answer, which the fold tolerates. When {@link #MAX_BYTES} wait, further
- * outcomes are dropped, so that their keys end as 'outcome unknown'. Thread-safe. Lock
- * order: {@code flushLock}, held while the log is written, then the queue.
+ * outcomes are dropped, and so are those above {@link #MAX_RECORD_BYTES}, so that their
+ * keys end as 'outcome unknown'. Thread-safe. Lock order: {@code flushLock}, held while
+ * the log is written, then the queue.
  */
 final class OutcomeQueue {
 
 	/** The most payload bytes that wait. */
 	static final long MAX_BYTES = 32L * 1024 * 1024;
 
+	/** The largest record, so that no record can block those behind it. */
+	static final int MAX_RECORD_BYTES = 512 * 1024;
+
 	private static final int BATCH_BYTES = 256 * 1024;
 
 	private static final long PERIOD_MILLIS = 20;
@@ -45,8 +49,8 @@
 	void add(ClaimRecord record) {
 		byte[] payload = record.write();
 		synchronized (this.queue) {
-			if (this.bytes + payload.length > MAX_BYTES) {
-				logger.error(ClaimEvents.OUTCOME_DROPPED, record.claimId(), this.bytes);
+			if (payload.length > MAX_RECORD_BYTES || this.bytes + payload.length > MAX_BYTES) {
+				logger.error(ClaimEvents.OUTCOME_DROPPED, record.claimId(), payload.length, this.bytes);
 				return;
 			}
 			this.queue.addLast(payload);
--- a/ledger/src/test/java/io/sequoialink/ledger/claims/LogClaimTableTests.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/claims/LogClaimTableTests.java
@@ -114,6 +114,15 @@
 		assertThat(claim(this.first, "f")).isInstanceOf(ClaimDecision.InProgress.class);
 	}
 
+	@Test
+	void outcomeAboveTheBoundIsDroppedAndBlocksNoOther() throws Exception {
+		ClaimDecision.Granted claim = granted(this.first);
+		byte[] body = new byte[OutcomeQueue.MAX_RECORD_BYTES];
+		this.first.recordOutcome(claim, new RecordedOutcome(new RequestId("r"), 200, "text/plain", body));
+		assertThat(this.first.flush()).isZero();
+		assertThat(claim(this.second, "f")).isInstanceOf(ClaimDecision.InProgress.class);
+	}
+
 	@Test
 	void logOutageRefusesTheClaim() {
 		this.log.down(true);
