Fold a change in linear time, so that a fleet is ready in time

Each change compared all keys with all keys and built the sorted view three times. Change: CatalogueView gains at(revision) and with(key, entry), which share or copy the sorted objects; the fold keeps who changed what alike.

--- a/catalogue/src/main/java/io/sequoialink/catalogue/CatalogueFold.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/CatalogueFold.java
@@ -1,7 +1,5 @@
 package io.sequoialink.catalogue;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -86,15 +84,13 @@
 	}
 
 	private static Step validate(FoldState state, Change change, long offset, Optional<CatalogueView.Entry> current) {
-		List<CatalogueView.Entry> entries = new ArrayList<>(state.view().entries());
-		entries.removeIf((entry) -> entry.object().key().equals(change.key()));
-		change.object().ifPresent((object) -> entries.add(new CatalogueView.Entry(object, offset)));
-		Optional<String> violation = CatalogueRules.violation(CatalogueView.of(offset, entries));
+		CatalogueView after = state.view()
+			.with(change.key(), change.object().map((object) -> new CatalogueView.Entry(object, offset)));
+		Optional<String> violation = CatalogueRules.violation(after);
 		if (violation.isPresent()) {
 			return remember(state, new Verdict(change, offset, Verdict.Kind.INVALID, current, violation.get()));
 		}
-		FoldState changed = state.changed(entries, change.key(),
-				new FoldState.LastChange(change.id(), change.author()));
+		FoldState changed = state.changed(after, change.key(), new FoldState.LastChange(change.id(), change.author()));
 		return remember(changed,
 				new Verdict(change, offset, Verdict.Kind.ACCEPTED, current, "in force from offset " + offset));
 	}
--- a/catalogue/src/main/java/io/sequoialink/catalogue/Checkpoint.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/Checkpoint.java
@@ -10,7 +10,7 @@
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
@@ -122,10 +122,10 @@
 		}
 
 		FoldState state() {
-			Map<ObjectKey, FoldState.LastChange> changes = new TreeMap<>();
+			SortedMap<ObjectKey, FoldState.LastChange> changes = new TreeMap<>();
 			this.objects.forEach((item) -> changes.put(item.entry().object().key(), item.lastChange()));
 			CatalogueView view = CatalogueView.of(this.revision, this.objects.stream().map(Item::entry).toList());
-			return new FoldState(view, ChangeIds.of(this.changeIds), Map.copyOf(changes), this.logMillis);
+			return new FoldState(view, ChangeIds.of(this.changeIds), changes, this.logMillis);
 		}
 
 	}
--- a/catalogue/src/main/java/io/sequoialink/catalogue/FoldState.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/FoldState.java
@@ -1,8 +1,8 @@
 package io.sequoialink.catalogue;
 
-import java.util.List;
-import java.util.Map;
+import java.util.Collections;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 import io.sequoialink.model.CatalogueView;
@@ -14,20 +14,20 @@
  */
 public final class FoldState {
 
-	private static final FoldState EMPTY = new FoldState(CatalogueView.empty(), ChangeIds.empty(), Map.of(), 0);
+	private static final FoldState EMPTY = new FoldState(CatalogueView.empty(), ChangeIds.empty(), new TreeMap<>(), 0);
 
 	private final CatalogueView view;
 
 	private final ChangeIds changeIds;
 
-	private final Map<ObjectKey, LastChange> lastChanges;
+	private final SortedMap<ObjectKey, LastChange> lastChanges;
 
 	private final long logMillis;
 
-	FoldState(CatalogueView view, ChangeIds changeIds, Map<ObjectKey, LastChange> lastChanges, long logMillis) {
+	FoldState(CatalogueView view, ChangeIds changeIds, SortedMap<ObjectKey, LastChange> lastChanges, long logMillis) {
 		this.view = view;
 		this.changeIds = changeIds;
-		this.lastChanges = lastChanges;
+		this.lastChanges = Collections.unmodifiableSortedMap(lastChanges);
 		this.logMillis = logMillis;
 	}
 
@@ -67,7 +67,7 @@
 		return this.changeIds;
 	}
 
-	Map<ObjectKey, LastChange> lastChanges() {
+	SortedMap<ObjectKey, LastChange> lastChanges() {
 		return this.lastChanges;
 	}
 
@@ -76,7 +76,7 @@
 	}
 
 	FoldState advanced(long offset, long atMillis) {
-		return new FoldState(CatalogueView.of(offset, this.view.entries()), this.changeIds, this.lastChanges,
+		return new FoldState(this.view.at(offset), this.changeIds, this.lastChanges,
 				Math.max(this.logMillis, atMillis));
 	}
 
@@ -84,12 +84,13 @@
 		return new FoldState(this.view, this.changeIds.with(entry), this.lastChanges, this.logMillis);
 	}
 
-	FoldState changed(List<CatalogueView.Entry> entries, ObjectKey key, LastChange last) {
-		Map<ObjectKey, LastChange> changes = new TreeMap<>(this.lastChanges);
+	FoldState changed(CatalogueView newView, ObjectKey key, LastChange last) {
+		SortedMap<ObjectKey, LastChange> changes = new TreeMap<>(this.lastChanges);
 		changes.put(key, last);
-		changes.keySet().retainAll(entries.stream().map((entry) -> entry.object().key()).toList());
-		return new FoldState(CatalogueView.of(this.view.revision(), entries), this.changeIds, Map.copyOf(changes),
-				this.logMillis);
+		if (newView.entry(key).isEmpty()) {
+			changes.remove(key);
+		}
+		return new FoldState(newView, this.changeIds, changes, this.logMillis);
 	}
 
 	/**
--- a/catalogue/src/test/java/io/sequoialink/catalogue/CatalogueExplorer.java
+++ b/catalogue/src/test/java/io/sequoialink/catalogue/CatalogueExplorer.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.TreeMap;
 
 import io.sequoialink.model.CatalogueView;
 import io.sequoialink.model.ObjectKey;
@@ -236,7 +237,7 @@
 		if (state.next() > 0) {
 			ConfigRecord.ChunkRecord real = Checkpoint.write(state).get(0);
 			FoldState foreign = new FoldState(CatalogueView.of(state.next() - 1, List.of()), ChangeIds.empty(),
-					Map.of(), state.logMillis());
+					new TreeMap<>(), state.logMillis());
 			byte[] data = Checkpoint.write(foreign).get(0).data();
 			append(new ConfigRecord.ChunkRecord("forged-" + this.ids, real.covers(), 0, 1, real.sha256(), data));
 			append(new ConfigRecord.ChunkRecord("torn-" + this.ids, real.covers(), 1, 2, real.sha256(), data));
--- a/model/src/main/java/io/sequoialink/model/CatalogueView.java
+++ b/model/src/main/java/io/sequoialink/model/CatalogueView.java
@@ -4,8 +4,8 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
@@ -18,11 +18,11 @@
 
 	private final long revision;
 
-	private final Map<ObjectKey, Entry> entries;
+	private final SortedMap<ObjectKey, Entry> entries;
 
-	private CatalogueView(long revision, Map<ObjectKey, Entry> entries) {
+	private CatalogueView(long revision, SortedMap<ObjectKey, Entry> entries) {
 		this.revision = revision;
-		this.entries = Collections.unmodifiableMap(entries);
+		this.entries = Collections.unmodifiableSortedMap(entries);
 	}
 
 	/**
@@ -40,7 +40,7 @@
 	 * @return the view
 	 */
 	public static CatalogueView of(long revision, Collection<Entry> entries) {
-		Map<ObjectKey, Entry> sorted = new TreeMap<>();
+		SortedMap<ObjectKey, Entry> sorted = new TreeMap<>();
 		entries.forEach((entry) -> sorted.put(entry.object().key(), entry));
 		return new CatalogueView(revision, sorted);
 	}
@@ -53,6 +53,28 @@
 		return this.revision;
 	}
 
+	/**
+	 * Returns this view at a later offset, with the same objects.
+	 * @param newRevision offset of the last folded record
+	 * @return the view
+	 */
+	public CatalogueView at(long newRevision) {
+		return new CatalogueView(newRevision, this.entries);
+	}
+
+	/**
+	 * Returns a copy with one object changed.
+	 * @param key the object's key
+	 * @param entry the new object with its revision, or empty to delete it
+	 * @return the changed copy, at the same offset
+	 */
+	public CatalogueView with(ObjectKey key, Optional<Entry> entry) {
+		SortedMap<ObjectKey, Entry> copy = new TreeMap<>(this.entries);
+		copy.remove(key);
+		entry.ifPresent((changed) -> copy.put(key, changed));
+		return new CatalogueView(this.revision, copy);
+	}
+
 	/**
 	 * Returns all objects in the order of their keys.
 	 * @return an unmodifiable collection
