Skip members whose revision is known when confirmations are merged

Cause: every message looked up every member of the roster. Change: compare with the roster first; list dead members only when one is due. Conclusion: the steady state costs one pass over a list a message.

--- a/membership/src/main/java/io/sequoialink/membership/GossipCore.java
+++ b/membership/src/main/java/io/sequoialink/membership/GossipCore.java
@@ -354,8 +354,8 @@
 			InetSocketAddress seed = missing.remove(this.random.nextInt(missing.size()));
 			out.add(new Outgoing(seed.getHostString(), seed.getPort(), ping(header(), 0).build()));
 		}
-		List<MemberUpdate> dead = this.table.dead();
-		if (due && !dead.isEmpty()) {
+		List<MemberUpdate> dead = due ? this.table.dead() : List.of();
+		if (!dead.isEmpty()) {
 			out.add(probe(dead.get(this.random.nextInt(dead.size())).member(), nowMillis));
 		}
 	}
--- a/membership/src/main/java/io/sequoialink/membership/MemberTable.java
+++ b/membership/src/main/java/io/sequoialink/membership/MemberTable.java
@@ -184,8 +184,9 @@
 		List<Member> roster = present();
 		for (int i = 0; i < Math.min(roster.size(), confirmed.length * Byte.SIZE); i++) {
 			boolean bit = (confirmed[i / Byte.SIZE] & (1 << (i % Byte.SIZE))) != 0;
-			if (bit && !roster.get(i).host().equals(this.self)) {
-				noteRevision(roster.get(i).host(), revision);
+			Member member = roster.get(i);
+			if (bit && member.viewRevision() < revision && !member.host().equals(this.self)) {
+				noteRevision(member.host(), revision);
 			}
 		}
 	}
