Measure overload; admit 1.7 requests for each that can run

Change: a setting for what may wait at the engines; the gradient tolerates 1.6 x the unloaded time per token and takes 30 samples.

--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -9,6 +9,7 @@
 import io.sequoialink.bench.fleet.ConfigExperiment;
 import io.sequoialink.bench.fleet.OutageExperiment;
 import io.sequoialink.bench.fleet.RestartExperiment;
+import io.sequoialink.bench.overload.OverloadExperiment;
 import io.sequoialink.bench.rollout.RolloutExperiment;
 import io.sequoialink.bench.slopes.SlopesExperiment;
 
@@ -18,8 +19,8 @@
 public final class Experiments {
 
 	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new RolloutExperiment(),
-			new CrashExperiment(), new ConfigExperiment(), new RestartExperiment(), new ChargeExperiment(),
-			new OutageExperiment(), new SlopesExperiment());
+			new CrashExperiment(), new OverloadExperiment(), new ConfigExperiment(), new RestartExperiment(),
+			new ChargeExperiment(), new OutageExperiment(), new SlopesExperiment());
 
 	private Experiments() {
 	}
--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/overload/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Goodput, fairness and retries when more is offered than the backend servers can run.
+ */
+package io.sequoialink.bench.overload;
--- a/decision/src/main/java/io/sequoialink/decision/limits/AdaptiveLimit.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/AdaptiveLimit.java
@@ -16,7 +16,7 @@
 	/** Part of the distance by which the unloaded value follows a higher one. */
 	private static final double BASELINE_RISE = 0.002;
 
-	private static final int MIN_SAMPLES = 10;
+	private static final int MIN_SAMPLES = 30;
 
 	/** Part of the limit that must be in use for it to grow. */
 	private static final double GROWTH_USE = 0.5;
--- a/decision/src/main/java/io/sequoialink/decision/limits/FleetAdmissionPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/FleetAdmissionPolicy.java
@@ -154,7 +154,8 @@
 
 	private double concurrencyLimit(long nowMillis) {
 		double pool = this.poolCapacity.getAsDouble();
-		double known = Double.isInfinite(pool) ? pool : pool * this.shares.share(POOL, nowMillis);
+		double known = Double.isInfinite(pool) ? pool
+				: pool * this.settings.poolOvercommit() * this.shares.share(POOL, nowMillis);
 		return Math.max(this.settings.minConcurrency(), Math.min(known, this.adaptive.limit()));
 	}
 
--- a/decision/src/main/java/io/sequoialink/decision/limits/LimitSettings.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/LimitSettings.java
@@ -15,11 +15,14 @@
  * @param demandHalfLifeMillis half-life of the estimated demand, in milliseconds, 100 to
  * 600,000
  * @param evenShare part in [0, 1] of each limit that is split evenly and not by demand
+ * @param poolOvercommit admitted requests for each one that the backend servers can run,
+ * 1 to 4; what is above 1 waits there
  * @param priorityStep part in [0, 0.1] of the concurrency that each lower priority leaves
  * to those above it
  */
 public record LimitSettings(int minConcurrency, int maxConcurrency, double latencyTolerance, long latencyWindowMillis,
-		long settleMillis, long silentMillis, long demandHalfLifeMillis, double evenShare, double priorityStep) {
+		long settleMillis, long silentMillis, long demandHalfLifeMillis, double evenShare, double poolOvercommit,
+		double priorityStep) {
 
 	public LimitSettings {
 		require(minConcurrency >= 1 && minConcurrency <= 10_000, "minConcurrency", minConcurrency,
@@ -33,6 +36,7 @@
 		require(demandHalfLifeMillis >= 100 && demandHalfLifeMillis <= 600_000, "demandHalfLifeMillis",
 				demandHalfLifeMillis, "100 ms to 10 minutes");
 		require(evenShare >= 0 && evenShare <= 1, "evenShare", evenShare, "0 to 1");
+		require(poolOvercommit >= 1 && poolOvercommit <= 4, "poolOvercommit", poolOvercommit, "1 to 4");
 		require(priorityStep >= 0 && priorityStep <= 0.1, "priorityStep", priorityStep, "0 to 0.1");
 	}
 
@@ -41,7 +45,7 @@
 	 * @return the defaults
 	 */
 	public static LimitSettings defaults() {
-		return new LimitSettings(4, 10_000, 1.25, 500, 1_000, 3_000, 2_000, 0.1, 0.05);
+		return new LimitSettings(4, 10_000, 1.6, 500, 1_000, 3_000, 2_000, 0.1, 1.7, 0.05);
 	}
 
 	private static void require(boolean holds, String name, double value, String accepted) {
--- a/decision/src/main/java/io/sequoialink/decision/rollout/ChangeDetector.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/ChangeDetector.java
@@ -69,7 +69,7 @@
 
 	private Optional<SequentialTests.Finding> sinceRestarts(Evidence now, Evidence reference) {
 		for (Evidence restart : this.restarts) {
-			Optional<SequentialTests.Finding> found = exceeding(now.minus(restart), reference,
+			Optional<SequentialTests.Finding> found = exceeding(now.minus(restart).endedOnly(), reference,
 					this.settings.restartAlpha());
 			if (found.isPresent()) {
 				return found;
--- a/decision/src/main/java/io/sequoialink/decision/rollout/Evidence.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/Evidence.java
@@ -77,6 +77,14 @@
 		return combine(other, -1);
 	}
 
+	// Leaves out attempts in flight: between two restarts of a steady stream, as many of
+	// them began before as end after, so what ended is a fair sample.
+	Evidence endedOnly() {
+		long[] copy = Arrays.copyOf(this.counts, SIZE);
+		copy[STARTED] = copy[FAILED] + copy[WHOLE] + copy[NEUTRAL];
+		return new Evidence(copy);
+	}
+
 	private Evidence combine(Evidence other, int sign) {
 		long[] sum = new long[SIZE];
 		for (int i = 0; i < SIZE; i++) {
--- a/decision/src/main/java/io/sequoialink/decision/rollout/RolloutSettings.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/RolloutSettings.java
@@ -46,7 +46,7 @@
 	 * @return the defaults
 	 */
 	public static RolloutSettings defaults() {
-		return new RolloutSettings(16, 64, 16, 0.003, 0.0001, 0.05, 16, 16, 200, 0.01, 0.01, 60_000);
+		return new RolloutSettings(16, 64, 16, 0.003, 0.00003, 0.05, 16, 16, 200, 0.01, 0.01, 60_000);
 	}
 
 	/**
