Strike the running fleet with two faults at once and count the promises

Cause: the promises had been shown under one fault each. A lost host closes at once; a stopped one lets its last responses leave.

--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -5,6 +5,7 @@
 
 import io.sequoialink.bench.cascade.CascadeExperiment;
 import io.sequoialink.bench.crash.CrashExperiment;
+import io.sequoialink.bench.faults.FaultsExperiment;
 import io.sequoialink.bench.fleet.ChargeExperiment;
 import io.sequoialink.bench.fleet.ConfigExperiment;
 import io.sequoialink.bench.fleet.OutageExperiment;
@@ -20,7 +21,7 @@
 
 	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new RolloutExperiment(),
 			new CrashExperiment(), new OverloadExperiment(), new ConfigExperiment(), new RestartExperiment(),
-			new ChargeExperiment(), new OutageExperiment(), new SlopesExperiment());
+			new ChargeExperiment(), new OutageExperiment(), new FaultsExperiment(), new SlopesExperiment());
 
 	private Experiments() {
 	}
--- a/bench/src/main/java/io/sequoialink/bench/live/Caller.java
+++ b/bench/src/main/java/io/sequoialink/bench/live/Caller.java
@@ -140,6 +140,15 @@
 			return this.status >= 200 && this.status < 300 && (!stream || this.text.endsWith("data: [DONE]\n\n"));
 		}
 
+		/**
+		 * Returns whether a stream ended without its end marker and without an error
+		 * event.
+		 * @return whether the answer was cut off silently
+		 */
+		public boolean cutOff() {
+			return this.status >= 200 && this.status < 300 && !answered() && !refused();
+		}
+
 		/**
 		 * Returns whether the router refused the request with an explicit error.
 		 * @return whether an error with a code arrived, also as the event that ends a
--- a/bench/src/main/java/io/sequoialink/bench/live/PromiseAudit.java
+++ b/bench/src/main/java/io/sequoialink/bench/live/PromiseAudit.java
@@ -10,8 +10,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sequoialink.model.ClientAccount;
+import io.sequoialink.model.ConfigObject;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.Labels;
+import io.sequoialink.model.ModelVersion;
 import io.sequoialink.model.Selector;
 import io.sequoialink.platform.LogRecord;
 import io.sequoialink.platform.PlatformLog;
@@ -35,10 +38,28 @@
 
 	private final List<Sent> sent = new ArrayList<>();
 
-	public PromiseAudit(Standins standins) {
+	PromiseAudit(Standins standins) {
 		this.standins = standins;
 	}
 
+	/**
+	 * Returns an audit that knows the accounts and versions of a fleet's deployment.
+	 * @param fleet the fleet
+	 * @return the audit
+	 */
+	public static PromiseAudit of(LiveFleet fleet) {
+		PromiseAudit audit = new PromiseAudit(fleet.standins());
+		for (ConfigObject object : DeploymentObjects.of(fleet.deployment(), fleet.standins().outcomes().table())) {
+			if (object instanceof ClientAccount account) {
+				audit.account(account.id().value(), account.allowedVersions());
+			}
+			if (object instanceof ModelVersion version) {
+				audit.version(version.id().value(), version.labels());
+			}
+		}
+		return audit;
+	}
+
 	/**
 	 * States which versions an account may use.
 	 * @param account the account's identifier
@@ -95,6 +116,7 @@
 		figures.put("withdrawn_new_work", this.standins.books().runs(this::afterWithdrawal).size());
 		figures.put("executed_twice", this.standins.books().executedTwice());
 		figures.put("refused_but_executed", refusedButExecuted());
+		figures.put("cut_off", this.sent.stream().filter((one) -> one.reply().cutOff()).count());
 		figures.put("wrong_answers", this.sent.stream().filter(this::wrong).count());
 		return figures;
 	}
@@ -108,7 +130,7 @@
 	public static boolean kept(ObjectNode figures) {
 		return List
 			.of("lost", "billed_twice", "unbilled", "disallowed_runs", "withdrawn_new_work", "executed_twice",
-					"refused_but_executed", "wrong_answers")
+					"refused_but_executed", "cut_off", "wrong_answers")
 			.stream()
 			.allMatch((field) -> figures.path(field).isNumber() && figures.path(field).asLong() == 0);
 	}
--- a/cli/src/main/java/io/sequoialink/cli/DemoRun.java
+++ b/cli/src/main/java/io/sequoialink/cli/DemoRun.java
@@ -15,8 +15,6 @@
 import io.sequoialink.bench.live.LiveFleet;
 import io.sequoialink.bench.live.PromiseAudit;
 import io.sequoialink.daemon.host.EntryHost;
-import io.sequoialink.model.ClientAccount;
-import io.sequoialink.model.ConfigObject;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.ModelVersion;
 
@@ -49,15 +47,7 @@
 	DemoRun(LiveFleet fleet, PrintWriter out) {
 		this.fleet = fleet;
 		this.out = out;
-		this.audit = new PromiseAudit(fleet.standins());
-		for (ConfigObject object : DeploymentObjects.of(fleet.deployment(), fleet.standins().outcomes().table())) {
-			if (object instanceof ClientAccount account) {
-				this.audit.account(account.id().value(), account.allowedVersions());
-			}
-			if (object instanceof ModelVersion version) {
-				this.audit.version(version.id().value(), version.labels());
-			}
-		}
+		this.audit = PromiseAudit.of(fleet);
 		fleet.hosts().forEach((host) -> this.callers.add(new Caller(host.httpPort())));
 	}
 
--- a/cli/src/test/java/io/sequoialink/cli/scenarios/FleetSteps.java
+++ b/cli/src/test/java/io/sequoialink/cli/scenarios/FleetSteps.java
@@ -22,9 +22,7 @@
 import io.sequoialink.bench.live.PromiseAudit;
 import io.sequoialink.daemon.host.EntryHost;
 import io.sequoialink.daemon.host.HostPolicies;
-import io.sequoialink.model.ClientAccount;
 import io.sequoialink.model.Json;
-import io.sequoialink.model.ModelVersion;
 import io.sequoialink.model.ServerId;
 import io.sequoialink.standin.EngineFault;
 import io.sequoialink.standin.EngineRun;
@@ -359,15 +357,4 @@
 		LiveFleet.await(() -> this.world.audit().count().path("unbilled").asLong() == 0);
 	}
 
-	static void describe(LiveFleet fleet, PromiseAudit audit) {
-		DeploymentObjects.of(fleet.deployment(), fleet.standins().outcomes().table()).forEach((object) -> {
-			if (object instanceof ClientAccount account) {
-				audit.account(account.id().value(), account.allowedVersions());
-			}
-			if (object instanceof ModelVersion version) {
-				audit.version(version.id().value(), version.labels());
-			}
-		});
-	}
-
 }
--- a/cli/src/test/java/io/sequoialink/cli/scenarios/World.java
+++ b/cli/src/test/java/io/sequoialink/cli/scenarios/World.java
@@ -37,8 +37,7 @@
 
 	void start(LiveFleet newFleet) {
 		this.fleet = newFleet;
-		this.audit = new PromiseAudit(newFleet.standins());
-		FleetSteps.describe(newFleet, this.audit);
+		this.audit = PromiseAudit.of(newFleet);
 		newFleet.hosts().forEach((host) -> this.callers.add(new Caller(host.httpPort())));
 	}
 
--- a/daemon/src/main/java/io/sequoialink/daemon/host/Duties.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/Duties.java
@@ -1,6 +1,8 @@
 package io.sequoialink.daemon.host;
 
 import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +26,8 @@
 
 	private final ScheduledThreadPoolExecutor executor;
 
+	private final Set<String> failing = ConcurrentHashMap.newKeySet();
+
 	Duties(String host) {
 		AtomicInteger number = new AtomicInteger();
 		this.executor = new ScheduledThreadPoolExecutor(THREADS, (task) -> {
@@ -51,12 +55,20 @@
 		starter.accept(this.executor);
 	}
 
-	private static void runOnce(String name, Duty duty) {
+	private void runOnce(String name, Duty duty) {
 		try {
 			duty.run();
+			if (this.failing.remove(name)) {
+				LOG.info(HostEvents.DUTY_RECOVERED, name);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
 		}
 		catch (Exception ex) {
-			LOG.warn(HostEvents.DUTY_FAILED, name, ex);
+			if (!this.executor.isShutdown() && this.failing.add(name)) {
+				LOG.warn(HostEvents.DUTY_FAILED, name, ex);
+			}
 		}
 	}
 
--- a/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
@@ -257,6 +257,7 @@
 	public int stop() {
 		int cut = this.frontend.drain(this.identity.drainLimit());
 		this.claims.flush();
+		this.frontend.closeGracefully();
 		int heldHere = this.bills.journal().flush(BILL_FLUSH_PATIENCE);
 		close();
 		LOG.info(HostEvents.STOPPED, this.identity.host(), cut, heldHere);
--- a/daemon/src/main/java/io/sequoialink/daemon/host/HostEvents.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/HostEvents.java
@@ -23,6 +23,8 @@
 
 	static final String PEER_PAYLOAD_REFUSED = "SL-2618 a payload of topic {} from host {} is malformed and was ignored";
 
+	static final String DUTY_RECOVERED = "SL-2619 background duty {} works again";
+
 	private HostEvents() {
 	}
 
--- a/daemon/src/main/java/io/sequoialink/daemon/http/Frontend.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/Frontend.java
@@ -180,18 +180,45 @@
 		return left;
 	}
 
+	/**
+	 * Closes after the responses that were written have left, for a drained host.
+	 */
+	public void closeGracefully() {
+		close(ServerContext::closeGracefully);
+	}
+
+	/**
+	 * Closes at once and cuts off what is in progress.
+	 */
 	@Override
 	public void close() {
+		close(ServerContext::close);
+	}
+
+	private void close(Closing closing) {
 		ServerContext open = this.server;
 		if (open != null) {
 			try {
-				open.closeGracefully();
+				closing.close(open);
 			}
 			catch (Exception ex) {
-				LOG.warn(HttpEvents.HANDLER_FAILED, "close", "server", ex);
+				LOG.warn(HttpEvents.CLOSE_FAILED, ex.getMessage());
 			}
 		}
-		this.workers.shutdown();
+		this.workers.shutdownNow();
+	}
+
+	/** A way to close the server. */
+	@FunctionalInterface
+	private interface Closing {
+
+		/**
+		 * Closes the server.
+		 * @param open the server
+		 * @throws Exception if it could not be closed in order
+		 */
+		void close(ServerContext open) throws Exception;
+
 	}
 
 	private record Route(String method, String path, boolean counted, Handler handler) {
--- a/daemon/src/main/java/io/sequoialink/daemon/http/HttpEvents.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/HttpEvents.java
@@ -15,6 +15,8 @@
 
 	static final String DRAINED = "SL-2605 drained; {} requests were still in flight";
 
+	static final String CLOSE_FAILED = "SL-2606 the HTTP server did not close in order: {}";
+
 	private HttpEvents() {
 	}
 
