Let a fresh host admit its share of the known pool, and stop under 500 requests in flight

Cause: a fresh host admitted 32 requests at one time until its limit first adapted, although 192 runs were free: of 500 requests at one host 317 were refused as overloaded. And a peer's answer to an earlier process at the same address could carry that process's clock. Change: until the first adaptation the limit is what the pool is known to hold; a question to peers carries the incarnation and an answer to another one is dropped. A test stops a host gracefully with 500 requests in flight, half of them streams.

--- /dev/null
+++ b/cli/src/test/java/io/sequoialink/cli/GracefulStopTests.java
@@ -0,0 +1,55 @@
+package io.sequoialink.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import io.sequoialink.bench.live.Caller;
+import io.sequoialink.bench.live.DeploymentObjects;
+import io.sequoialink.bench.live.LiveFleet;
+import io.sequoialink.daemon.host.EntryHost;
+import io.sequoialink.daemon.host.HostPolicies;
+import io.sequoialink.standin.EngineFault;
+import io.sequoialink.standin.Standins;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class GracefulStopTests {
+
+	private static final int REQUESTS = 500;
+
+	@Test
+	void aStopCutsOffNoneOfFiveHundredRequestsInFlight() throws Exception {
+		Standins standins = Standins.of("magnolia").speed(0.4).capacity(128).start();
+		standins.engines().values().forEach((engine) -> engine.fault(EngineFault.SLOW, 1));
+		ExecutorService executor = Executors.newFixedThreadPool(REQUESTS);
+		try (LiveFleet fleet = LiveFleet.start("magnolia", standins, 2, HostPolicies.DEFAULT, 1);
+				Caller caller = new Caller(fleet.hosts().get(0).httpPort())) {
+			EntryHost host = fleet.hosts().get(0);
+			List<Future<Caller.Reply>> replies = new ArrayList<>();
+			for (int i = 0; i < REQUESTS; i++) {
+				int number = i;
+				replies.add(executor.submit(() -> send(caller, number)));
+			}
+			LiveFleet.await(() -> host.inProgress() == REQUESTS);
+			assertThat(host.stop()).isZero();
+			for (Future<Caller.Reply> reply : replies) {
+				assertThat(reply.get().answered()).as(reply.get().text()).isTrue();
+			}
+		}
+		finally {
+			executor.shutdownNow();
+		}
+	}
+
+	private static Caller.Reply send(Caller caller, int number) {
+		String account = "account-" + number % DeploymentObjects.ACCOUNTS;
+		return caller.chat(DeploymentObjects.key(account), "caption-set", "in flight " + number, 150, number % 2 == 0,
+				Map.of("x-sequoialink-deadline", "60s"));
+	}
+
+}
--- a/cli/src/test/resources/io/sequoialink/cli/scenarios/promises.feature
+++ b/cli/src/test/resources/io/sequoialink/cli/scenarios/promises.feature
@@ -114,7 +114,7 @@
 
   Scenario: A planned stop cuts off no request in flight
     Given a magnolia fleet of 2 hosts
-    When account "account-0" has 24 streams of class "caption-set" in flight at host 0
+    When account "account-0" has 40 streams of class "caption-set" in flight at host 0
     And host 0 stops gracefully
     Then all streams in flight ended whole
     And a request to the stopping host was refused as not run
--- a/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
@@ -241,6 +241,14 @@
 		return this.peers;
 	}
 
+	/**
+	 * Returns the requests in progress.
+	 * @return the number
+	 */
+	public int inProgress() {
+		return this.frontend.inFlight().count();
+	}
+
 	/**
 	 * Returns what the host is.
 	 * @return the identity
--- a/daemon/src/main/java/io/sequoialink/daemon/host/TailExchange.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/TailExchange.java
@@ -62,7 +62,8 @@
 		List<Member> others = new ArrayList<>(this.peers.members());
 		others.removeIf((member) -> member.host().equals(this.peers.self().host()));
 		Collections.shuffle(others, this.random);
-		byte[] question = bytes(new Question(this.catalogue.wantedFromPeer(), System.nanoTime()));
+		byte[] question = bytes(
+				new Question(this.catalogue.wantedFromPeer(), System.nanoTime(), this.peers.self().incarnation()));
 		this.peers.send(ASK, question, others.subList(0, Math.min(PEERS_A_TURN, others.size())));
 	}
 
@@ -71,7 +72,7 @@
 			Question question = Json.mapper().readValue(message.payload(), Question.class);
 			PeerTail tail = this.catalogue.recordsSince(question.wanted(), MAX_RECORDS);
 			PeerTail sent = new PeerTail(bounded(tail.records()), tail.next(), tail.age());
-			this.peers.send(ANSWER, bytes(new Answer(sent, question.askedNanos())), List.of(message.sender()));
+			this.peers.send(ANSWER, bytes(new Answer(sent, question)), List.of(message.sender()));
 		}
 		catch (IOException ex) {
 			LOG.warn(HostEvents.PEER_PAYLOAD_REFUSED, ASK, message.sender().host());
@@ -81,7 +82,9 @@
 	private void receive(Peers.PeerMessage message) {
 		try {
 			Answer answer = Json.mapper().readValue(message.payload(), Answer.class);
-			this.catalogue.acceptFromPeer(answer.tail(), answer.askedNanos());
+			if (answer.question().incarnation() == this.peers.self().incarnation()) {
+				this.catalogue.acceptFromPeer(answer.tail(), answer.question().askedNanos());
+			}
 		}
 		catch (IOException ex) {
 			LOG.warn(HostEvents.PEER_PAYLOAD_REFUSED, ANSWER, message.sender().host());
@@ -105,10 +108,18 @@
 		return Json.write(value).getBytes(StandardCharsets.UTF_8);
 	}
 
-	private record Question(long wanted, long askedNanos) {
+	/**
+	 * Asks for records. Immutable and thread-safe.
+	 *
+	 * @param wanted the first wanted offset
+	 * @param askedNanos when it was asked, by the asking process's monotonic clock
+	 * @param incarnation the asking process, so that its successor at the same address
+	 * does not take a time of another clock for its own
+	 */
+	private record Question(long wanted, long askedNanos, long incarnation) {
 	}
 
-	private record Answer(PeerTail tail, long askedNanos) {
+	private record Answer(PeerTail tail, Question question) {
 	}
 
 }
--- a/decision/src/main/java/io/sequoialink/decision/limits/AdaptiveLimit.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/AdaptiveLimit.java
@@ -40,7 +40,16 @@
 		this.limit = Math.min(settings.maxConcurrency(), Math.max(settings.minConcurrency(), 32));
 	}
 
-	double limit() {
+	/**
+	 * Returns the limit. Until the first adaptation it is what the pool is known to hold.
+	 * @param pool requests that this host's share of the pool holds; infinite if unknown
+	 * @return requests in flight that this host may admit
+	 */
+	double limit(double pool) {
+		boolean adapted = !Double.isNaN(this.unloaded);
+		if (!adapted && !Double.isInfinite(pool)) {
+			this.limit = Math.max(this.limit, Math.min(this.settings.maxConcurrency(), pool));
+		}
 		return this.limit;
 	}
 
--- a/decision/src/main/java/io/sequoialink/decision/limits/FleetAdmissionPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/FleetAdmissionPolicy.java
@@ -156,7 +156,7 @@
 		double pool = this.poolCapacity.getAsDouble();
 		double known = Double.isInfinite(pool) ? pool
 				: pool * this.settings.poolOvercommit() * this.shares.share(POOL, nowMillis);
-		return Math.max(this.settings.minConcurrency(), Math.min(known, this.adaptive.limit()));
+		return Math.max(this.settings.minConcurrency(), Math.min(known, this.adaptive.limit(known)));
 	}
 
 	private double fairLevel(double limit, long nowMillis) {
--- a/decision/src/test/java/io/sequoialink/decision/limits/FleetAdmissionPolicyTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/limits/FleetAdmissionPolicyTests.java
@@ -89,6 +89,16 @@
 		assertThat(policy.admit(account, request(account, 10_000), 0)).isEmpty();
 	}
 
+	@Test
+	void aFreshHostAdmitsItsShareOfWhatThePoolIsKnownToHold() {
+		FleetAdmissionPolicy policy = policies(800).get(0);
+		ClientAccount account = account("acme", 0, new AccountLimits(1e6, 100_000, 1e9));
+		long admitted = IntStream.range(0, 1_000)
+			.filter((i) -> policy.admit(account, request(account, 10_000), 0).isEmpty())
+			.count();
+		assertThat(admitted).isGreaterThanOrEqualTo(800 / this.hosts.size());
+	}
+
 	@Test
 	void aSmallAccountIsAdmittedWhileALargeOneFillsThePool() {
 		FleetAdmissionPolicy policy = policies(40).get(0);
--- a/standin/src/main/java/io/sequoialink/standin/EngineSettings.java
+++ b/standin/src/main/java/io/sequoialink/standin/EngineSettings.java
@@ -21,6 +21,9 @@
 		int prefixLimit, double speed, long reportLagMillis, boolean checksFencing, long loadMillis,
 		long restartMillis) {
 
+	/** Runs that a batch holds when nothing else is set. */
+	static final int CAPACITY = 16;
+
 	/** A prompt with this text crashes the engine that runs it. */
 	public static final String POISON = "sequoialink-poison";
 
@@ -37,7 +40,11 @@
 	 * @return the settings
 	 */
 	public static EngineSettings of(String id, String zone, Set<String> versions, double speed) {
-		return new EngineSettings(id, zone, versions, 16, 64, 500, speed, (long) (1000 * speed), true,
+		return of(id, zone, versions, speed, CAPACITY);
+	}
+
+	static EngineSettings of(String id, String zone, Set<String> versions, double speed, int capacity) {
+		return new EngineSettings(id, zone, versions, capacity, 64, 500, speed, (long) (1000 * speed), true,
 				(long) (3000 * speed), (long) (5000 * speed));
 	}
 
--- a/standin/src/main/java/io/sequoialink/standin/Standins.java
+++ b/standin/src/main/java/io/sequoialink/standin/Standins.java
@@ -134,7 +134,7 @@
 
 	private void startEngine(Builder builder, int index) throws IOException {
 		EngineSettings settings = EngineSettings.of("engine-" + (index + 1), builder.zone(index),
-				builder.versions(index), builder.speed);
+				builder.versions(index), builder.speed, builder.capacity);
 		StandinEngine engine = new StandinEngine(settings, this.outcomes, this.books, builder.seed,
 				builder.clockMillis);
 		this.engines.put(settings.id(), engine);
@@ -178,6 +178,8 @@
 
 		private int basePort;
 
+		private int capacity = EngineSettings.CAPACITY;
+
 		private LongSupplier clockMillis = System::currentTimeMillis;
 
 		private OutcomeTable table;
@@ -210,6 +212,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets how many runs the batch of each engine holds.
+		 * @param runs a positive number
+		 * @return this builder
+		 */
+		public Builder capacity(int runs) {
+			this.capacity = runs;
+			return this;
+		}
+
 		/**
 		 * Sets fixed ports of the platform's services; the backend servers take free
 		 * ones.
