Route by occupancy, and measure first tokens over loopback

It took own requests off old reports, so that own placements changed nothing, and gave prefixes more than they save. Change: cost grows steeply only when a batch is nearly full; the common level comes from the reports, differences from own requests and, by their age, from the reports; prefixes are credited; new servers take part in a growing share of choices. The latency experiment runs the policies in turns on equal arrivals over real hosts and measures what a host adds to the first token.

--- a/bench/src/main/java/io/sequoialink/bench/Experiments.java
+++ b/bench/src/main/java/io/sequoialink/bench/Experiments.java
@@ -10,6 +10,7 @@
 import io.sequoialink.bench.fleet.ConfigExperiment;
 import io.sequoialink.bench.fleet.OutageExperiment;
 import io.sequoialink.bench.fleet.RestartExperiment;
+import io.sequoialink.bench.latency.LatencyExperiment;
 import io.sequoialink.bench.overload.OverloadExperiment;
 import io.sequoialink.bench.rollout.RolloutExperiment;
 import io.sequoialink.bench.slopes.SlopesExperiment;
@@ -21,7 +22,8 @@
 
 	private static final List<Experiment> ALL = List.of(new CascadeExperiment(), new RolloutExperiment(),
 			new CrashExperiment(), new OverloadExperiment(), new ConfigExperiment(), new RestartExperiment(),
-			new ChargeExperiment(), new OutageExperiment(), new FaultsExperiment(), new SlopesExperiment());
+			new ChargeExperiment(), new OutageExperiment(), new FaultsExperiment(), new SlopesExperiment(),
+			new LatencyExperiment());
 
 	private Experiments() {
 	}
--- /dev/null
+++ b/bench/src/main/java/io/sequoialink/bench/latency/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The latency experiment: first tokens through real hosts over loopback.
+ */
+package io.sequoialink.bench.latency;
--- a/daemon/src/main/java/io/sequoialink/daemon/host/HostPolicies.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/HostPolicies.java
@@ -37,8 +37,7 @@
 	/** The default policies with default parameters. */
 	public static final Factory DEFAULT = (inputs) -> of(inputs,
 			new PolicySettings(CascadeParameters.DEFAULT, RolloutSettings.defaults(), RoutingParameters.DEFAULT,
-					OutlierParameters.DEFAULT, LimitSettings.defaults(), RetrySettings.defaults(),
-					CrashSettings.defaults()));
+					OutlierParameters.DEFAULT, LimitSettings.defaults(), RetrySettings.defaults()));
 
 	/**
 	 * Builds the policies of one host from their parameters. Each host tries the requests
@@ -53,7 +52,8 @@
 				new LoadAwareServerPolicy(settings.routing()), settings.outliers(),
 				new BudgetedRetryPolicy(settings.retry()),
 				new FleetAdmissionPolicy(inputs.host(), inputs.members(), inputs.capacity(), settings.limits()),
-				new FingerprintCrashGuard(inputs.host(), (fingerprint) -> true, inputs.revision(), settings.crash()));
+				new FingerprintCrashGuard(inputs.host(), (fingerprint) -> true, inputs.revision(),
+						CrashSettings.defaults()));
 	}
 
 	/**
--- a/daemon/src/main/java/io/sequoialink/daemon/settings/PolicySettings.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/settings/PolicySettings.java
@@ -1,7 +1,6 @@
 package io.sequoialink.daemon.settings;
 
 import io.sequoialink.decision.cascade.CascadeParameters;
-import io.sequoialink.decision.crash.CrashSettings;
 import io.sequoialink.decision.limits.LimitSettings;
 import io.sequoialink.decision.retry.RetrySettings;
 import io.sequoialink.decision.rollout.RolloutSettings;
@@ -18,8 +17,7 @@
  * @param outliers ejection of failing backend servers
  * @param limits admission
  * @param retry repetition of failed attempts
- * @param crash containment of requests that crash backend servers
  */
 public record PolicySettings(CascadeParameters cascade, RolloutSettings rollout, RoutingParameters routing,
-		OutlierParameters outliers, LimitSettings limits, RetrySettings retry, CrashSettings crash) {
+		OutlierParameters outliers, LimitSettings limits, RetrySettings retry) {
 }
--- a/daemon/src/main/java/io/sequoialink/daemon/settings/SettingsFile.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/settings/SettingsFile.java
@@ -18,7 +18,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import io.sequoialink.decision.cascade.CascadeParameters;
-import io.sequoialink.decision.crash.CrashSettings;
 import io.sequoialink.decision.limits.LimitSettings;
 import io.sequoialink.decision.retry.RetrySettings;
 import io.sequoialink.decision.rollout.RolloutSettings;
@@ -139,7 +138,7 @@
 			.add(new ParameterGroup(type).read(node.path(name), Binder.join(POLICY, name), problems)));
 		return new PolicySettings((CascadeParameters) read.get(0), (RolloutSettings) read.get(1),
 				(RoutingParameters) read.get(2), (OutlierParameters) read.get(3), (LimitSettings) read.get(4),
-				(RetrySettings) read.get(5), (CrashSettings) read.get(6));
+				(RetrySettings) read.get(5));
 	}
 
 	private static void checkKeys(JsonNode root, Problems problems) {
@@ -179,7 +178,6 @@
 		groups.put("outliers", OutlierParameters.class);
 		groups.put("limits", LimitSettings.class);
 		groups.put("retry", RetrySettings.class);
-		groups.put("crash", CrashSettings.class);
 		return groups;
 	}
 
--- a/decision/src/main/java/io/sequoialink/decision/crash/CrashSettings.java
+++ b/decision/src/main/java/io/sequoialink/decision/crash/CrashSettings.java
@@ -13,10 +13,11 @@
 public record CrashSettings(int crashesToBrake, long suspicionMillis, long trialMillis, int maxSuspects) {
 
 	public CrashSettings {
-		require(crashesToBrake >= 2, "crashesToBrake", crashesToBrake, "at least 2 crashes");
-		require(suspicionMillis > 0, "suspicionMillis", suspicionMillis, "above 0 ms");
-		require(trialMillis > 0, "trialMillis", trialMillis, "above 0 ms");
-		require(maxSuspects > 0, "maxSuspects", maxSuspects, "at least 1 fingerprint");
+		if (crashesToBrake < 2 || suspicionMillis <= 0 || trialMillis <= 0 || maxSuspects <= 0) {
+			throw new IllegalArgumentException(
+					"crash settings are out of their ranges: " + crashesToBrake + " crashes, suspicion "
+							+ suspicionMillis + " ms, trial " + trialMillis + " ms, " + maxSuspects + " suspects");
+		}
 	}
 
 	/**
@@ -27,10 +28,4 @@
 		return new CrashSettings(2, 600_000, 60_000, 10_000);
 	}
 
-	private static void require(boolean holds, String name, long value, String accepted) {
-		if (!holds) {
-			throw new IllegalArgumentException("crash." + name + " is " + value + ": use " + accepted);
-		}
-	}
-
 }
--- a/decision/src/main/java/io/sequoialink/decision/routing/LoadAwareServerPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/routing/LoadAwareServerPolicy.java
@@ -1,5 +1,6 @@
 package io.sequoialink.decision.routing;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -11,10 +12,12 @@
 import io.sequoialink.model.ServerId;
 
 /**
- * The default policy: the owner of the prompt's prefix while it is not loaded above a
- * bound, otherwise the better of a few servers drawn at random. The owner is found by
- * rendezvous hashing, so that hosts agree on it without talking, and a server that is
- * known to hold the prefix is preferred by its estimated share.
+ * The default policy: the cheapest of a few servers drawn at random, the owner of the
+ * prompt's prefix and a server that is known to hold it. A server costs little until its
+ * batch is nearly full, and then steeply more, since only then a request waits; another
+ * zone costs a little, and a cached prefix is credited. The owner is found by rendezvous
+ * hashing, so that hosts agree on it without talking, and gets no credit above a bound on
+ * its load. A new server takes part in a growing share of the choices.
  * <p>
  * Never chooses a server that is leaving, nor an avoided one while another is there.
  * Immutable and thread-safe. A decision takes time in the number of servers and allocates
@@ -24,13 +27,13 @@
 
 	private static final long MIX = 0x9E3779B97F4A7C15L;
 
-	private final RoutingParameters parameters;
+	/** Least chance that a server takes part in a choice when it has just come up. */
+	private static final double LEAST_WARMTH = 0.1;
 
-	private final LoadEstimate load;
+	private final RoutingParameters parameters;
 
 	public LoadAwareServerPolicy(RoutingParameters parameters) {
 		this.parameters = parameters;
-		this.load = new LoadEstimate(parameters);
 	}
 
 	@Override
@@ -40,18 +43,68 @@
 		if (usable.isEmpty()) {
 			return Optional.empty();
 		}
-		ServerView chosen = (request.prefixHash() != 0) ? owner(request.prefixHash(), usable) : null;
-		if (chosen == null) {
-			chosen = sampled(usable, random);
+		withoutMostNewOnes(usable, random);
+		LoadEstimate load = new LoadEstimate(this.parameters, usable);
+		ServerView owner = (request.prefixHash() != 0) ? owner(request.prefixHash(), usable) : null;
+		ServerView best = null;
+		double least = Double.POSITIVE_INFINITY;
+		for (ServerView view : compared(usable, owner, random)) {
+			double cost = cost(view, load, view == owner);
+			if (best == null || cost < least) {
+				best = view;
+				least = cost;
+			}
+		}
+		return Optional.of(best.server().id());
+	}
+
+	private void withoutMostNewOnes(List<ServerView> usable, RandomGenerator random) {
+		List<ServerView> warm = new ArrayList<>(usable.size());
+		for (ServerView view : usable) {
+			double age = Math.max(0, view.ageMillis());
+			boolean settled = age >= this.parameters.slowStartMillis();
+			double chance = Math.max(LEAST_WARMTH, settled ? 1 : age / this.parameters.slowStartMillis());
+			if (settled || random.nextDouble() < chance) {
+				warm.add(view);
+			}
+		}
+		if (!warm.isEmpty()) {
+			usable.retainAll(warm);
 		}
-		return Optional.of(chosen.server().id());
 	}
 
-	private ServerView owner(long prefixHash, List<ServerView> usable) {
-		double mean = 0;
+	private List<ServerView> compared(List<ServerView> usable, ServerView owner, RandomGenerator random) {
+		int drawn = Math.min(this.parameters.samples(), usable.size());
+		for (int i = 0; i < drawn; i++) {
+			int other = i + random.nextInt(usable.size() - i);
+			ServerView swapped = usable.get(i);
+			usable.set(i, usable.get(other));
+			usable.set(other, swapped);
+		}
+		List<ServerView> compared = new ArrayList<>(usable.subList(0, drawn));
+		ServerView holder = usable.get(0);
 		for (ServerView view : usable) {
-			mean += this.load.of(view) / usable.size();
+			holder = (view.prefixShare() > holder.prefixShare()) ? view : holder;
+		}
+		if (holder.prefixShare() > 0) {
+			compared.add(holder);
+		}
+		if (owner != null) {
+			compared.add(owner);
 		}
+		return compared;
+	}
+
+	private double cost(ServerView view, LoadEstimate load, boolean owner) {
+		double occupancy = load.occupancy(view);
+		double waiting = Math.pow(occupancy, this.parameters.steepness());
+		double detour = view.localZone() ? 0 : this.parameters.zoneDetour();
+		boolean bounded = occupancy <= this.parameters.affinityBound() * load.meanOccupancy();
+		double held = Math.max(view.prefixShare(), (owner && bounded) ? this.parameters.ownerShare() : 0);
+		return waiting + detour - this.parameters.prefixCredit() * held;
+	}
+
+	private static ServerView owner(long prefixHash, List<ServerView> usable) {
 		ServerView owner = null;
 		long highest = 0;
 		for (ServerView view : usable) {
@@ -61,21 +114,7 @@
 				highest = rank;
 			}
 		}
-		return (this.load.of(owner) <= this.parameters.affinityBound() * mean) ? owner : null;
-	}
-
-	private ServerView sampled(List<ServerView> usable, RandomGenerator random) {
-		ServerView best = usable.get(random.nextInt(usable.size()));
-		for (int i = 1; i < this.parameters.samples(); i++) {
-			ServerView other = usable.get(random.nextInt(usable.size()));
-			best = (score(other) < score(best)) ? other : best;
-		}
-		return best;
-	}
-
-	private double score(ServerView view) {
-		double detour = view.localZone() ? 0 : this.parameters.zoneDetour();
-		return this.load.of(view) + detour - this.parameters.prefixCredit() * view.prefixShare();
+		return owner;
 	}
 
 	private static long rank(long prefixHash, ServerId server) {
--- a/decision/src/main/java/io/sequoialink/decision/routing/LoadEstimate.java
+++ b/decision/src/main/java/io/sequoialink/decision/routing/LoadEstimate.java
@@ -1,43 +1,74 @@
 package io.sequoialink.decision.routing;
 
+import java.util.List;
+
 import io.sequoialink.decision.ServerView;
 
 /**
- * Estimates a server's load as a share of its capacity from the requests that this host
- * has there and a report that counts the less the older it is. Immutable and thread-safe.
+ * Estimates servers' occupancy, as a share of capacity. The common level comes from the
+ * reports, what differs between servers from this host's own requests in flight and, the
+ * less the older they are, from the reports: hosts that all follow the same old report
+ * would overload the server that it shows as idle. Confined to one thread; made for one
+ * decision.
  */
 final class LoadEstimate {
 
-	/** Share of its load at which a server counts that has just come up. */
-	private static final double LEAST_WARMTH = 0.1;
+	/** Capacity assumed of a server that has not reported any. */
+	private static final int UNKNOWN_CAPACITY = 8;
 
 	private final RoutingParameters parameters;
 
-	LoadEstimate(RoutingParameters parameters) {
+	private double meanReported;
+
+	private double meanOwn;
+
+	private double meanOccupancy;
+
+	LoadEstimate(RoutingParameters parameters, List<ServerView> servers) {
 		this.parameters = parameters;
+		int reporting = 0;
+		for (ServerView view : servers) {
+			this.meanOwn += view.inFlight() / capacity(view) / servers.size();
+			if (view.reportAgeMillis() >= 0) {
+				this.meanReported += reported(view);
+				reporting++;
+			}
+		}
+		this.meanReported = (reporting > 0) ? this.meanReported / reporting : this.meanOwn;
+		for (ServerView view : servers) {
+			this.meanOccupancy += occupancy(view) / servers.size();
+		}
 	}
 
 	/**
-	 * Returns the estimated load. One request is added, so that of two idle servers the
-	 * larger one counts as less loaded, and a new server counts as more loaded than it
-	 * is.
+	 * Returns the estimated occupancy once one more request is there.
 	 * @param view what is known of the server
-	 * @return load in units of its capacity
+	 * @return occupancy; above 1 requests wait
+	 */
+	double occupancy(ServerView view) {
+		double level = this.meanReported;
+		if (view.reportAgeMillis() >= 0) {
+			double trust = Math.pow(0.5, view.reportAgeMillis() / this.parameters.reportHalfLifeMillis());
+			level += trust * (reported(view) - this.meanReported);
+		}
+		double own = (view.inFlight() + 1) / capacity(view) - this.meanOwn;
+		return Math.max(1 / capacity(view), level + own);
+	}
+
+	/**
+	 * Returns the mean of all servers' occupancies.
+	 * @return the mean
 	 */
-	double of(ServerView view) {
-		double trust = (view.reportAgeMillis() < 0) ? 0
-				: Math.pow(0.5, view.reportAgeMillis() / this.parameters.reportHalfLifeMillis());
-		double reported = view.reportedRunning() + view.reportedQueued();
-		double others = Math.max(0, reported - view.inFlight());
-		double load = (view.inFlight() + trust * others + 1) / Math.max(1, view.capacity());
-		return load / warmth(view.ageMillis());
+	double meanOccupancy() {
+		return this.meanOccupancy;
 	}
 
-	private double warmth(long ageMillis) {
-		if (ageMillis < 0 || ageMillis >= this.parameters.slowStartMillis()) {
-			return 1;
-		}
-		return Math.max(LEAST_WARMTH, ageMillis / this.parameters.slowStartMillis());
+	private static double reported(ServerView view) {
+		return (view.reportedRunning() + view.reportedQueued()) / capacity(view);
+	}
+
+	private static double capacity(ServerView view) {
+		return (view.capacity() > 0) ? view.capacity() : UNKNOWN_CAPACITY;
 	}
 
 }
