--- a/decision/src/main/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicy.java
@@ -39,8 +39,6 @@
 	/** Most that an answer is taken to differ from the expected length, as a factor. */
 	private static final double MOST_LENGTH = 4;
 
-	private static final double LEAST_SPREAD = 0.05;
-
 	private final CascadeParameters parameters;
 
 	private final ChanceSource source;
@@ -114,8 +112,8 @@
 
 	private int bestStart(RequestFacts request, EscalationPlan plan, List<Candidate> sorted, double remainingMillis) {
 		double[] worth = new double[sorted.size()];
-		double spread = this.parameters.answerSpread();
-		for (double length = 1 - spread; length < 1 + 1.5 * spread; length += Math.max(spread, LEAST_SPREAD)) {
+		for (int step = -1; step <= 1; step++) {
+			double length = 1 + step * this.parameters.answerSpread();
 			plan.solve(length, remainingMillis, this.parameters.ratingWaitMillis());
 			for (int i = 0; i < worth.length; i++) {
 				worth[i] += single(request) ? plan.singleWorth(i) : plan.startWorth(i);
--- a/decision/src/test/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicyTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicyTests.java
@@ -96,6 +96,15 @@
 			.isEqualTo(new VersionId("large"));
 	}
 
+	@Test
+	void withoutSpreadOfLengthsItStillWeighsWorth() {
+		List<Candidate> candidates = List.of(candidate("small", 1, 10), candidate("large", 20, 10));
+		AdaptiveCascadePolicy flat = new AdaptiveCascadePolicy(
+				CascadeParameters.builder().explorationShare(0).driftShare(0).answerSpread(0).build());
+		assertThat(flat.start(request(true, Optional.empty()), candidates, 1000, this.random).version())
+			.isEqualTo(new VersionId("large"));
+	}
+
 	@Test
 	void aMissedTargetMakesStreamsDearerAndAnExceededOneCheaper() {
 		List<Candidate> candidates = List.of(candidate("small", 1, 10), candidate("large", 20, 10));
