--- a/bench/src/main/java/io/sequoialink/bench/latency/LatencyFleet.java
+++ b/bench/src/main/java/io/sequoialink/bench/latency/LatencyFleet.java
@@ -32,7 +32,8 @@
 
 	private static final double UNLIMITED = 1e9;
 
-	private static final LimitSettings LIMITS = new LimitSettings(5_000, 10_000, 10, 60_000, 0, 3_000, 2_000, 1, 0);
+	private static final LimitSettings LIMITS = new LimitSettings(5_000, 10_000, 10, 60_000, 0, 3_000, 2_000, 1, 1.7,
+			0);
 
 	private LatencyFleet() {
 	}
--- a/decision/src/main/java/io/sequoialink/decision/cascade/CascadeParameters.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/CascadeParameters.java
@@ -124,13 +124,13 @@
 
 		private double startPrice = 10;
 
-		private double priceGain = 0.03;
+		private double priceGain = 0.05;
 
 		private double urgency = 10;
 
 		private double priceMemory = 1000;
 
-		private double safety = 2.5;
+		private double safety = 4.5;
 
 		private double targetWindow = 20_000;
 
