Tell the roll-out policy of peers' brakes and of each answer at its end, and return a bad candidate in a live fleet

Cause: the roll-out policy took only brakes of its own host, and learnt of a whole answer when its rating came; slow ratings delayed its counts. Property tests drew new seeds on each run. Change: brakes learnt from peers reach the policy; an answer is observed at its end and again with its rating; properties have fixed seeds. A scenario starts a roll-out whose candidate fails 8 of 10 runs on three hosts: it is returned, recorded in the log, and gets no new work.

--- a/cli/src/test/resources/io/sequoialink/cli/scenarios/promises.feature
+++ b/cli/src/test/resources/io/sequoialink/cli/scenarios/promises.feature
@@ -140,3 +140,12 @@
     And no innocent request was refused
     And the crashing request is refused at every host as "request_braked"
     And every promise held
+
+  Scenario: A bad candidate is returned by the fleet itself
+    Given a magnolia fleet of 3 hosts with the candidate "caption-small-4" beside "caption-small-3"
+    When the candidate fails 8 of 10 runs
+    And an operator starts its roll-out at half of the new work
+    And account "account-0" sends at most 400 requests of class "tagline" until the roll-out is returned
+    Then the candidate was tried and its roll-out is recorded as returned
+    And no new work reaches the candidate
+    And every promise held
--- a/daemon/src/main/java/io/sequoialink/daemon/host/BrakeExchange.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/BrakeExchange.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 
 import io.sequoialink.decision.CrashGuard;
+import io.sequoialink.decision.RolloutPolicy;
 import io.sequoialink.membership.Peers;
 import io.sequoialink.model.Brake;
 import io.sequoialink.router.BrakeTable;
@@ -22,10 +23,13 @@
 
 	private final CrashGuard crashGuard;
 
-	BrakeExchange(Peers peers, BrakeTable table, CrashGuard crashGuard) {
+	private final RolloutPolicy rollouts;
+
+	BrakeExchange(Peers peers, BrakeTable table, CrashGuard crashGuard, RolloutPolicy rollouts) {
 		this.peers = peers;
 		this.table = table;
 		this.crashGuard = crashGuard;
+		this.rollouts = rollouts;
 	}
 
 	@Override
@@ -42,6 +46,7 @@
 			if (this.table.add(brake)) {
 				LOG.warn(HostEvents.BRAKE_LEARNT, brake.origin(), brake.scope(), brake.target(), brake.reason());
 				this.crashGuard.accept(brake);
+				this.rollouts.accept(brake);
 			}
 		}
 	}
--- a/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
@@ -101,7 +101,8 @@
 		table.set(this.servers);
 		this.ratingExecutor = ratingExecutor(identity.host());
 		BrakeTable brakeTable = new BrakeTable();
-		BrakeExchange brakes = new BrakeExchange(this.peers, brakeTable, this.policies.crash());
+		BrakeExchange brakes = new BrakeExchange(this.peers, brakeTable, this.policies.crash(),
+				this.policies.rollout());
 		Metrics metrics = new Metrics();
 		RouterContext context = context(outside, brakeTable, brakes, metrics);
 		ExplainExchange explain = new ExplainExchange(this.peers, context.explanations());
--- a/decision/src/main/java/io/sequoialink/decision/RolloutPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/RolloutPolicy.java
@@ -28,7 +28,15 @@
 	VersionId place(CatalogueView view, ClientAccount account, RequestFacts request, VersionId chosen, long nowMillis);
 
 	/**
-	 * Takes the outcome of an attempt on any version.
+	 * Takes a brake that a peer has spread.
+	 * @param brake the brake
+	 */
+	default void accept(Brake brake) {
+	}
+
+	/**
+	 * Takes the outcome of an attempt on any version: at its end, and for a whole answer
+	 * again when its rating has arrived or was given up.
 	 * @param request the request
 	 * @param attempt the attempt, with its rating if there is one
 	 * @param nowMillis the injected clock
--- a/decision/src/main/java/io/sequoialink/decision/rollout/SharedRolloutPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/SharedRolloutPolicy.java
@@ -290,10 +290,7 @@
 		return this.index.cells().contains(cell);
 	}
 
-	/**
-	 * Takes a brake, from this host or a peer; brakes of other scopes change nothing.
-	 * @param brake the brake
-	 */
+	@Override
 	public synchronized void accept(Brake brake) {
 		if (brake.scope() != Brake.Scope.VERSION) {
 			return;
--- a/membership/src/test/java/io/sequoialink/membership/PeerMessageFuzzTests.java
+++ b/membership/src/test/java/io/sequoialink/membership/PeerMessageFuzzTests.java
@@ -33,13 +33,13 @@
 
 	private static final PeerKeys KEYS = keys("k1", 1);
 
-	@Property(tries = 2000)
+	@Property(tries = 2000, seed = "1")
 	void arbitraryBytesAreRefused(@ForAll @Size(max = 600) byte[] bytes) {
 		assertThatExceptionOfType(RefusedFrameException.class)
 			.isThrownBy(() -> new FrameCodec(KEYS).read(NONCE, 1, bytes));
 	}
 
-	@Property(tries = 2000)
+	@Property(tries = 2000, seed = "2")
 	void oneChangedBitIsRefused(@ForAll @IntRange(max = 100_000) int place, @ForAll @IntRange(max = 7) int bit) {
 		byte[] frame = new FrameCodec(KEYS).sign(NONCE, 1, Body.newBuilder().setSender("one").build());
 		frame[place % frame.length] ^= (byte) (1 << bit);
@@ -59,7 +59,7 @@
 			.satisfies((ex) -> assertThat(ex.refusal()).isEqualTo(FrameRefusal.BAD_CODE));
 	}
 
-	@Property(tries = 1000)
+	@Property(tries = 1000, seed = "3")
 	void authenticBodiesOfAnyContentAreTakenOrRefused(@ForAll("bodies") Body body) throws Exception {
 		GossipCore core = core();
 		try {
--- a/router/src/test/java/io/sequoialink/router/SessionTokensTests.java
+++ b/router/src/test/java/io/sequoialink/router/SessionTokensTests.java
@@ -27,7 +27,7 @@
 		assertThat(this.old.open(this.rotated.seal(SESSION))).isEmpty();
 	}
 
-	@Property(tries = 300)
+	@Property(tries = 300, seed = "1")
 	void noChangedTokenIsOpened(@ForAll @IntRange(min = 0, max = 90) int position, @ForAll char replacement) {
 		String token = this.rotated.seal(SESSION);
 		int at = position % token.length();
@@ -35,7 +35,7 @@
 		assertThat(this.rotated.open(changed).isPresent()).isEqualTo(changed.equals(token));
 	}
 
-	@Property(tries = 300)
+	@Property(tries = 300, seed = "2")
 	void noArbitraryTextIsOpened(@ForAll String text) {
 		assertThat(this.rotated.open(text)).isEmpty();
 		assertThat(this.rotated.open("s1~k2~" + text)).isEmpty();
