Count a server as new only beside older ones

A host that has just started sees every server as new, and slow start left out most of them at random for 10 s. Also the prefix credit outweighed up to 25 requests at half load. Change: slow start counts from the oldest server that the host knows; credit 0.02 and detour 0.004 instead of 0.1 and 0.02. A test fails on the old code.

--- a/decision/src/main/java/io/sequoialink/decision/routing/LoadAwareServerPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/routing/LoadAwareServerPolicy.java
@@ -30,6 +30,9 @@
 	/** Least chance that a server takes part in a choice when it has just come up. */
 	private static final double LEAST_WARMTH = 0.1;
 
+	/** Part of the oldest server's age from which another one counts as no newer. */
+	private static final double SAME_AGE = 0.9;
+
 	private final RoutingParameters parameters;
 
 	public LoadAwareServerPolicy(RoutingParameters parameters) {
@@ -60,10 +63,14 @@
 
 	private void withoutMostNewOnes(List<ServerView> usable, RandomGenerator random) {
 		List<ServerView> warm = new ArrayList<>(usable.size());
+		// A host that has just started sees every server as new: none of them is held
+		// back.
+		double oldest = usable.stream().mapToDouble(ServerView::ageMillis).max().orElse(0);
+		double grown = Math.min(this.parameters.slowStartMillis(), SAME_AGE * oldest);
 		for (ServerView view : usable) {
 			double age = Math.max(0, view.ageMillis());
-			boolean settled = age >= this.parameters.slowStartMillis();
-			double chance = Math.max(LEAST_WARMTH, settled ? 1 : age / this.parameters.slowStartMillis());
+			boolean settled = age >= grown;
+			double chance = Math.max(LEAST_WARMTH, settled ? 1 : age / grown);
 			if (settled || random.nextDouble() < chance) {
 				warm.add(view);
 			}
--- a/decision/src/main/java/io/sequoialink/decision/routing/RoutingParameters.java
+++ b/decision/src/main/java/io/sequoialink/decision/routing/RoutingParameters.java
@@ -59,11 +59,11 @@
 
 		private double steepness = 8;
 
-		private double zoneDetour = 0.02;
+		private double zoneDetour = 0.004;
 
 		private double affinityBound = 1.25;
 
-		private double prefixCredit = 0.1;
+		private double prefixCredit = 0.02;
 
 		private double ownerShare = 0.5;
 
--- a/decision/src/test/java/io/sequoialink/decision/routing/ServerPolicyTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/routing/ServerPolicyTests.java
@@ -77,4 +77,14 @@
 		assertThat(count).isBetween(1, 500);
 	}
 
+	@Test
+	void aHostThatSeesEveryServerAsNewHoldsNoneBack() {
+		List<ServerView> servers = List.of(Views.view(0, false, false, 8, 100), Views.view(1, false, false, 8, 100),
+				Views.view(2, false, false, 0, 100), Views.view(3, false, false, 8, 100));
+		SplittableRandom random = new SplittableRandom(3);
+		for (int i = 0; i < 200; i++) {
+			assertThat(POLICY.choose(Views.request(0), servers, Set.of(), random)).contains(Views.id(2));
+		}
+	}
+
 }
