Hold no answer back for a rating that changes nothing, and flush outcomes before answers

Cause: an answer of the dearest version waited for its rating until near the deadline, and so did every answer while the rating service hung. Checkpoints and claim windows did not follow the log's retention. A refused request was explained without account and revision.

--- a/bench/src/main/java/io/sequoialink/bench/live/LiveFleet.java
+++ b/bench/src/main/java/io/sequoialink/bench/live/LiveFleet.java
@@ -44,6 +44,8 @@
 
 	private static final Duration RATING_TIMEOUT = Duration.ofSeconds(10);
 
+	private static final Duration LOG_RETENTION = Duration.ofHours(24);
+
 	private static final long POLL_MILLIS = 20;
 
 	private static final byte[] PEER_KEY = "peer-key-of-the-embedded-fleet-00".getBytes(StandardCharsets.UTF_8);
@@ -154,7 +156,7 @@
 		return new OutsideSystems(new HttpPlatformLog(pool, this.standins.log().address(), CALL_TIMEOUT),
 				new HttpHostDirectory(pool, this.standins.directory().address(), CALL_TIMEOUT),
 				new HttpRatingService(pool, this.standins.rating().address(), RATING_TIMEOUT),
-				new HttpEngineClient(pool, CALL_TIMEOUT), new HttpServiceClient(pool));
+				new HttpEngineClient(pool, CALL_TIMEOUT), new HttpServiceClient(pool), LOG_RETENTION);
 	}
 
 	/**
--- a/cli/src/test/java/io/sequoialink/cli/EventCatalogueTests.java
+++ b/cli/src/test/java/io/sequoialink/cli/EventCatalogueTests.java
@@ -40,10 +40,8 @@
 		}
 	}
 
-	private static List<Path> catalogue() throws IOException {
-		try (Stream<Path> files = Files.list(ROOT.resolve("docs/events"))) {
-			return files.toList();
-		}
+	private static List<Path> catalogue() {
+		return List.of(ROOT.resolve("docs/EVENTS.md"));
 	}
 
 	private static List<String> ids(Pattern pattern, List<Path> files) throws IOException {
--- a/daemon/src/main/java/io/sequoialink/daemon/host/ConfiguredHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/ConfiguredHost.java
@@ -53,7 +53,8 @@
 		return new OutsideSystems(new HttpPlatformLog(pool, platform.log(), platform.callTimeout()),
 				new HttpHostDirectory(pool, platform.directory(), platform.callTimeout()),
 				new HttpRatingService(pool, platform.rating(), platform.ratingTimeout()),
-				new HttpEngineClient(pool, platform.callTimeout()), new HttpServiceClient(pool));
+				new HttpEngineClient(pool, platform.callTimeout()), new HttpServiceClient(pool),
+				platform.logRetention());
 	}
 
 	/**
--- a/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
@@ -56,6 +56,12 @@
 
 	private static final int CHECKPOINT_WRITERS = 2;
 
+	private static final int CHECKPOINTS_A_RETENTION = 4;
+
+	private static final int CLAIM_WINDOWS_A_RETENTION = 2;
+
+	private static final Duration LONGEST_PART = Duration.ofHours(1);
+
 	private static final long IDLE_SECONDS = 30;
 
 	private final HostIdentity identity;
@@ -91,8 +97,11 @@
 			.start();
 		this.catalogue = LogCatalogue.builder(outside.log().stream(PlatformLog.CONFIG))
 			.checkpointWriter(() -> picked("checkpoint", CHECKPOINT_WRITERS))
+			.checkpointAge(part(outside.logRetention(), CHECKPOINTS_A_RETENTION))
+			.build();
+		this.claims = LogClaimTable.builder(outside.log().stream(PlatformLog.CLAIMS))
+			.window(part(outside.logRetention(), CLAIM_WINDOWS_A_RETENTION))
 			.build();
-		this.claims = LogClaimTable.builder(outside.log().stream(PlatformLog.CLAIMS)).build();
 		this.bills = new HostBills(this.peers, outside.log().stream(PlatformLog.BILLS));
 		AtomicReference<ServerTable> table = new AtomicReference<>();
 		this.policies = factory.create(new PolicyInputs(identity.host(), identity.incarnation(), this::liveHosts,
@@ -197,6 +206,11 @@
 		this.duties.repeat("judge-rollouts", Duration.ofMillis(100), rollouts::judge);
 	}
 
+	private static Duration part(Duration retention, int parts) {
+		Duration part = retention.dividedBy(parts);
+		return (part.compareTo(LONGEST_PART) < 0) ? part : LONGEST_PART;
+	}
+
 	private List<HostId> liveHosts() {
 		return this.peers.members()
 			.stream()
--- a/daemon/src/main/java/io/sequoialink/daemon/host/OutsideSystems.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/OutsideSystems.java
@@ -1,5 +1,6 @@
 package io.sequoialink.daemon.host;
 
+import java.time.Duration;
 import java.util.Objects;
 
 import io.sequoialink.platform.EngineClient;
@@ -16,9 +17,10 @@
  * @param ratings the rating service
  * @param engines calls model engines
  * @param services calls plain services
+ * @param logRetention how long the log keeps records
  */
 public record OutsideSystems(PlatformLog log, HostDirectory directory, RatingService ratings, EngineClient engines,
-		ServiceClient services) {
+		ServiceClient services, Duration logRetention) {
 
 	public OutsideSystems {
 		Objects.requireNonNull(log, "log");
@@ -26,6 +28,7 @@
 		Objects.requireNonNull(ratings, "ratings");
 		Objects.requireNonNull(engines, "engines");
 		Objects.requireNonNull(services, "services");
+		Objects.requireNonNull(logRetention, "logRetention");
 	}
 
 }
--- a/decision/src/main/java/io/sequoialink/decision/CascadePolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/CascadePolicy.java
@@ -34,6 +34,15 @@
 	Optional<TierDecision> next(RequestFacts request, List<Candidate> candidates, List<Attempt> attempts,
 			double remainingMillis, RandomGenerator random);
 
+	/**
+	 * Returns how long an answer that could still be taken back may wait for its rating.
+	 * @param remainingMillis time left until the deadline
+	 * @return the longest wait, in milliseconds
+	 */
+	default double ratingPatienceMillis(double remainingMillis) {
+		return remainingMillis;
+	}
+
 	/**
 	 * Learns from a rating, also one that arrives after the answer was given.
 	 * @param request the rated request
--- a/decision/src/main/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/AdaptiveCascadePolicy.java
@@ -31,6 +31,9 @@
  */
 public final class AdaptiveCascadePolicy implements CascadePolicy {
 
+	/** The longest wait for a rating, in expected waits. */
+	private static final double RATING_PATIENCE = 3;
+
 	private static final Comparator<Candidate> BY_COST = Comparator
 		.comparingLong((candidate) -> candidate.version().cost());
 
@@ -103,6 +106,11 @@
 		return Optional.of(decision(state, plan, sorted, chosen, false, remainingMillis));
 	}
 
+	@Override
+	public double ratingPatienceMillis(double remainingMillis) {
+		return Math.min(remainingMillis, RATING_PATIENCE * this.parameters.ratingWaitMillis());
+	}
+
 	@Override
 	public void learn(RequestFacts request, Attempt attempt, double weight) {
 		if (single(request)) {
--- a/ledger/src/main/java/io/sequoialink/ledger/ClaimTable.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/ClaimTable.java
@@ -49,4 +49,13 @@
 	 */
 	void recordNotDispatched(ClaimDecision.Granted claim);
 
+	/**
+	 * Appends what is recorded in the background, once, so that a repetition of the call
+	 * finds it. Blocks for one append; a failure is tried again in the background.
+	 * @return the records that the log has not taken yet
+	 */
+	default int flush() {
+		return 0;
+	}
+
 }
--- a/ledger/src/main/java/io/sequoialink/ledger/claims/LogClaimTable.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/claims/LogClaimTable.java
@@ -138,10 +138,7 @@
 		end(claim).ifPresent((claimId) -> this.queue.add(new ClaimRecord.Release(claimId, claim.key())));
 	}
 
-	/**
-	 * Appends the records that wait for the log.
-	 * @return the number of records that still wait
-	 */
+	@Override
 	public int flush() {
 		return this.queue.flush();
 	}
--- a/membership/src/main/java/io/sequoialink/membership/MembershipEvents.java
+++ b/membership/src/main/java/io/sequoialink/membership/MembershipEvents.java
@@ -1,7 +1,7 @@
 package io.sequoialink.membership;
 
 /**
- * The numbered log events of this module, listed in {@code docs/events/membership.md}.
+ * The numbered log events of this module, listed in {@code docs/EVENTS.md}.
  */
 final class MembershipEvents {
 
--- a/router/src/main/java/io/sequoialink/router/ChatResolver.java
+++ b/router/src/main/java/io/sequoialink/router/ChatResolver.java
@@ -68,6 +68,17 @@
 			.orElseThrow(() -> refuse(RefusalCode.UNAUTHENTICATED, "the account key is missing or unknown"));
 	}
 
+	/**
+	 * Returns the name of the caller's account for metrics and explanations.
+	 * @param caller the caller
+	 * @return the account's identifier, or {@code unknown}
+	 */
+	String name(CallerContext caller) {
+		return this.accounts.find(this.catalogue.view(), caller.accountKey())
+			.map((account) -> account.id().value())
+			.orElse("unknown");
+	}
+
 	void requireFresh() throws RefusedException {
 		Optional<Refusal> stale = this.gate.checkFreshness(false);
 		if (stale.isPresent()) {
--- a/router/src/main/java/io/sequoialink/router/ChatRouter.java
+++ b/router/src/main/java/io/sequoialink/router/ChatRouter.java
@@ -13,8 +13,10 @@
 import io.sequoialink.decision.Attempt;
 import io.sequoialink.decision.Candidate;
 import io.sequoialink.decision.TierDecision;
+import io.sequoialink.decision.cascade.BestAnswer;
 import io.sequoialink.ledger.BillJournal;
 import io.sequoialink.model.Bill;
+import io.sequoialink.model.ClassId;
 import io.sequoialink.model.Effect;
 import io.sequoialink.model.ModelVersion;
 import io.sequoialink.model.Refusal;
@@ -74,8 +76,10 @@
 			.open(request.caller().id(), this.context.clock().wallMillis());
 		String account = "unknown";
 		try {
+			account = this.resolver.name(request.caller());
+			explanation.resolved(account, request.caller().requestClass().map(ClassId::value).orElse(""),
+					this.context.catalogue().view().revision(), List.of());
 			ResolvedChat chat = this.resolver.resolve(request);
-			account = chat.account().id().value();
 			describe(chat, explanation);
 			return admitted(chat, sink, explanation, started);
 		}
@@ -145,23 +149,53 @@
 			ModelVersion version = place(chat, decision.version(), explanation);
 			AttemptAnswer answer = runTier(chat, version, sink, explanation, answers);
 			if (answer == null) {
-				return best(answers, judged);
+				return answers.get(BestAnswer.index(judged));
 			}
 			answers.add(answer);
 			CompletableFuture<OptionalDouble> rating = rate(chat, answer, explanation);
-			if (!mayEscalate(chat)) {
+			if (!mayBeTakenBack(chat)) {
+				return answer;
+			}
+			if (judged.isEmpty() && isDearest(chat, decision.version())) {
+				learnLater(chat, decision.version(), answer, rating);
 				return answer;
 			}
 			judged.add(judge(decision.version(), answer, rating, chat));
 			Optional<TierDecision> next = this.context.cascadePolicy()
 				.next(chat.facts(), chat.candidates(), judged, remainingMillis(chat), this.context.random());
 			if (next.isEmpty()) {
-				return best(answers, judged);
+				return answers.get(BestAnswer.index(judged));
 			}
 			decision = next.get();
 		}
 	}
 
+	/**
+	 * Lets the policy learn from the only answer of a request, which nothing could
+	 * replace and which is given at once.
+	 * @param chat the request
+	 * @param chosen the version that the policy chose
+	 * @param answer the answer
+	 * @param rating its rating, once it arrives
+	 */
+	private void learnLater(ResolvedChat chat, VersionId chosen, AttemptAnswer answer,
+			CompletableFuture<OptionalDouble> rating) {
+		rating.thenAccept((value) -> this.context.cascadePolicy()
+			.next(chat.facts(), chat.candidates(), List.of(withRating(answer.attempt(), chosen, value)),
+					remainingMillis(chat), this.context.random()));
+	}
+
+	private static boolean isDearest(ResolvedChat chat, VersionId version) {
+		return chat.candidates()
+			.stream()
+			.map(Candidate::version)
+			.noneMatch((other) -> other.cost() > costOf(chat, version));
+	}
+
+	private static long costOf(ResolvedChat chat, VersionId version) {
+		return version(chat, version).cost();
+	}
+
 	private AttemptAnswer runTier(ResolvedChat chat, ModelVersion version, AnswerSink sink, Explanation explanation,
 			List<AttemptAnswer> answers) throws RefusedException {
 		AnswerSink tierSink = chat.request().streamed() ? sink : AnswerSink.NONE;
@@ -177,8 +211,8 @@
 		}
 	}
 
-	private static boolean mayEscalate(ResolvedChat chat) {
-		return !chat.request().streamed() && chat.candidates().size() > 1;
+	private static boolean mayBeTakenBack(ResolvedChat chat) {
+		return !chat.request().streamed() && chat.session().isEmpty();
 	}
 
 	private ModelVersion place(ResolvedChat chat, VersionId chosen, Explanation explanation) {
@@ -225,7 +259,8 @@
 
 	private Attempt judge(VersionId chosen, AttemptAnswer answer, CompletableFuture<OptionalDouble> rating,
 			ResolvedChat chat) {
-		double wait = Math.max(0, remainingMillis(chat) - ANSWER_MARGIN_MILLIS);
+		double patience = this.context.cascadePolicy().ratingPatienceMillis(remainingMillis(chat));
+		double wait = Math.max(0, patience - ANSWER_MARGIN_MILLIS);
 		OptionalDouble value = OptionalDouble.empty();
 		try {
 			value = rating.get((long) wait, TimeUnit.MILLISECONDS);
@@ -243,16 +278,6 @@
 		return new Attempt(version, attempt.server(), attempt.effect(), rating, attempt.outcome(), attempt.millis());
 	}
 
-	private static AttemptAnswer best(List<AttemptAnswer> answers, List<Attempt> judged) {
-		int best = answers.size() - 1;
-		for (int i = 0; i < judged.size(); i++) {
-			if (judged.get(i).rating().orElse(-1) > judged.get(Math.min(best, judged.size() - 1)).rating().orElse(-1)) {
-				best = i;
-			}
-		}
-		return answers.get(best);
-	}
-
 	private ChatAnswer bill(ResolvedChat chat, AttemptAnswer best, List<AttemptAnswer> answers,
 			Explanation explanation) {
 		long tokens = answers.stream().mapToLong(AttemptAnswer::tokens).sum();
--- a/router/src/main/java/io/sequoialink/router/ServiceRouter.java
+++ b/router/src/main/java/io/sequoialink/router/ServiceRouter.java
@@ -204,6 +204,7 @@
 			this.context.claims()
 				.recordOutcome(claim, new RecordedOutcome(call.facts().id(), response.status(), response.contentType(),
 						response.body()));
+			this.context.claims().flush();
 			bill(call, call.facts().id());
 			return response;
 		}
--- a/router/src/test/java/io/sequoialink/router/RouterFixture.java
+++ b/router/src/test/java/io/sequoialink/router/RouterFixture.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
 
 import io.sequoialink.catalogue.Catalogue;
@@ -100,6 +101,8 @@
 
 	boolean escalate;
 
+	double ratingPatienceMillis = 1_000;
+
 	Duration age = Duration.ZERO;
 
 	private long revision;
@@ -113,10 +116,14 @@
 	final ServiceRouter services;
 
 	RouterFixture() {
+		this(Runnable::run);
+	}
+
+	RouterFixture(Executor ratingExecutor) {
 		RouterContext context = new RouterContext(new FixtureCatalogue(), servers(), this.brakes, this.brakes::add,
 				this.sessions, FreshnessPolicy.STRICT, new FixtureCascade(), new KeepingRollouts(), firstAllowed(),
 				retryIfSafe(), new OpenAdmission(), new OpenCrashGuard(), new ScriptedEngines(), this::callService,
-				(answer) -> OptionalDouble.of(this.rating), Runnable::run, new ScriptedClaims(), new MemoryBills(),
+				(answer) -> OptionalDouble.of(this.rating), ratingExecutor, new ScriptedClaims(), new MemoryBills(),
 				this.explanations, RouterObserver.NONE, new FixtureClock(), () -> new Random(1));
 		this.chat = new ChatRouter(context);
 		this.services = new ServiceRouter(context);
@@ -274,6 +281,11 @@
 			return Optional.of(new TierDecision(candidates.get(attempts.size()).version().id(), false, List.of()));
 		}
 
+		@Override
+		public double ratingPatienceMillis(double remainingMillis) {
+			return Math.min(remainingMillis, RouterFixture.this.ratingPatienceMillis);
+		}
+
 		@Override
 		public void learn(RequestFacts request, Attempt attempt, double weight) {
 		}
