--- a/bench/src/main/java/io/sequoialink/bench/faults/Withdrawing.java
+++ b/bench/src/main/java/io/sequoialink/bench/faults/Withdrawing.java
@@ -10,7 +10,7 @@
 import io.sequoialink.model.ModelVersion;
 import io.sequoialink.model.Selector;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * An operator who withdraws a version and tries again while the log is down. Stateless.
--- a/bench/src/main/java/io/sequoialink/bench/fleet/ChargeBills.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ChargeBills.java
@@ -12,7 +12,7 @@
 import io.sequoialink.model.Bill;
 import io.sequoialink.model.HostId;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.LogStream;
+import io.sequoialink.remote.LogStream;
 
 /**
  * The bills of one process of a host: its journal, and its peers, which are called within
--- a/bench/src/main/java/io/sequoialink/bench/fleet/ChargeExperiment.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ChargeExperiment.java
@@ -27,9 +27,9 @@
 import io.sequoialink.model.RequestId;
 import io.sequoialink.model.ServerId;
 import io.sequoialink.model.ServerKind;
-import io.sequoialink.platform.HttpServiceClient;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.PlatformLog;
+import io.sequoialink.remote.HttpServiceClient;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.PlatformLog;
 import io.sequoialink.standin.Books;
 import io.sequoialink.standin.StandinService;
 
--- a/bench/src/main/java/io/sequoialink/bench/fleet/ChargeHost.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ChargeHost.java
@@ -15,11 +15,11 @@
 import io.sequoialink.model.Effect;
 import io.sequoialink.model.HostId;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.BackendException;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.PlatformLog;
-import io.sequoialink.platform.ServiceClient;
+import io.sequoialink.remote.BackendException;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.PlatformLog;
+import io.sequoialink.remote.ServiceClient;
 
 /**
  * One entry host of the charge experiment: claims, dispatches and records. Thread-safe.
--- a/bench/src/main/java/io/sequoialink/bench/fleet/ConfigExperiment.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ConfigExperiment.java
@@ -21,7 +21,7 @@
 import io.sequoialink.model.ModelVersion;
 import io.sequoialink.model.ObjectKey;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 
 /**
  * Racing changes of configuration under faults of the log, held against the fold of what
--- a/bench/src/main/java/io/sequoialink/bench/fleet/ConfigHost.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ConfigHost.java
@@ -15,8 +15,8 @@
 import io.sequoialink.model.ModelVersion;
 import io.sequoialink.model.ObjectKey;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * One entry host of the configuration experiment: polls the log, asks a random peer,
--- a/bench/src/main/java/io/sequoialink/bench/fleet/ConfigRun.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/ConfigRun.java
@@ -17,9 +17,9 @@
 import io.sequoialink.model.CatalogueView;
 import io.sequoialink.model.ModelVersion;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.PlatformLog;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.PlatformLog;
 import io.sequoialink.standin.StandinLog;
 
 /**
--- a/bench/src/main/java/io/sequoialink/bench/fleet/FleetObjects.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/FleetObjects.java
@@ -13,7 +13,7 @@
 import io.sequoialink.model.Selector;
 import io.sequoialink.model.VersionId;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 
 /**
  * Objects and changes of the experiments. Stateless and thread-safe.
--- a/bench/src/main/java/io/sequoialink/bench/fleet/HostLog.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/HostLog.java
@@ -3,11 +3,11 @@
 import java.util.List;
 import java.util.concurrent.atomic.LongAdder;
 
-import io.sequoialink.platform.AppendUnknownException;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.TrimmedException;
+import io.sequoialink.remote.AppendUnknownException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.TrimmedException;
 
 /**
  * One host's way to a stream: it can be cut off, and its payload bytes are counted.
--- a/bench/src/main/java/io/sequoialink/bench/fleet/LoopbackLog.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/LoopbackLog.java
@@ -3,10 +3,10 @@
 import java.io.IOException;
 import java.time.Duration;
 
-import io.sequoialink.platform.HttpClientPool;
-import io.sequoialink.platform.HttpPlatformLog;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.PlatformLog;
+import io.sequoialink.remote.HttpClientPool;
+import io.sequoialink.remote.HttpPlatformLog;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.PlatformLog;
 import io.sequoialink.standin.StandinLog;
 
 /**
--- a/bench/src/main/java/io/sequoialink/bench/fleet/RestartExperiment.java
+++ b/bench/src/main/java/io/sequoialink/bench/fleet/RestartExperiment.java
@@ -22,9 +22,9 @@
 import io.sequoialink.model.ConfigObject;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.PlatformLog;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.PlatformLog;
 import io.sequoialink.standin.StandinLog;
 
 /**
--- a/bench/src/main/java/io/sequoialink/bench/latency/LatencyFleet.java
+++ b/bench/src/main/java/io/sequoialink/bench/latency/LatencyFleet.java
@@ -17,7 +17,7 @@
 import io.sequoialink.model.ClientAccount;
 import io.sequoialink.model.Labels;
 import io.sequoialink.model.Selector;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 import io.sequoialink.router.Digests;
 import io.sequoialink.standin.Standins;
 
--- a/bench/src/main/java/io/sequoialink/bench/latency/RouterOverhead.java
+++ b/bench/src/main/java/io/sequoialink/bench/latency/RouterOverhead.java
@@ -16,7 +16,7 @@
 import io.sequoialink.model.Json;
 import io.sequoialink.model.RequestId;
 import io.sequoialink.model.VersionId;
-import io.sequoialink.platform.EngineClient;
+import io.sequoialink.remote.EngineClient;
 import io.sequoialink.standin.StandinEngine;
 import io.sequoialink.standin.Standins;
 
--- a/bench/src/main/java/io/sequoialink/bench/slopes/CountingStream.java
+++ b/bench/src/main/java/io/sequoialink/bench/slopes/CountingStream.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
 
 /**
  * A stream that counts appends and keeps nothing. Thread-safe.
--- a/bench/src/main/java/io/sequoialink/bench/slopes/HttpCosts.java
+++ b/bench/src/main/java/io/sequoialink/bench/slopes/HttpCosts.java
@@ -14,13 +14,13 @@
 import io.sequoialink.model.BackendServer;
 import io.sequoialink.model.ServerId;
 import io.sequoialink.model.ServerKind;
-import io.sequoialink.platform.HttpAddress;
-import io.sequoialink.platform.HttpClientPool;
-import io.sequoialink.platform.HttpEngineClient;
-import io.sequoialink.platform.HttpHostDirectory;
-import io.sequoialink.platform.HttpPlatformLog;
-import io.sequoialink.platform.PlatformException;
-import io.sequoialink.platform.PlatformLog;
+import io.sequoialink.remote.HttpAddress;
+import io.sequoialink.remote.HttpClientPool;
+import io.sequoialink.remote.HttpEngineClient;
+import io.sequoialink.remote.HttpHostDirectory;
+import io.sequoialink.remote.HttpPlatformLog;
+import io.sequoialink.remote.PlatformException;
+import io.sequoialink.remote.PlatformLog;
 
 /**
  * The bytes of requests that a host sends to engines and to the platform for control: the
--- a/bench/src/main/java/io/sequoialink/bench/slopes/StateCosts.java
+++ b/bench/src/main/java/io/sequoialink/bench/slopes/StateCosts.java
@@ -27,7 +27,7 @@
 import io.sequoialink.model.ServerId;
 import io.sequoialink.model.VersionId;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 
 /**
  * The costs of the configuration's fold and of shared evidence, measured without sockets.
--- a/catalogue/src/main/java/io/sequoialink/catalogue/Catalogue.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/Catalogue.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 import io.sequoialink.model.CatalogueView;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * The configuration as one host knows it. Implementations are thread-safe; the view never
--- a/catalogue/src/main/java/io/sequoialink/catalogue/CatalogueFold.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/CatalogueFold.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 import io.sequoialink.model.CatalogueView;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 
 /**
  * The fold of the configuration stream: a pure function of the state and the next record.
--- a/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointAssembler.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointAssembler.java
@@ -7,7 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointFinder.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointFinder.java
@@ -3,10 +3,10 @@
 import java.util.List;
 import java.util.Optional;
 
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.TrimmedException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.TrimmedException;
 
 /**
  * Finds the newest whole checkpoint of a stream by reading it backwards in windows.
--- a/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointWriter.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/CheckpointWriter.java
@@ -6,9 +6,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
-import io.sequoialink.platform.AppendUnknownException;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.AppendUnknownException;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/catalogue/src/main/java/io/sequoialink/catalogue/FoldTable.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/FoldTable.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/catalogue/src/main/java/io/sequoialink/catalogue/LogCatalogue.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/LogCatalogue.java
@@ -10,10 +10,10 @@
 import java.util.function.LongSupplier;
 
 import io.sequoialink.model.CatalogueView;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.TrimmedException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.TrimmedException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/catalogue/src/main/java/io/sequoialink/catalogue/PeerTail.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/PeerTail.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 
 /**
  * What a host answers to a peer that asks for records. Immutable and thread-safe.
--- a/catalogue/src/main/java/io/sequoialink/catalogue/PollThread.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/PollThread.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * A daemon thread that polls a catalogue and writes its checkpoints. Thread-safe.
--- a/catalogue/src/main/java/io/sequoialink/catalogue/RecordTail.java
+++ b/catalogue/src/main/java/io/sequoialink/catalogue/RecordTail.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 
 /**
  * The folded records from the newest whole checkpoint on: enough to rebuild the state,
--- a/catalogue/src/test/java/io/sequoialink/catalogue/CatalogueExplorer.java
+++ b/catalogue/src/test/java/io/sequoialink/catalogue/CatalogueExplorer.java
@@ -12,9 +12,9 @@
 
 import io.sequoialink.model.CatalogueView;
 import io.sequoialink.model.ObjectKey;
-import io.sequoialink.platform.AppendUnknownException;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.AppendUnknownException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * Runs three hosts over one configuration stream in an order and with faults that a seed
--- a/catalogue/src/test/java/io/sequoialink/catalogue/CatalogueFoldTests.java
+++ b/catalogue/src/test/java/io/sequoialink/catalogue/CatalogueFoldTests.java
@@ -14,7 +14,7 @@
 import io.sequoialink.model.Selector;
 import io.sequoialink.model.VersionId;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
--- a/catalogue/src/test/java/io/sequoialink/catalogue/LogCatalogueTests.java
+++ b/catalogue/src/test/java/io/sequoialink/catalogue/LogCatalogueTests.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogUnavailableException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/catalogue/src/test/java/io/sequoialink/catalogue/MemoryLogStream.java
+++ b/catalogue/src/test/java/io/sequoialink/catalogue/MemoryLogStream.java
@@ -8,11 +8,11 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 
-import io.sequoialink.platform.AppendUnknownException;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.TrimmedException;
+import io.sequoialink.remote.AppendUnknownException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.TrimmedException;
 
 /**
  * A log stream in memory whose faults are switched on by tests: refusal, lost answers,
--- a/catalogue/src/test/java/io/sequoialink/catalogue/SteppedLogStream.java
+++ b/catalogue/src/test/java/io/sequoialink/catalogue/SteppedLogStream.java
@@ -3,11 +3,11 @@
 import java.util.List;
 import java.util.Random;
 
-import io.sequoialink.platform.AppendUnknownException;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.TrimmedException;
+import io.sequoialink.remote.AppendUnknownException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.TrimmedException;
 
 /**
  * A host's way to a log in memory: other tasks may run before and after each call, and a
--- a/cli/src/main/java/io/sequoialink/cli/AdminClient.java
+++ b/cli/src/main/java/io/sequoialink/cli/AdminClient.java
@@ -14,7 +14,7 @@
 import io.sequoialink.model.CatalogueView;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.Rollout;
-import io.sequoialink.platform.HttpAddress;
+import io.sequoialink.remote.HttpAddress;
 import io.servicetalk.http.api.BlockingHttpClient;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpResponse;
--- a/cli/src/main/java/io/sequoialink/cli/FleetOptions.java
+++ b/cli/src/main/java/io/sequoialink/cli/FleetOptions.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
-import io.sequoialink.platform.HttpAddress;
+import io.sequoialink.remote.HttpAddress;
 import picocli.CommandLine;
 
 /**
--- a/cli/src/main/java/io/sequoialink/cli/ServeCommand.java
+++ b/cli/src/main/java/io/sequoialink/cli/ServeCommand.java
@@ -10,7 +10,7 @@
 import io.sequoialink.daemon.settings.Settings;
 import io.sequoialink.daemon.settings.SettingsException;
 import io.sequoialink.daemon.settings.SettingsFile;
-import io.sequoialink.platform.HttpClientPool;
+import io.sequoialink.remote.HttpClientPool;
 import picocli.CommandLine;
 
 /**
--- a/cli/src/test/java/io/sequoialink/cli/scenarios/ConfigurationSteps.java
+++ b/cli/src/test/java/io/sequoialink/cli/scenarios/ConfigurationSteps.java
@@ -17,7 +17,7 @@
 import io.sequoialink.model.CatalogueView;
 import io.sequoialink.model.ClassId;
 import io.sequoialink.model.RequestClass;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/daemon/src/main/java/io/sequoialink/daemon/host/ConfiguredHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/ConfiguredHost.java
@@ -11,13 +11,13 @@
 import io.sequoialink.daemon.settings.Settings;
 import io.sequoialink.membership.PeerKeys;
 import io.sequoialink.model.HostId;
-import io.sequoialink.platform.HttpAddress;
-import io.sequoialink.platform.HttpClientPool;
-import io.sequoialink.platform.HttpEngineClient;
-import io.sequoialink.platform.HttpHostDirectory;
-import io.sequoialink.platform.HttpPlatformLog;
-import io.sequoialink.platform.HttpRatingService;
-import io.sequoialink.platform.HttpServiceClient;
+import io.sequoialink.remote.HttpAddress;
+import io.sequoialink.remote.HttpClientPool;
+import io.sequoialink.remote.HttpEngineClient;
+import io.sequoialink.remote.HttpHostDirectory;
+import io.sequoialink.remote.HttpPlatformLog;
+import io.sequoialink.remote.HttpRatingService;
+import io.sequoialink.remote.HttpServiceClient;
 import io.sequoialink.router.SessionTokens;
 
 /**
--- a/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/EntryHost.java
@@ -23,7 +23,7 @@
 import io.sequoialink.membership.Peers;
 import io.sequoialink.model.HostId;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.PlatformLog;
+import io.sequoialink.remote.PlatformLog;
 import io.sequoialink.router.BrakeTable;
 import io.sequoialink.router.ChatRouter;
 import io.sequoialink.router.Clock;
--- a/daemon/src/main/java/io/sequoialink/daemon/host/HostBills.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/HostBills.java
@@ -13,10 +13,10 @@
 import io.sequoialink.membership.Peers;
 import io.sequoialink.model.Bill;
 import io.sequoialink.model.HostId;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.TrimmedException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.TrimmedException;
 
 /**
  * Ties the bill journal to the peers, and reads the stream of bills for operators.
--- a/daemon/src/main/java/io/sequoialink/daemon/host/OutsideSystems.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/OutsideSystems.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.util.Objects;
 
-import io.sequoialink.platform.EngineClient;
-import io.sequoialink.platform.HostDirectory;
-import io.sequoialink.platform.PlatformLog;
-import io.sequoialink.platform.RatingService;
-import io.sequoialink.platform.ServiceClient;
+import io.sequoialink.remote.EngineClient;
+import io.sequoialink.remote.HostDirectory;
+import io.sequoialink.remote.PlatformLog;
+import io.sequoialink.remote.RatingService;
+import io.sequoialink.remote.ServiceClient;
 
 /**
  * The clients of all systems outside the fleet. Immutable and thread-safe.
--- a/daemon/src/main/java/io/sequoialink/daemon/host/RolloutDuty.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/RolloutDuty.java
@@ -11,7 +11,7 @@
 import io.sequoialink.model.CatalogueView;
 import io.sequoialink.model.HostId;
 import io.sequoialink.model.Rollout;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 import io.sequoialink.router.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/daemon/src/main/java/io/sequoialink/daemon/host/TailExchange.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/host/TailExchange.java
@@ -13,7 +13,7 @@
 import io.sequoialink.membership.Member;
 import io.sequoialink.membership.Peers;
 import io.sequoialink.model.Json;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/daemon/src/main/java/io/sequoialink/daemon/http/AdminRoutes.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/AdminRoutes.java
@@ -21,7 +21,7 @@
 import io.sequoialink.model.RefusalCode;
 import io.sequoialink.model.RequestId;
 import io.sequoialink.model.Selector;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 import io.sequoialink.router.RefusedException;
 
 /**
--- a/daemon/src/main/java/io/sequoialink/daemon/http/ChatBody.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/ChatBody.java
@@ -11,7 +11,7 @@
 import io.sequoialink.model.Json;
 import io.sequoialink.model.RefusalCode;
 import io.sequoialink.model.VersionId;
-import io.sequoialink.platform.EngineClient.Message;
+import io.sequoialink.remote.EngineClient.Message;
 import io.sequoialink.router.CallerContext;
 import io.sequoialink.router.ChatRequest;
 import io.sequoialink.router.RefusedException;
--- a/daemon/src/main/java/io/sequoialink/daemon/http/ChatHandler.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/ChatHandler.java
@@ -9,7 +9,7 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.Refusal;
-import io.sequoialink.platform.CallerGoneException;
+import io.sequoialink.remote.CallerGoneException;
 import io.sequoialink.router.AnswerHead;
 import io.sequoialink.router.AnswerSink;
 import io.sequoialink.router.CallerContext;
--- a/daemon/src/main/java/io/sequoialink/daemon/http/Exchange.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/Exchange.java
@@ -11,7 +11,7 @@
 import io.sequoialink.model.Refusal;
 import io.sequoialink.model.RefusalCode;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.CallerGoneException;
+import io.sequoialink.remote.CallerGoneException;
 import io.sequoialink.router.RefusedException;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.BlockingIterator;
--- a/daemon/src/main/java/io/sequoialink/daemon/http/ServiceHandler.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/ServiceHandler.java
@@ -6,7 +6,7 @@
 
 import io.sequoialink.model.Identifiers;
 import io.sequoialink.model.RefusalCode;
-import io.sequoialink.platform.ServiceClient;
+import io.sequoialink.remote.ServiceClient;
 import io.sequoialink.router.RefusedException;
 import io.sequoialink.router.ServiceRequest;
 import io.sequoialink.router.ServiceRouter;
--- a/daemon/src/main/java/io/sequoialink/daemon/http/Withdrawal.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/Withdrawal.java
@@ -18,7 +18,7 @@
 import io.sequoialink.model.Selector;
 import io.sequoialink.model.VersionId;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * Withdraws versions and reports where the withdrawal is in force. Thread-safe.
--- a/daemon/src/main/java/io/sequoialink/daemon/settings/Binder.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/settings/Binder.java
@@ -15,7 +15,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.TextNode;
-import io.sequoialink.platform.HttpAddress;
+import io.sequoialink.remote.HttpAddress;
 import jakarta.validation.ConstraintViolation;
 import jakarta.validation.Validation;
 import jakarta.validation.Validator;
--- a/daemon/src/main/java/io/sequoialink/daemon/settings/PeerSettings.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/settings/PeerSettings.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import io.sequoialink.platform.HttpAddress;
+import io.sequoialink.remote.HttpAddress;
 
 /**
  * Where other hosts are met first. Immutable and thread-safe.
--- a/daemon/src/main/java/io/sequoialink/daemon/settings/PlatformSettings.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/settings/PlatformSettings.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-import io.sequoialink.platform.HttpAddress;
+import io.sequoialink.remote.HttpAddress;
 
 /**
  * Where the platform's services are. Immutable and thread-safe.
--- a/ledger/src/main/java/io/sequoialink/ledger/ClaimTable.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/ClaimTable.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * At-most-once execution of non-idempotent work. The first claim in log order wins and is
--- a/ledger/src/main/java/io/sequoialink/ledger/bills/BillFold.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/bills/BillFold.java
@@ -14,7 +14,7 @@
 import io.sequoialink.model.Bill;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 
 /**
  * Reads the stream of bills and drops repetitions by request. The fold remembers the
--- a/ledger/src/main/java/io/sequoialink/ledger/bills/LogBillJournal.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/bills/LogBillJournal.java
@@ -16,9 +16,9 @@
 import io.sequoialink.model.Bill;
 import io.sequoialink.model.HostId;
 import io.sequoialink.model.Json;
-import io.sequoialink.platform.AppendUnknownException;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.AppendUnknownException;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/ledger/src/main/java/io/sequoialink/ledger/claims/ClaimFold.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/claims/ClaimFold.java
@@ -14,7 +14,7 @@
 import java.util.function.UnaryOperator;
 
 import io.sequoialink.ledger.ClaimKey;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/ledger/src/main/java/io/sequoialink/ledger/claims/ClaimReader.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/claims/ClaimReader.java
@@ -8,10 +8,10 @@
 
 import io.sequoialink.ledger.ClaimKey;
 import io.sequoialink.ledger.RecordedOutcome;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.TrimmedException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.TrimmedException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/ledger/src/main/java/io/sequoialink/ledger/claims/GroupAppender.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/claims/GroupAppender.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 
-import io.sequoialink.platform.AppendUnknownException;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.AppendUnknownException;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * Sends records that arrive during one append together in the next one, so that a host
--- a/ledger/src/main/java/io/sequoialink/ledger/leases/LeaseTable.java
+++ b/ledger/src/main/java/io/sequoialink/ledger/leases/LeaseTable.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * Exclusive duties of one host, such as orders to one engine. Implementations are
--- a/ledger/src/test/java/io/sequoialink/ledger/bills/BillBookTests.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/bills/BillBookTests.java
@@ -14,7 +14,7 @@
 import io.sequoialink.model.HostId;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/ledger/src/test/java/io/sequoialink/ledger/bills/BillExplorer.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/bills/BillExplorer.java
@@ -17,7 +17,7 @@
 import io.sequoialink.model.HostId;
 import io.sequoialink.model.Json;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.LogRecord;
+import io.sequoialink.remote.LogRecord;
 
 /**
  * Three hosts with bill books under seeded faults: messages lost, repeated and late,
--- a/ledger/src/test/java/io/sequoialink/ledger/bills/LogBillJournalTests.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/bills/LogBillJournalTests.java
@@ -15,10 +15,10 @@
 import io.sequoialink.model.Bill;
 import io.sequoialink.model.HostId;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.AppendUnknownException;
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.AppendUnknownException;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
+import io.sequoialink.remote.LogUnavailableException;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
--- a/ledger/src/test/java/io/sequoialink/ledger/claims/ClaimExplorer.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/claims/ClaimExplorer.java
@@ -18,7 +18,7 @@
 import io.sequoialink.ledger.RecordedOutcome;
 import io.sequoialink.model.AccountId;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * Runs three hosts over one log in an order and with faults that a seed decides, and
--- a/ledger/src/test/java/io/sequoialink/ledger/claims/GroupAppenderTests.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/claims/GroupAppenderTests.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.sequoialink.catalogue.MemoryLogStream;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/ledger/src/test/java/io/sequoialink/ledger/claims/LogClaimTableTests.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/claims/LogClaimTableTests.java
@@ -11,7 +11,7 @@
 import io.sequoialink.ledger.RecordedOutcome;
 import io.sequoialink.model.AccountId;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
--- a/ledger/src/test/java/io/sequoialink/ledger/leases/LeaseExplorer.java
+++ b/ledger/src/test/java/io/sequoialink/ledger/leases/LeaseExplorer.java
@@ -9,7 +9,7 @@
 import io.sequoialink.catalogue.Interleaver;
 import io.sequoialink.catalogue.MemoryLogStream;
 import io.sequoialink.catalogue.SteppedLogStream;
-import io.sequoialink.platform.LogUnavailableException;
+import io.sequoialink.remote.LogUnavailableException;
 
 /**
  * Runs three hosts that give orders to one engine, which ignores fencing numbers, in an
--- a/platform/src/main/java/io/sequoialink/platform/AppendUnknownException.java
+++ b/remote/src/main/java/io/sequoialink/remote/AppendUnknownException.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 /**
  * No answer to an append arrived; it may have taken effect. The log must be read to
--- a/platform/src/main/java/io/sequoialink/platform/CallerGoneException.java
+++ b/remote/src/main/java/io/sequoialink/remote/CallerGoneException.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 /**
  * The caller closed its connection before its answer was whole. Immutable.
--- a/platform/src/main/java/io/sequoialink/platform/HttpClientPool.java
+++ b/remote/src/main/java/io/sequoialink/remote/HttpClientPool.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -122,7 +122,7 @@
 	}
 
 	private void retire(HttpAddress address, StreamingHttpClient client) {
-		LOG.debug(PlatformEvents.CLIENT_CLOSED, address);
+		LOG.debug(RemoteEvents.CLIENT_CLOSED, address);
 		client.closeAsyncGracefully().subscribe();
 	}
 
--- a/platform/src/main/java/io/sequoialink/platform/HttpEngineClient.java
+++ b/remote/src/main/java/io/sequoialink/remote/HttpEngineClient.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -131,7 +131,7 @@
 			return order.result();
 		}
 		this.truncated.increment();
-		LOG.warn(PlatformEvents.ANSWER_TRUNCATED, server.id(), request.request(), order.next(), order.expected());
+		LOG.warn(RemoteEvents.ANSWER_TRUNCATED, server.id(), request.request(), order.next(), order.expected());
 		throw new BackendException(BackendException.Kind.CUT_OFF, Effect.UNKNOWN,
 				server.id() + " ended its answer to " + request.request() + " after " + order.next() + " tokens");
 	}
@@ -141,8 +141,7 @@
 		this.duplicates.add(order.duplicates());
 		this.reordered.add(order.reordered());
 		if (order.foreign() + order.duplicates() > 0) {
-			LOG.warn(PlatformEvents.TOKENS_DROPPED, server.id(), order.foreign(), order.duplicates(),
-					request.request());
+			LOG.warn(RemoteEvents.TOKENS_DROPPED, server.id(), order.foreign(), order.duplicates(), request.request());
 		}
 	}
 
@@ -151,7 +150,7 @@
 			cancel(server, request.request(), request.attempt());
 		}
 		catch (BackendException ex) {
-			LOG.info(PlatformEvents.CANCEL_FAILED, request.request(), server.id(), ex.getMessage());
+			LOG.info(RemoteEvents.CANCEL_FAILED, request.request(), server.id(), ex.getMessage());
 		}
 	}
 
--- a/platform/src/main/java/io/sequoialink/platform/HttpServiceClient.java
+++ b/remote/src/main/java/io/sequoialink/remote/HttpServiceClient.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 import io.sequoialink.model.BackendServer;
 import io.sequoialink.model.Effect;
--- a/platform/src/main/java/io/sequoialink/platform/LogUnavailableException.java
+++ b/remote/src/main/java/io/sequoialink/remote/LogUnavailableException.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 /**
  * The log refused a call or could not be reached; the call had no effect. Immutable.
--- a/platform/src/main/java/io/sequoialink/platform/PlatformException.java
+++ b/remote/src/main/java/io/sequoialink/remote/PlatformException.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 /**
  * A call to the platform or to a backend server did not give its result. Immutable.
--- a/platform/src/main/java/io/sequoialink/platform/PlatformLog.java
+++ b/remote/src/main/java/io/sequoialink/remote/PlatformLog.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 /**
  * The platform's log service. Implementations are thread-safe.
--- a/platform/src/main/java/io/sequoialink/platform/RatingService.java
+++ b/remote/src/main/java/io/sequoialink/remote/RatingService.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 import java.util.OptionalDouble;
 
--- a/platform/src/main/java/io/sequoialink/platform/PlatformEvents.java
+++ b/remote/src/main/java/io/sequoialink/remote/RemoteEvents.java
@@ -1,9 +1,9 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 /**
  * The numbered log events of this module. Stateless.
  */
-final class PlatformEvents {
+final class RemoteEvents {
 
 	static final String CLIENT_CLOSED = "SL-2801 HTTP client of {} closed";
 
@@ -13,7 +13,7 @@
 
 	static final String ANSWER_TRUNCATED = "SL-2804 server {} ended its answer to {} without all tokens: {} of {}";
 
-	private PlatformEvents() {
+	private RemoteEvents() {
 	}
 
 }
--- a/platform/src/main/java/io/sequoialink/platform/TokenOrder.java
+++ b/remote/src/main/java/io/sequoialink/remote/TokenOrder.java
@@ -1,12 +1,12 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 import java.util.Optional;
 import java.util.TreeMap;
 
 import io.sequoialink.model.Effect;
-import io.sequoialink.platform.EngineClient.EngineRequest;
-import io.sequoialink.platform.EngineClient.EngineResult;
-import io.sequoialink.platform.EngineClient.TokenSink;
+import io.sequoialink.remote.EngineClient.EngineRequest;
+import io.sequoialink.remote.EngineClient.EngineResult;
+import io.sequoialink.remote.EngineClient.TokenSink;
 
 /**
  * Puts the tokens of one answer in order. Confined to one thread. The sink sees each
--- a/platform/src/main/java/io/sequoialink/platform/TrimmedException.java
+++ b/remote/src/main/java/io/sequoialink/remote/TrimmedException.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 /**
  * Retention has removed a record that a reader still wanted. The reader's state has a gap
--- a/platform/src/main/java/io/sequoialink/platform/package-info.java
+++ b/remote/src/main/java/io/sequoialink/remote/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Narrow interfaces to the platform's services and to the model engines.
  */
-package io.sequoialink.platform;
+package io.sequoialink.remote;
--- a/platform/src/test/java/io/sequoialink/platform/TokenOrderTests.java
+++ b/remote/src/test/java/io/sequoialink/remote/TokenOrderTests.java
@@ -1,4 +1,4 @@
-package io.sequoialink.platform;
+package io.sequoialink.remote;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -11,7 +11,7 @@
 import io.sequoialink.model.ClassId;
 import io.sequoialink.model.RequestId;
 import io.sequoialink.model.VersionId;
-import io.sequoialink.platform.EngineClient.EngineRequest;
+import io.sequoialink.remote.EngineClient.EngineRequest;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.netty.BufferAllocators;
 import net.jqwik.api.ForAll;
--- a/router/src/main/java/io/sequoialink/router/AnswerSink.java
+++ b/router/src/main/java/io/sequoialink/router/AnswerSink.java
@@ -1,6 +1,6 @@
 package io.sequoialink.router;
 
-import io.sequoialink.platform.CallerGoneException;
+import io.sequoialink.remote.CallerGoneException;
 
 /**
  * Takes a streamed answer. Called on the worker thread of the request, in order.
--- a/router/src/main/java/io/sequoialink/router/AttemptAnswer.java
+++ b/router/src/main/java/io/sequoialink/router/AttemptAnswer.java
@@ -2,7 +2,7 @@
 
 import io.sequoialink.decision.Attempt;
 import io.sequoialink.model.ModelVersion;
-import io.sequoialink.platform.EngineClient;
+import io.sequoialink.remote.EngineClient;
 
 /**
  * A whole answer of one attempt. Immutable and thread-safe.
--- a/router/src/main/java/io/sequoialink/router/AttemptRunner.java
+++ b/router/src/main/java/io/sequoialink/router/AttemptRunner.java
@@ -21,8 +21,8 @@
 import io.sequoialink.model.ServerId;
 import io.sequoialink.model.ServerKind;
 import io.sequoialink.model.VersionId;
-import io.sequoialink.platform.BackendException;
-import io.sequoialink.platform.EngineClient;
+import io.sequoialink.remote.BackendException;
+import io.sequoialink.remote.EngineClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/router/src/main/java/io/sequoialink/router/ChatRequest.java
+++ b/router/src/main/java/io/sequoialink/router/ChatRequest.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 
 import io.sequoialink.model.VersionId;
-import io.sequoialink.platform.EngineClient.Message;
+import io.sequoialink.remote.EngineClient.Message;
 
 /**
  * A caller's request for a model's answer. Immutable and thread-safe.
--- a/router/src/main/java/io/sequoialink/router/ChatRouter.java
+++ b/router/src/main/java/io/sequoialink/router/ChatRouter.java
@@ -22,7 +22,7 @@
 import io.sequoialink.model.Refusal;
 import io.sequoialink.model.RefusalCode;
 import io.sequoialink.model.VersionId;
-import io.sequoialink.platform.RatingService;
+import io.sequoialink.remote.RatingService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/router/src/main/java/io/sequoialink/router/Digests.java
+++ b/router/src/main/java/io/sequoialink/router/Digests.java
@@ -6,7 +6,7 @@
 import java.util.HexFormat;
 import java.util.List;
 
-import io.sequoialink.platform.EngineClient.Message;
+import io.sequoialink.remote.EngineClient.Message;
 
 /**
  * Digests of keys and prompts. Stateless and thread-safe.
--- a/router/src/main/java/io/sequoialink/router/RatingDesk.java
+++ b/router/src/main/java/io/sequoialink/router/RatingDesk.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 
-import io.sequoialink.platform.RatingService;
-import io.sequoialink.platform.RatingUnavailableException;
+import io.sequoialink.remote.RatingService;
+import io.sequoialink.remote.RatingUnavailableException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/router/src/main/java/io/sequoialink/router/RouterContext.java
+++ b/router/src/main/java/io/sequoialink/router/RouterContext.java
@@ -15,9 +15,9 @@
 import io.sequoialink.ledger.BillJournal;
 import io.sequoialink.ledger.ClaimTable;
 import io.sequoialink.model.Brake;
-import io.sequoialink.platform.EngineClient;
-import io.sequoialink.platform.RatingService;
-import io.sequoialink.platform.ServiceClient;
+import io.sequoialink.remote.EngineClient;
+import io.sequoialink.remote.RatingService;
+import io.sequoialink.remote.ServiceClient;
 
 /**
  * The shared tables, policies and clients of one host's router. Immutable and
--- a/router/src/main/java/io/sequoialink/router/ServiceRouter.java
+++ b/router/src/main/java/io/sequoialink/router/ServiceRouter.java
@@ -30,9 +30,9 @@
 import io.sequoialink.model.ServerId;
 import io.sequoialink.model.ServerKind;
 import io.sequoialink.model.VersionId;
-import io.sequoialink.platform.BackendException;
-import io.sequoialink.platform.LogUnavailableException;
-import io.sequoialink.platform.ServiceClient;
+import io.sequoialink.remote.BackendException;
+import io.sequoialink.remote.LogUnavailableException;
+import io.sequoialink.remote.ServiceClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/router/src/main/java/io/sequoialink/router/TokenCollector.java
+++ b/router/src/main/java/io/sequoialink/router/TokenCollector.java
@@ -1,7 +1,7 @@
 package io.sequoialink.router;
 
-import io.sequoialink.platform.CallerGoneException;
-import io.sequoialink.platform.EngineClient;
+import io.sequoialink.remote.CallerGoneException;
+import io.sequoialink.remote.EngineClient;
 
 /**
  * Collects the tokens of one attempt and hands them on when the answer is streamed.
--- a/router/src/test/java/io/sequoialink/router/RouterFixture.java
+++ b/router/src/test/java/io/sequoialink/router/RouterFixture.java
@@ -55,10 +55,10 @@
 import io.sequoialink.model.ServerKind;
 import io.sequoialink.model.VersionId;
 import io.sequoialink.model.VersionState;
-import io.sequoialink.platform.BackendException;
-import io.sequoialink.platform.CallerGoneException;
-import io.sequoialink.platform.EngineClient;
-import io.sequoialink.platform.ServiceClient;
+import io.sequoialink.remote.BackendException;
+import io.sequoialink.remote.CallerGoneException;
+import io.sequoialink.remote.EngineClient;
+import io.sequoialink.remote.ServiceClient;
 
 /**
  * A router over scripted engines, services, claims and a clock that the test moves. Not
--- a/router/src/test/java/io/sequoialink/router/ServiceRouterTests.java
+++ b/router/src/test/java/io/sequoialink/router/ServiceRouterTests.java
@@ -9,7 +9,7 @@
 import io.sequoialink.model.Effect;
 import io.sequoialink.model.RefusalCode;
 import io.sequoialink.model.RequestId;
-import io.sequoialink.platform.BackendException.Kind;
+import io.sequoialink.remote.BackendException.Kind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
--- a/standin/src/main/java/io/sequoialink/standin/AnswerStream.java
+++ b/standin/src/main/java/io/sequoialink/standin/AnswerStream.java
@@ -6,8 +6,8 @@
 import java.util.function.Predicate;
 
 import io.sequoialink.model.Json;
-import io.sequoialink.platform.EngineClient.EngineRequest;
-import io.sequoialink.platform.TokenEvent;
+import io.sequoialink.remote.EngineClient.EngineRequest;
+import io.sequoialink.remote.TokenEvent;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.HttpPayloadWriter;
 
--- a/standin/src/main/java/io/sequoialink/standin/EngineRun.java
+++ b/standin/src/main/java/io/sequoialink/standin/EngineRun.java
@@ -1,6 +1,6 @@
 package io.sequoialink.standin;
 
-import io.sequoialink.platform.EngineClient.EngineRequest;
+import io.sequoialink.remote.EngineClient.EngineRequest;
 
 /**
  * One run at an engine. Thread-safe; the tokens only grow.
--- a/standin/src/main/java/io/sequoialink/standin/PrefixCache.java
+++ b/standin/src/main/java/io/sequoialink/standin/PrefixCache.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
-import io.sequoialink.platform.EngineClient.Message;
+import io.sequoialink.remote.EngineClient.Message;
 
 /**
  * An engine's cache of prompt prefixes. Thread-safe; guarded by its own monitor. At most
--- a/standin/src/main/java/io/sequoialink/standin/StandinEngine.java
+++ b/standin/src/main/java/io/sequoialink/standin/StandinEngine.java
@@ -15,7 +15,7 @@
 import io.sequoialink.model.RequestId;
 import io.sequoialink.model.ServerId;
 import io.sequoialink.model.ServerKind;
-import io.sequoialink.platform.EngineClient.EngineRequest;
+import io.sequoialink.remote.EngineClient.EngineRequest;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/standin/src/main/java/io/sequoialink/standin/StandinLog.java
+++ b/standin/src/main/java/io/sequoialink/standin/StandinLog.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
-import io.sequoialink.platform.LogRecord;
-import io.sequoialink.platform.LogStream;
+import io.sequoialink.remote.LogRecord;
+import io.sequoialink.remote.LogStream;
 
 /**
  * The platform's append-only log, in memory. Thread-safe; the streams are guarded by
--- a/standin/src/main/java/io/sequoialink/standin/StandinRatingService.java
+++ b/standin/src/main/java/io/sequoialink/standin/StandinRatingService.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
-import io.sequoialink.platform.RatingService.RatedAnswer;
+import io.sequoialink.remote.RatingService.RatedAnswer;
 
 /**
  * The platform's rating service: noisy, late and sometimes silent. Thread-safe.
--- a/standin/src/main/java/io/sequoialink/standin/StandinServer.java
+++ b/standin/src/main/java/io/sequoialink/standin/StandinServer.java
@@ -4,7 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 
-import io.sequoialink.platform.HttpAddress;
+import io.sequoialink.remote.HttpAddress;
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
 import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
 import io.servicetalk.http.api.HttpServerContext;
