--- /dev/null
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
@@ -0,0 +1,150 @@
+package io.sequoialink.decision.cascade;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+
+/**
+ * Chooses among models by their own opinion of an answer, which arrives before the
+ * answer's first part. Starts with the smallest model that is worth a try; drops an
+ * answer in favour of a larger model when the gain in the chance of a good answer
+ * outweighs the price. Confined to one thread.
+ *
+ * <p>
+ * The chance of a good answer is a logistic function of the opinion. What a larger model
+ * gains is learnt from its own opinions of answers that smaller models gave up.
+ */
+public final class ConfidenceCascade {
+
+	/** Opinion at which a good answer is as likely as a bad one. */
+	private static final double EVEN_OPINION = 50;
+
+	/** Share of the starts that try the smallest model though it seldom suffices. */
+	private static final int EXPLORE_ONE_IN = 20;
+
+	/** Weight of a new observation once many are known. */
+	private static final double MIN_WEIGHT = 0.01;
+
+	/** Observations after which a prior counts for nothing. */
+	private static final double TRUSTED_COUNT = 8;
+
+	private final Options options;
+
+	private final Map<String, Learnt> learnt = new HashMap<>();
+
+	private long starts;
+
+	/**
+	 * Creates a cascade that has learnt nothing.
+	 * @param options how answers are weighed against prices
+	 */
+	public ConfidenceCascade(Options options) {
+		this.options = options;
+	}
+
+	/**
+	 * Chooses the model to start with.
+	 * @param route name of the route
+	 * @param models number of models, smallest first
+	 * @return index of the model
+	 */
+	public int start(String route, int models) {
+		this.starts++;
+		if (models < 2) {
+			return 0;
+		}
+		double accepted = learnt(route, 0, 0).value(0.5);
+		boolean worthwhile = accepted >= this.options.minAcceptShare();
+		return (worthwhile || this.starts % EXPLORE_ONE_IN == 0) ? 0 : models - 1;
+	}
+
+	/**
+	 * Judges an answer by its model's opinion.
+	 * @param route name of the route
+	 * @param model index of the model
+	 * @param opinion the opinion, from 0 to 100
+	 * @param prices price of each model, smallest first
+	 * @param timeFactor what an answer of a larger model is worth beside one that can be
+	 * accepted now, 1 if it would still be on time
+	 * @return index of a larger model to ask instead, or empty to accept the answer
+	 */
+	public OptionalInt judge(String route, int model, int opinion, List<Double> prices, double timeFactor) {
+		double chance = chance(opinion);
+		double dearest = prices.get(prices.size() - 1);
+		double best = chance;
+		int choice = -1;
+		for (int larger = model + 1; larger < prices.size(); larger++) {
+			double gain = learnt(route, model, larger).value(0.5 + 0.5 * larger / (prices.size() - 1));
+			double price = (dearest > 0) ? this.options.priceWeight() * prices.get(larger) / dearest : 0;
+			double worth = gain * timeFactor - price;
+			if (worth > best) {
+				best = worth;
+				choice = larger;
+			}
+		}
+		if (model == 0) {
+			learnt(route, 0, 0).observe((choice < 0) ? 1 : 0);
+		}
+		return (choice < 0) ? OptionalInt.empty() : OptionalInt.of(choice);
+	}
+
+	/**
+	 * Learns from the opinion that a larger model has of a request that a smaller model's
+	 * answer was dropped for.
+	 * @param route name of the route
+	 * @param from index of the smaller model
+	 * @param to index of the larger model
+	 * @param opinion the larger model's opinion
+	 */
+	public void escalated(String route, int from, int to, int opinion) {
+		learnt(route, from, to).observe(chance(opinion));
+	}
+
+	private double chance(int opinion) {
+		return 1 / (1 + Math.exp((EVEN_OPINION - opinion) / this.options.opinionScale()));
+	}
+
+	private Learnt learnt(String route, int from, int to) {
+		return this.learnt.computeIfAbsent(route + '/' + from + '/' + to, (key) -> new Learnt());
+	}
+
+	/**
+	 * A mean that follows slow changes. Confined to its cascade.
+	 */
+	private static final class Learnt {
+
+		private double mean;
+
+		private long count;
+
+		private void observe(double value) {
+			this.count++;
+			double weight = Math.max(MIN_WEIGHT, 1.0 / this.count);
+			this.mean += weight * (value - this.mean);
+		}
+
+		private double value(double prior) {
+			double trust = Math.min(1, this.count / TRUSTED_COUNT);
+			return trust * this.mean + (1 - trust) * prior;
+		}
+
+	}
+
+	/**
+	 * How answers are weighed against prices. Immutable.
+	 *
+	 * @param opinionScale change of the opinion that changes the odds by e
+	 * @param priceWeight chance of a good answer that the price of the dearest model is
+	 * worth
+	 * @param minAcceptShare share of accepted answers below which the smallest model is
+	 * skipped
+	 */
+	public record Options(double opinionScale, double priceWeight, double minAcceptShare) {
+
+		/** Values that were measured on the users' deployments. */
+		public static final Options DEFAULT = new Options(12, 0.25, 0.1);
+
+	}
+
+}
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -6,22 +6,28 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.feed.FleetUpdates;
 import io.sequoialink.gateway.feed.FollowPace;
 import io.sequoialink.gateway.feed.LoopTimer;
+import io.sequoialink.gateway.feed.RecordSink;
 import io.sequoialink.gateway.feed.TopicFollower;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.http.BackendPool;
 import io.sequoialink.gateway.http.FrontServer;
 import io.sequoialink.gateway.http.Gateway;
 import io.sequoialink.gateway.http.ReadinessServer;
-import io.sequoialink.gateway.place.LeastLoadedOfTwo;
+import io.sequoialink.gateway.place.LeastWorkChoice;
+import io.sequoialink.gateway.place.ReadingSpeed;
 import io.sequoialink.gateway.place.ServerTable;
+import io.sequoialink.gateway.place.UsualPace;
+import io.sequoialink.gateway.rollout.RolloutWatch;
 import io.sequoialink.platform.HeaderDialect;
 import io.sequoialink.platform.OperatorRecords;
 import io.sequoialink.platform.ServerRecords;
+import io.sequoialink.platform.StatusRecords;
 import io.sequoialink.platform.StoreConnections;
 import io.sequoialink.platform.StoreTopic;
 import org.slf4j.Logger;
@@ -44,6 +50,9 @@
 	 */
 	private static final FollowPace SERVER_PACE = new FollowPace(1000, 700, 300);
 
+	/** Hosts publish in bursts while a roll-out is under way. */
+	private static final FollowPace STATUS_PACE = new FollowPace(2000, 300, 300);
+
 	/**
 	 * Time from the request to stop until the platform sends no more connections, in
 	 * milliseconds.
@@ -65,7 +74,13 @@
 
 	private final FleetView view = new FleetView();
 
-	private final FleetUpdates updates = new FleetUpdates(this.view, System::nanoTime);
+	private final StoreConnections store;
+
+	private final StatusRecords statuses;
+
+	private final RolloutWatch rollouts;
+
+	private final FleetUpdates updates;
 
 	private final FrontServer front;
 
@@ -80,12 +95,22 @@
 	public EntryHost(EntrySettings settings) {
 		this.settings = settings;
 		HeaderDialect dialect = new HeaderDialect();
-		ServerTable servers = new ServerTable(this.view);
 		EntrySettings.Bounds bounds = settings.bounds();
+		this.store = new StoreConnections(settings.store(), this.loop);
+		this.statuses = new StatusRecords(new StoreTopic(this.store, "status"));
+		SplittableRandom random = new SplittableRandom();
+		this.rollouts = new RolloutWatch(settings.host(),
+				new RolloutWatch.Options(bounds.exposureShare(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis())),
+				this.statuses, System::nanoTime, random);
+		this.updates = new FleetUpdates(this.view, this.rollouts, this::followStatuses, System::nanoTime);
+		this.statuses.readInto(this.updates);
+		ServerTable servers = new ServerTable(this.view);
+		ReadingSpeed speed = new ReadingSpeed();
 		RepeatBudget budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack() / 16,
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
 		Gateway gateway = new Gateway(this.view, servers,
-				new LeastLoadedOfTwo(servers, System::nanoTime, new SplittableRandom()),
+				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
+				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.rollouts, speed, new UsualPace(),
 				new BackendPool(this.loops, dialect), dialect, budget, System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
@@ -104,15 +129,23 @@
 	}
 
 	private void follow() {
-		StoreConnections store = new StoreConnections(this.settings.store(), this.loop);
+		follow("op", new OperatorRecords(this.updates), OPERATOR_PACE);
+		follow("servers", new ServerRecords(this.updates), SERVER_PACE);
+		this.loop.scheduleAtFixedRate(this::tick, POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void followStatuses() {
+		follow("status", this.statuses, STATUS_PACE);
+	}
+
+	private void follow(String topic, RecordSink sink, FollowPace pace) {
 		LoopTimer timer = (work, millis) -> this.loop.schedule(work, millis, TimeUnit.MILLISECONDS);
-		new TopicFollower(new StoreTopic(store, "op"), new OperatorRecords(this.updates), OPERATOR_PACE, timer,
-				System::nanoTime)
-			.start();
-		new TopicFollower(new StoreTopic(store, "servers"), new ServerRecords(this.updates), SERVER_PACE, timer,
-				System::nanoTime)
-			.start();
-		this.loop.scheduleAtFixedRate(this.updates::sweep, POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
+		new TopicFollower(new StoreTopic(this.store, topic), sink, pace, timer, System::nanoTime).start();
+	}
+
+	private void tick() {
+		this.updates.sweep();
+		this.rollouts.tick();
 	}
 
 	private boolean ready() {
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -11,6 +11,9 @@
 	/** A send ended without a complete answer. */
 	public static final String SEND_ENDED = "SL-3102 request {} send {} to {} ended: {} after {} ms";
 
+	/** An answer was dropped for a larger model's. */
+	public static final String ANSWER_DROPPED = "SL-3104 request {}: answer of {} with opinion {} dropped for {}";
+
 	/** A backend server is avoided. */
 	public static final String SERVER_AVOIDED = "SL-3103 server {} is avoided after {}";
 
@@ -44,6 +47,21 @@
 	/** Readiness changed. */
 	public static final String READINESS = "SL-3004 host {} is {}: {}";
 
+	/** An operator ordered a roll-out. */
+	public static final String ROLLOUT_ORDERED = "SL-3301 roll-out of {} to {} within {} ms was ordered at offset {}";
+
+	/** This host gives the new version no more work. */
+	public static final String ROLLOUT_STOPPED = "SL-3302 roll-out of {} to {}: answers speak against it; this host saw {} bad of {}";
+
+	/** This host wrote a state. */
+	public static final String ROLLOUT_WRITTEN = "SL-3303 roll-out of {} to {}: wrote {} at offset {}";
+
+	/** This host could not write a state. */
+	public static final String ROLLOUT_NOT_WRITTEN = "SL-3304 roll-out of {} to {}: could not write {}: {}, {}";
+
+	/** A roll-out ended. */
+	public static final String ROLLOUT_ENDED = "SL-3305 roll-out of {} to {} is {}, read at offset {}";
+
 	private GatewayEvents() {
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetUpdates.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetUpdates.java
@@ -10,7 +10,10 @@
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.Found;
 import io.sequoialink.gateway.fleet.RolloutOrder;
+import io.sequoialink.gateway.fleet.RolloutStatus;
 import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.rollout.HostEvidence;
+import io.sequoialink.gateway.rollout.RolloutWatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,6 +34,10 @@
 
 	private final FleetView view;
 
+	private final RolloutWatch rollouts;
+
+	private final Runnable firstOrder;
+
 	private final LongSupplier clock;
 
 	private final Map<String, Long> leaving = new HashMap<>();
@@ -39,15 +46,24 @@
 
 	private boolean serversRead;
 
+	private boolean ordered;
+
+	private boolean statusesRead;
+
 	private long outageEnded;
 
 	/**
 	 * Creates the updates of a view.
 	 * @param view the view
+	 * @param rollouts carries out roll-outs
+	 * @param firstOrder run when the first order to roll out is read, to follow what
+	 * hosts publish
 	 * @param clock monotonic time in nanoseconds
 	 */
-	public FleetUpdates(FleetView view, LongSupplier clock) {
+	public FleetUpdates(FleetView view, RolloutWatch rollouts, Runnable firstOrder, LongSupplier clock) {
 		this.view = view;
+		this.rollouts = rollouts;
+		this.firstOrder = firstOrder;
 		this.clock = clock;
 	}
 
@@ -67,7 +83,36 @@
 	 * @param order the order
 	 */
 	public void order(Found<RolloutOrder> order) {
-		this.view.put(order);
+		this.rollouts.order(order);
+		if (!this.ordered) {
+			this.ordered = true;
+			this.firstOrder.run();
+		}
+	}
+
+	/**
+	 * Takes a published state of a roll-out.
+	 * @param status the state
+	 */
+	public void status(Found<RolloutStatus> status) {
+		this.rollouts.status(status);
+	}
+
+	/**
+	 * Takes what a host saw of a roll-out.
+	 * @param evidence the evidence
+	 */
+	public void evidence(HostEvidence evidence) {
+		this.rollouts.evidence(evidence);
+	}
+
+	/**
+	 * Notes how far the published states of roll-outs were read.
+	 * @param end offset after the last record
+	 */
+	public void statusesRead(long end) {
+		this.statusesRead = true;
+		this.rollouts.read(end);
 	}
 
 	/**
@@ -154,10 +199,11 @@
 
 	/**
 	 * Returns whether the view rests on what the store holds.
-	 * @return whether configuration and servers were read
+	 * @return whether configuration, servers and roll-outs under way were read
 	 */
 	public boolean complete() {
-		return this.operatorRead && this.serversRead && this.view.configuration().isPresent();
+		boolean rolloutsKnown = !this.ordered || this.statusesRead;
+		return this.operatorRead && this.serversRead && rolloutsKnown && this.view.configuration().isPresent();
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/RecordSink.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/RecordSink.java
@@ -12,8 +12,15 @@
 	void take(KeyedRecord record);
 
 	/**
-	 * The topic was read whole, up to now.
+	 * The topic was read up to its end, as it is now.
+	 * @param end offset after the last record
 	 */
-	void caughtUp();
+	void caughtUp(long end);
+
+	/**
+	 * The topic is read again after it could not be for a while; what was missed follows.
+	 */
+	default void returned() {
+	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -135,7 +135,7 @@
 		dropMissing(from);
 		this.next = from;
 		this.whole = true;
-		this.sink.caughtUp();
+		this.sink.caughtUp(from);
 		readTail();
 	}
 
@@ -181,10 +181,10 @@
 		List<KeyedRecord> records = tail.records();
 		records.forEach(this::handOn);
 		this.next = Math.max(this.next, tail.next());
-		if (!records.isEmpty()) {
-			this.sink.caughtUp();
-		}
 		boolean more = this.next < tail.end();
+		if (!more) {
+			this.sink.caughtUp(this.next);
+		}
 		this.timer.later(this::readTail, more ? 0 : this.pace.pauseMillis());
 	}
 
@@ -195,6 +195,7 @@
 					this.next);
 			this.lostSince = 0;
 			this.backSince = now;
+			this.sink.returned();
 		}
 		if (this.backSince == 0) {
 			this.backSince = now;
--- a/gateway/src/main/java/io/sequoialink/gateway/fleet/FleetView.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/fleet/FleetView.java
@@ -19,10 +19,6 @@
 
 	private final Map<String, ServerEntry> servers = new HashMap<>();
 
-	private final Map<String, Found<RolloutOrder>> orders = new LinkedHashMap<>();
-
-	private final Map<String, Found<RolloutStatus>> statuses = new HashMap<>();
-
 	/**
 	 * Takes a version of the configuration, unless a newer one is known.
 	 * @param offered the configuration
@@ -96,37 +92,4 @@
 		return (known != null) ? Collections.unmodifiableCollection(known.values()) : Collections.emptyList();
 	}
 
-	/**
-	 * Takes an order to roll out.
-	 * @param order the order with its offset
-	 */
-	public void put(Found<RolloutOrder> order) {
-		this.orders.put(order.value().service(), order);
-	}
-
-	/**
-	 * Returns the orders to roll out by service.
-	 * @return the newest order of each service
-	 */
-	public Map<String, Found<RolloutOrder>> orders() {
-		return Collections.unmodifiableMap(this.orders);
-	}
-
-	/**
-	 * Takes the published state of a roll-out.
-	 * @param status the state with its offset
-	 */
-	public void putStatus(Found<RolloutStatus> status) {
-		this.statuses.put(status.value().service(), status);
-	}
-
-	/**
-	 * Returns the published state of a service's roll-out.
-	 * @param service name of the service
-	 * @return the state, if one was published
-	 */
-	public Optional<Found<RolloutStatus>> status(String service) {
-		return Optional.ofNullable(this.statuses.get(service));
-	}
-
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/fleet/RolloutStatus.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/fleet/RolloutStatus.java
@@ -6,8 +6,8 @@
  * @param service name of the service
  * @param target version that is moved to
  * @param state where the roll-out stands
- * @param share share of the sessions that go to the new version, from 0 to 1
  * @param order offset of the order's record, so that a repeated order is told apart
+ * @param ageMillis time from the order until now, in milliseconds; 0 if not known
  */
-public record RolloutStatus(String service, String target, RolloutState state, double share, long order) {
+public record RolloutStatus(String service, String target, RolloutState state, long order, long ageMillis) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -6,7 +6,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.place.EngineWork;
+import io.sequoialink.gateway.place.Placed;
 import io.sequoialink.gateway.place.ServerState;
+import io.sequoialink.gateway.place.UsualPace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,6 +26,9 @@
 
 	private static final int MISDIRECTED = 421;
 
+	/** Streams with fewer events say little of their pace. */
+	private static final int MIN_PACED_EVENTS = 3;
+
 	private enum Verdict {
 
 		NONE, NOT_RUN, FAILURE, SUCCESS
@@ -33,8 +39,18 @@
 
 	private final ServerState server;
 
+	private final EngineWork work;
+
+	private final double workMillis;
+
 	private final long begun;
 
+	private boolean answering;
+
+	private boolean alone;
+
+	private long headAt;
+
 	private BackendSend send;
 
 	private Verdict verdict = Verdict.NONE;
@@ -49,15 +65,18 @@
 
 	private boolean over;
 
-	Attempt(Exchange exchange, ServerState server) {
+	Attempt(Exchange exchange, Placed placed, EngineWork work) {
 		this.exchange = exchange;
-		this.server = server;
+		this.server = placed.server();
+		this.workMillis = placed.workMillis();
+		this.work = work;
 		this.begun = exchange.now();
 	}
 
 	void begin(BackendSend sending) {
 		this.send = sending;
-		this.server.sent();
+		this.alone = this.server.pendingMillis() == 0;
+		this.server.sent(this.workMillis);
 	}
 
 	String serverId() {
@@ -77,6 +96,8 @@
 	public void head(int answered, HttpHeaders answerHeaders, AnswerFacts facts) {
 		this.status = answered;
 		this.headers = answerHeaders;
+		this.headAt = this.exchange.now();
+		noteBegun();
 		facts.load().ifPresent((load) -> this.server.report(load.running(), load.waiting(), this.exchange.now()));
 		this.verdict = judge(answered, answerHeaders, facts);
 		if (this.verdict == Verdict.NONE) {
@@ -84,13 +105,48 @@
 			return;
 		}
 		if (this.verdict == Verdict.SUCCESS && this.exchange.streaming()) {
-			this.events = new EventSplitter();
+			beginStream(facts);
 		}
 		else {
 			this.whole = Unpooled.compositeBuffer(1024);
 		}
 	}
 
+	private void beginStream(AnswerFacts facts) {
+		this.events = new EventSplitter();
+		learnFromHead(facts);
+		if (facts.confidence().isPresent() && this.exchange.dropFor(facts.confidence().getAsInt())) {
+			cancel();
+			this.exchange.sendInstead();
+		}
+	}
+
+	private void learnFromHead(AnswerFacts facts) {
+		if (!this.work.engine()) {
+			return;
+		}
+		boolean quiet = this.alone && facts.load().map((load) -> load.waiting() == 0).orElse(true);
+		if (quiet && !this.server.holds(this.work.sharedPart(), Long.MIN_VALUE / 2)) {
+			this.exchange.gateway()
+				.speed()
+				.observe(this.work.model(), this.work.sharedTokens() + this.work.ownTokens(), millisSince(this.begun));
+		}
+		if (this.work.sharedPart() != 0) {
+			this.server.hasRead(this.work.sharedPart(), this.headAt);
+		}
+	}
+
+	private void noteBegun() {
+		if (!this.answering) {
+			this.answering = true;
+			this.server.begun(this.workMillis);
+		}
+	}
+
+	private double millisSince(long nanos) {
+		return (this.exchange.now() - nanos) / 1_000_000.0;
+	}
+
 	private static Verdict judge(int answered, HttpHeaders answerHeaders, AnswerFacts facts) {
 		if (facts.notExecuted() || answered == MISDIRECTED) {
 			return Verdict.NOT_RUN;
@@ -143,7 +199,7 @@
 			}
 			case FAILURE -> {
 				note("failed with status " + this.status);
-				markFailed("status " + this.status);
+				this.exchange.judged(this.server, true);
 				this.exchange.failed(new KeptFailure(this.status, this.headers, this.whole));
 			}
 			case SUCCESS -> succeed();
@@ -153,6 +209,7 @@
 
 	private void succeed() {
 		this.server.succeeded();
+		this.exchange.judged(this.server, slow());
 		if (this.events == null) {
 			this.exchange.passWhole(this.status, this.headers, this.whole);
 			return;
@@ -160,6 +217,25 @@
 		this.exchange.passEnd();
 	}
 
+	// Tells whether the answer was several times slower than usual, by the pauses between
+	// events for streams, and learns what is usual from versions that are not on trial.
+	private boolean slow() {
+		String kind = this.exchange.routeName() + '/' + this.work.model();
+		double millis = millisSince(this.begun);
+		if (this.events != null) {
+			if (this.events.events() < MIN_PACED_EVENTS) {
+				return false;
+			}
+			millis = millisSince(this.headAt) / this.events.events();
+		}
+		UsualPace pace = this.exchange.gateway().pace();
+		boolean slow = pace.slow(kind, millis);
+		if (!this.exchange.onTrial(this.server)) {
+			pace.observe(kind, millis);
+		}
+		return slow;
+	}
+
 	@Override
 	public void lost(SendLoss loss) {
 		if (this.over) {
@@ -212,6 +288,7 @@
 
 	private void finish() {
 		this.over = true;
+		noteBegun();
 		this.server.ended();
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -283,10 +283,8 @@
 		}
 	}
 
-	/**
-	 * Ends the output first, since closing with unread bytes would reset the connection
-	 * and the client might lose the answer.
-	 */
+	// Ends the output first, since closing with unread bytes would reset the connection
+	// and the client might lose the answer.
 	private void endOutput() {
 		this.channel.config().setAutoRead(true);
 		if (this.channel instanceof SocketChannel socket && socket.isActive()) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -1,12 +1,17 @@
 package io.sequoialink.gateway.http;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -20,8 +25,11 @@
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.flow.Next;
 import io.sequoialink.gateway.flow.RequestFlow;
+import io.sequoialink.gateway.place.EngineWork;
 import io.sequoialink.gateway.place.PlaceRequest;
+import io.sequoialink.gateway.place.Placed;
 import io.sequoialink.gateway.place.ServerState;
+import io.sequoialink.gateway.rollout.VersionGroup;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,6 +44,9 @@
 	/** Time below which another send would not be answered, in milliseconds. */
 	private static final long MIN_SEND_MILLIS = 30;
 
+	/** Time below which a larger model is not asked, in milliseconds. */
+	private static final long MIN_ESCALATE_MILLIS = 800;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final Gateway gateway;
@@ -66,6 +77,14 @@
 
 	private String lastEvent;
 
+	private PromptShape prompt;
+
+	private int model = -1;
+
+	private int droppedModel = -1;
+
+	private long pinKey;
+
 	Exchange(Gateway gateway, ClientConnection client, ClientRequest request) {
 		this.gateway = gateway;
 		this.client = client;
@@ -89,9 +108,18 @@
 		this.deadlineNanos = this.request.receivedNanos() + allowed * NANOS_PER_MILLI;
 		this.deadlineTimer = this.client.schedule(this::deadlineOver, remainingMillis());
 		this.gateway.budget().request(this.service, now());
+		this.pinKey = Hashing.wyhashFinal4().hashStream().putString(pinName()).getAsLong();
+		this.prompt = PromptShape.of(this.facts);
+		if (!this.route.models().isEmpty()) {
+			this.model = this.gateway.cascade().start(this.route.name(), this.route.models().size());
+		}
 		send();
 	}
 
+	private String pinName() {
+		return this.facts.session().or(this.facts::id).orElse("");
+	}
+
 	private Optional<OwnAnswer> admit() {
 		Configuration known = this.gateway.view().configuration().orElse(null);
 		if (known == null) {
@@ -118,29 +146,87 @@
 			perform(this.flow.noRoom());
 			return;
 		}
-		PlaceRequest wanted = new PlaceRequest(this.route, this.service, 0, 0, this.tried);
-		Optional<ServerState> server = this.gateway.choice().choose(wanted);
-		if (server.isEmpty()) {
+		VersionGroup versions = this.gateway.rollouts()
+			.choose(this.service, this.pinKey, this.facts.session().isPresent());
+		EngineWork work = this.prompt.work(modelName().orElse(""));
+		PlaceRequest wanted = new PlaceRequest(this.service, versions, this.gateway.rollouts().target(this.service),
+				work, this.tried);
+		Optional<Placed> placed = this.gateway.choice().choose(wanted);
+		if (placed.isEmpty()) {
 			perform(this.flow.noRoom());
 			return;
 		}
+		send(placed.get(), work);
+	}
+
+	private void send(Placed placed, EngineWork work) {
+		ServerState server = placed.server();
 		this.flow.sent();
-		this.tried.add(server.get().entry().id());
-		this.attempt = new Attempt(this, server.get());
-		BackendSend send = new BackendSend(this.facts.id().orElseThrow(), outgoing(server.get()), this.attempt);
+		this.tried.add(server.entry().id());
+		this.gateway.rollouts().sent(this.service, server.entry().version(), this.pinKey);
+		this.attempt = new Attempt(this, placed, work);
+		BackendSend send = new BackendSend(this.facts.id().orElseThrow(), outgoing(server), this.attempt);
 		this.attempt.begin(send);
 		boolean onlyNew = !this.route.repeatable();
-		this.gateway.pool().send(server.get().entry(), send, onlyNew);
+		this.gateway.pool().send(server.entry(), send, onlyNew);
+	}
+
+	private Optional<String> modelName() {
+		return (this.model >= 0) ? Optional.of(this.route.models().get(this.model)) : this.facts.model();
+	}
+
+	/**
+	 * Judges an answer by its model's opinion, before any of it is handed on.
+	 * @param opinion the opinion, from 0 to 100
+	 * @return whether the answer was dropped in favour of a larger model's
+	 */
+	boolean dropFor(int opinion) {
+		if (this.model < 0 || this.flow.answerBegun()) {
+			return false;
+		}
+		if (this.droppedModel >= 0) {
+			this.gateway.cascade().escalated(this.route.name(), this.droppedModel, this.model, opinion);
+		}
+		OptionalInt larger = this.gateway.cascade().judge(this.route.name(), this.model, opinion, prices(), 1);
+		if (larger.isEmpty() || remainingMillis() < MIN_ESCALATE_MILLIS || !this.flow.sendsLeft()
+				|| !this.gateway.budget().tryRepeat(this.service, now())) {
+			return false;
+		}
+		logger.info(GatewayEvents.ANSWER_DROPPED, id(), modelName().orElse(""), opinion,
+				this.route.models().get(larger.getAsInt()));
+		this.droppedModel = this.model;
+		this.model = larger.getAsInt();
+		return true;
+	}
+
+	/**
+	 * Sends the request again after an answer was dropped.
+	 */
+	void sendInstead() {
+		this.tried.clear();
+		perform(this.flow.dropped());
+	}
+
+	private List<Double> prices() {
+		Map<String, Double> costs = new HashMap<>();
+		this.gateway.view()
+			.configuration()
+			.flatMap((known) -> known.service(this.service))
+			.ifPresent((known) -> known.models().forEach((cost) -> costs.put(cost.name(), cost.cost())));
+		List<Double> prices = new ArrayList<>();
+		for (String name : this.route.models()) {
+			prices.add(costs.getOrDefault(name, 1.0));
+		}
+		return prices;
 	}
 
 	private FullHttpRequest outgoing(ServerState server) {
 		HttpHeaders headers = ConnectionHeaders.without(this.request.headers());
-		Optional<String> model = this.route.models().isEmpty() ? Optional.empty()
-				: Optional.of(this.route.models().get(this.route.models().size() - 1));
+		Optional<String> chosen = (this.model >= 0) ? modelName() : Optional.empty();
 		OptionalInt rank = OptionalInt.empty();
 		this.gateway.dialect()
 			.dispatch(headers, new DispatchFacts(server.entry().id(), remainingMillis(),
-					this.account.map(ClientAccount::name), model, rank, Optional.ofNullable(this.lastEvent)));
+					this.account.map(ClientAccount::name), chosen, rank, Optional.ofNullable(this.lastEvent)));
 		ByteBuf body = this.request.body().retainedDuplicate();
 		if (body.isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
@@ -316,6 +402,32 @@
 		return 300;
 	}
 
+	/**
+	 * Notes an answer for the judgement of versions.
+	 * @param server server that gave it
+	 * @param bad whether it was a failure or several times slower than usual
+	 */
+	void judged(ServerState server, boolean bad) {
+		this.gateway.rollouts().answered(this.service, server.entry().version(), this.route.name(), bad);
+	}
+
+	/**
+	 * Returns whether a server's version is the one that its service is moved to.
+	 * @param server the server
+	 * @return whether the version is on trial
+	 */
+	boolean onTrial(ServerState server) {
+		return server.entry().version().equals(this.gateway.rollouts().target(this.service));
+	}
+
+	Gateway gateway() {
+		return this.gateway;
+	}
+
+	String routeName() {
+		return this.route.name();
+	}
+
 	boolean streaming() {
 		return this.route.streaming();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
@@ -2,10 +2,14 @@
 
 import java.util.function.LongSupplier;
 
+import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.fleet.FleetView;
+import io.sequoialink.gateway.place.ReadingSpeed;
 import io.sequoialink.gateway.place.ServerChoice;
 import io.sequoialink.gateway.place.ServerTable;
+import io.sequoialink.gateway.place.UsualPace;
+import io.sequoialink.gateway.rollout.RolloutWatch;
 
 /**
  * What all exchanges of a host share. Confined to the event loop.
@@ -13,11 +17,16 @@
  * @param view what the host believes about the fleet
  * @param servers states of the backend servers
  * @param choice choice among the servers
- * @param pool connections to them
+ * @param cascade choice among models
+ * @param rollouts choice among versions
+ * @param speed how long engines take to read
+ * @param pace how long answers usually take
+ * @param pool connections to backend servers
  * @param dialect names of headers
  * @param budget budget of repeats
  * @param clock monotonic time in nanoseconds
  */
-public record Gateway(FleetView view, ServerTable servers, ServerChoice choice, BackendPool pool, WireDialect dialect,
+public record Gateway(FleetView view, ServerTable servers, ServerChoice choice, ConfidenceCascade cascade,
+		RolloutWatch rollouts, ReadingSpeed speed, UsualPace pace, BackendPool pool, WireDialect dialect,
 		RepeatBudget budget, LongSupplier clock) {
 }
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
@@ -0,0 +1,180 @@
+package io.sequoialink.gateway.place;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.sequoialink.gateway.rollout.VersionGroup;
+
+/**
+ * Chooses the backend server whose answer is expected to begin first. Confined to the
+ * event loop.
+ *
+ * <p>
+ * A few servers are drawn, so that hosts which read the same stale reports do not all
+ * choose the same one; the owner of the prompt's shared part by rendezvous hashing is
+ * always among them, so that hosts agree on where a part is kept without a message.
+ */
+public final class LeastWorkChoice implements ServerChoice {
+
+	/** Reports older than this say nothing, in nanoseconds. */
+	static final long REPORT_FADE_NANOS = 1_500_000_000L;
+
+	/** Parts read longer ago are taken to be gone from memory. */
+	static final long PART_KEPT_NANOS = 20_000_000_000L;
+
+	private static final int DRAWS = 4;
+
+	/** What each request under way adds to the time of others, in milliseconds. */
+	private static final double RUNNING_MILLIS = 4;
+
+	/** What a request that waits is taken to need, in milliseconds. */
+	private static final double WAITING_MILLIS = 150;
+
+	/** What a full server is taken to need until a slot is free, in milliseconds. */
+	private static final double FULL_MILLIS = 400;
+
+	/** Keeps work in its zone unless another zone is better by more, in milliseconds. */
+	private static final double OTHER_ZONE_MILLIS = 6;
+
+	/**
+	 * Share of a part's reading time that its owner is credited before it is known to
+	 * hold it.
+	 */
+	private static final double OWNER_CREDIT = 0.5;
+
+	private final ServerTable servers;
+
+	private final ReadingSpeed speed;
+
+	private final String zone;
+
+	private final LongSupplier clock;
+
+	private final RandomGenerator random;
+
+	/**
+	 * Creates the choice.
+	 * @param servers the servers
+	 * @param speed how long engines take to read
+	 * @param zone availability zone of this host
+	 * @param clock monotonic time in nanoseconds
+	 * @param random source of the draws
+	 */
+	public LeastWorkChoice(ServerTable servers, ReadingSpeed speed, String zone, LongSupplier clock,
+			RandomGenerator random) {
+		this.servers = servers;
+		this.speed = speed;
+		this.zone = zone;
+		this.clock = clock;
+		this.random = random;
+	}
+
+	@Override
+	public Optional<Placed> choose(PlaceRequest request) {
+		long now = this.clock.getAsLong();
+		List<ServerState> candidates = candidates(request, now);
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		ServerState owner = (request.work().sharedPart() != 0) ? owner(candidates, request.work().sharedPart()) : null;
+		ServerState best = null;
+		double bestCost = Double.MAX_VALUE;
+		for (ServerState state : drawn(candidates, owner)) {
+			double cost = cost(state, request.work(), state == owner, now);
+			if (cost < bestCost) {
+				bestCost = cost;
+				best = state;
+			}
+		}
+		return Optional.of(new Placed(best, reading(best, request.work(), best == owner, now)));
+	}
+
+	// Narrows the usable servers, step by step, as long as any are left.
+	private List<ServerState> candidates(PlaceRequest request, long now) {
+		List<ServerState> usable = this.servers.usable(request.service());
+		List<ServerState> allowed = usable;
+		if (request.versions() != VersionGroup.ANY) {
+			boolean wantsTarget = request.versions() == VersionGroup.TARGET;
+			allowed = keep(usable, (state) -> state.entry().version().equals(request.target()) == wantsTarget);
+			if (request.versions() == VersionGroup.OLD_ONLY && allowed.isEmpty()) {
+				return allowed;
+			}
+		}
+		List<ServerState> untried = keep(allowed.isEmpty() ? usable : allowed,
+				(state) -> !request.tried().contains(state.entry().id()));
+		if (untried.isEmpty() && !allowed.isEmpty() && request.versions() != VersionGroup.OLD_ONLY) {
+			untried = keep(usable, (state) -> !request.tried().contains(state.entry().id()));
+		}
+		List<ServerState> sound = keep(untried, (state) -> !state.avoided(now));
+		return sound.isEmpty() ? untried : sound;
+	}
+
+	private static List<ServerState> keep(List<ServerState> states, java.util.function.Predicate<ServerState> test) {
+		List<ServerState> kept = new ArrayList<>();
+		for (ServerState state : states) {
+			if (test.test(state)) {
+				kept.add(state);
+			}
+		}
+		return kept;
+	}
+
+	private static ServerState owner(List<ServerState> candidates, long part) {
+		ServerState best = null;
+		long bestWeight = 0;
+		for (ServerState state : candidates) {
+			long weight = Hashing.wyhashFinal4().hashStream().putLong(part).putString(state.entry().id()).getAsLong();
+			if (best == null || weight > bestWeight) {
+				best = state;
+				bestWeight = weight;
+			}
+		}
+		return best;
+	}
+
+	private List<ServerState> drawn(List<ServerState> candidates, ServerState owner) {
+		if (candidates.size() <= DRAWS) {
+			return candidates;
+		}
+		List<ServerState> drawn = new ArrayList<>(DRAWS + 1);
+		for (int i = 0; i < DRAWS; i++) {
+			drawn.add(candidates.get(this.random.nextInt(candidates.size())));
+		}
+		if (owner != null) {
+			drawn.add(owner);
+		}
+		return drawn;
+	}
+
+	private double cost(ServerState state, EngineWork work, boolean owner, long now) {
+		double load = state.load(now, REPORT_FADE_NANOS);
+		int slots = Math.max(1, state.entry().slots());
+		double full = Math.max(0, load + 1 - slots) / slots * FULL_MILLIS;
+		double away = state.entry().zone().equals(this.zone) ? 0 : OTHER_ZONE_MILLIS;
+		double cost = full + away + state.entry().coldMillis() / 10.0;
+		if (!work.engine()) {
+			return cost + load / slots * FULL_MILLIS / 4;
+		}
+		return cost + load * RUNNING_MILLIS + state.pendingMillis()
+				+ state.waiting(now, REPORT_FADE_NANOS) * WAITING_MILLIS + reading(state, work, owner, now);
+	}
+
+	private double reading(ServerState state, EngineWork work, boolean owner, long now) {
+		if (!work.engine()) {
+			return 0;
+		}
+		double shared = work.sharedTokens();
+		if (work.sharedPart() != 0 && state.holds(work.sharedPart(), now - PART_KEPT_NANOS)) {
+			shared = 0;
+		}
+		else if (owner) {
+			shared *= 1 - OWNER_CREDIT;
+		}
+		return this.speed.millis(work.model(), shared + work.ownTokens());
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/place/PlaceRequest.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/PlaceRequest.java
@@ -2,16 +2,16 @@
 
 import java.util.Set;
 
-import io.sequoialink.gateway.fleet.Route;
+import io.sequoialink.gateway.rollout.VersionGroup;
 
 /**
  * What the choice of a backend server rests on. Immutable.
  *
- * @param route route of the request
  * @param service service that is to answer
- * @param key what decides affinity; 0 for none
- * @param pinKey hash of the session, or of the request if it belongs to none
+ * @param versions versions that may answer
+ * @param target version that the service is moved to, empty if to none
+ * @param work what the request asks of an engine
  * @param tried identifiers of servers that the request was sent to already
  */
-public record PlaceRequest(Route route, String service, long key, long pinKey, Set<String> tried) {
+public record PlaceRequest(String service, VersionGroup versions, String target, EngineWork work, Set<String> tried) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerChoice.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerChoice.java
@@ -13,6 +13,6 @@
 	 * @param request what the choice rests on
 	 * @return the server, or empty if none can take the request now
 	 */
-	Optional<ServerState> choose(PlaceRequest request);
+	Optional<Placed> choose(PlaceRequest request);
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
@@ -1,5 +1,8 @@
 package io.sequoialink.gateway.place;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+
 import io.sequoialink.gateway.fleet.ServerEntry;
 
 /**
@@ -8,6 +11,9 @@
  */
 public final class ServerState {
 
+	/** Parts of prompts that are remembered for a server. */
+	private static final int MAX_READ_PARTS = 512;
+
 	/** How long a server is avoided after its first failure in a row, in nanoseconds. */
 	private static final long FIRST_AVOIDANCE_NANOS = 500_000_000L;
 
@@ -19,6 +25,15 @@
 
 	private int inFlight;
 
+	private double pendingMillis;
+
+	private final Map<Long, Long> readParts = new LinkedHashMap<>(16, 0.75f, true) {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+			return size() > MAX_READ_PARTS;
+		}
+	};
+
 	private int reportedRunning;
 
 	private int reportedWaiting;
@@ -57,9 +72,61 @@
 
 	/**
 	 * Notes that a request is sent.
+	 * @param work time that the server needs until its answer begins, in milliseconds
 	 */
-	public void sent() {
+	public void sent(double work) {
 		this.inFlight++;
+		this.pendingMillis += work;
+	}
+
+	/**
+	 * Notes that the server's answer to a request has begun, or will not begin.
+	 * @param work the time that was noted when it was sent, in milliseconds
+	 */
+	public void begun(double work) {
+		this.pendingMillis = Math.max(0, this.pendingMillis - work);
+	}
+
+	/**
+	 * Returns the time that the server needs for the requests of this host whose answers
+	 * have not begun.
+	 * @return estimate in milliseconds
+	 */
+	public double pendingMillis() {
+		return this.pendingMillis;
+	}
+
+	/**
+	 * Notes that the server has read a part of a prompt.
+	 * @param part hash of part and model
+	 * @param nowNanos monotonic time
+	 */
+	public void hasRead(long part, long nowNanos) {
+		this.readParts.put(part, nowNanos);
+	}
+
+	/**
+	 * Returns whether the server has read a part of a prompt of late.
+	 * @param part hash of part and model
+	 * @param sinceNanos earliest monotonic time that counts
+	 * @return whether it likely holds the part in memory
+	 */
+	public boolean holds(long part, long sinceNanos) {
+		Long read = this.readParts.get(part);
+		return read != null && read - sinceNanos >= 0;
+	}
+
+	/**
+	 * Returns the requests that waited for their turn when the server last reported.
+	 * @param nowNanos monotonic time
+	 * @param fadeNanos time after which a report counts for nothing
+	 * @return number of requests, less with the report's age
+	 */
+	public double waiting(long nowNanos, long fadeNanos) {
+		if (!this.reported) {
+			return 0;
+		}
+		return Math.max(0, 1 - (double) (nowNanos - this.reportedAt) / fadeNanos) * this.reportedWaiting;
 	}
 
 	/**
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
@@ -0,0 +1,55 @@
+package io.sequoialink.gateway.place;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How long answers usually take, to tell those that are several times slower. Confined to
+ * the event loop.
+ */
+public final class UsualPace {
+
+	private static final double WEIGHT = 0.05;
+
+	/** How many times the usual time counts as slow. */
+	private static final double SLOW_TIMES = 4;
+
+	/** Answers before which nothing counts as slow. */
+	private static final int MIN_ANSWERS = 10;
+
+	private final Map<String, Mean> means = new HashMap<>();
+
+	/**
+	 * Returns whether a time is several times the usual.
+	 * @param kind what kind of time it is
+	 * @param millis the time in milliseconds
+	 * @return whether it is slow; never before enough is known
+	 */
+	public boolean slow(String kind, double millis) {
+		Mean mean = this.means.get(kind);
+		return mean != null && mean.count >= MIN_ANSWERS && millis > SLOW_TIMES * mean.value;
+	}
+
+	/**
+	 * Learns from an answer.
+	 * @param kind what kind of time it is
+	 * @param millis the time in milliseconds
+	 */
+	public void observe(String kind, double millis) {
+		Mean mean = this.means.computeIfAbsent(kind, (name) -> new Mean());
+		mean.count++;
+		mean.value += Math.max(WEIGHT, 1.0 / mean.count) * (millis - mean.value);
+	}
+
+	/**
+	 * A mean that follows slow changes. Confined to its owner.
+	 */
+	private static final class Mean {
+
+		private long count;
+
+		private double value;
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -0,0 +1,293 @@
+package io.sequoialink.gateway.rollout;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.sequoialink.decision.rollout.AnswerCounts;
+import io.sequoialink.decision.rollout.BadAnswerTest;
+import io.sequoialink.decision.rollout.CanarySchedule;
+import io.sequoialink.gateway.fleet.Found;
+import io.sequoialink.gateway.fleet.RolloutOrder;
+import io.sequoialink.gateway.fleet.RolloutState;
+
+/**
+ * One roll-out as this host sees it. Confined to the event loop.
+ *
+ * <p>
+ * Invariants: a state that ended the roll-out is never left; once evidence speaks against
+ * the version, this host gives it no new work whether or not the store can be written.
+ */
+public final class Canary {
+
+	/** Sessions that are remembered, so that memory is bounded. */
+	private static final int MAX_SESSIONS = 20000;
+
+	private final String host;
+
+	private final Found<RolloutOrder> order;
+
+	private final CanarySchedule schedule;
+
+	private final BadAnswerTest test;
+
+	private final long sessionNanos;
+
+	private long began;
+
+	private RolloutState state;
+
+	private boolean stopped;
+
+	private long confirmedAt;
+
+	private final Map<String, RouteEvidence> own = new HashMap<>();
+
+	private final Map<String, HostEvidence> others = new HashMap<>();
+
+	private boolean publishedOwn;
+
+	private final Map<Long, Long> sessionsOnOld = new LinkedHashMap<>(64, 0.75f, true) {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+			return size() > MAX_SESSIONS;
+		}
+	};
+
+	/**
+	 * Creates the view of a roll-out.
+	 * @param host name of this host
+	 * @param order the operator's order
+	 * @param schedule share of the sessions by time
+	 * @param test test of the new version's answers
+	 * @param sessionNanos time within which requests of a session belong together
+	 * @param beganNanos monotonic time at which the order was seen
+	 */
+	public Canary(String host, Found<RolloutOrder> order, CanarySchedule schedule, BadAnswerTest test,
+			long sessionNanos, long beganNanos) {
+		this.host = host;
+		this.order = order;
+		this.schedule = schedule;
+		this.test = test;
+		this.sessionNanos = sessionNanos;
+		this.began = beganNanos;
+		this.confirmedAt = beganNanos;
+	}
+
+	/**
+	 * Returns the order.
+	 * @return the order with its offset
+	 */
+	public Found<RolloutOrder> order() {
+		return this.order;
+	}
+
+	/**
+	 * Takes a published state.
+	 * @param published the state
+	 * @param ageNanos age of the order as the publisher stated it and clocks tell, so
+	 * that a host which started later keeps the same time
+	 * @param nowNanos monotonic time
+	 */
+	public void state(RolloutState published, long ageNanos, long nowNanos) {
+		if (ended()) {
+			return;
+		}
+		this.state = published;
+		long longest = 2 * this.order.value().durationMillis() * 1_000_000L;
+		if (ageNanos > 0 && ageNanos < longest) {
+			this.began = Math.min(this.began, nowNanos - ageNanos);
+		}
+	}
+
+	/**
+	 * Returns whether a state was published at all.
+	 * @return whether one is known
+	 */
+	public boolean published() {
+		return this.state != null;
+	}
+
+	/**
+	 * Returns whether the roll-out has ended.
+	 * @return whether it is complete or rolled back
+	 */
+	public boolean ended() {
+		return this.state == RolloutState.COMPLETED || this.state == RolloutState.ROLLED_BACK;
+	}
+
+	/**
+	 * Notes that the published states are known up to a time.
+	 * @param nanos monotonic time
+	 */
+	public void confirmed(long nanos) {
+		this.confirmedAt = Math.max(this.confirmedAt, nanos);
+	}
+
+	/**
+	 * Chooses the version for a request.
+	 * @param pinKey hash of the session, or of the request if it belongs to none
+	 * @param session whether the request belongs to a session
+	 * @param nowNanos monotonic time
+	 * @return the group of versions
+	 */
+	public VersionGroup choose(long pinKey, boolean session, long nowNanos) {
+		if (this.state == RolloutState.COMPLETED) {
+			return VersionGroup.TARGET;
+		}
+		if (this.state == RolloutState.ROLLED_BACK || this.stopped) {
+			return VersionGroup.OLD_ONLY;
+		}
+		double progress = progress(nowNanos);
+		if (position(pinKey) >= this.schedule.share(progress)) {
+			return VersionGroup.OLD;
+		}
+		return (session && staysOnOld(pinKey, progress, nowNanos)) ? VersionGroup.OLD : VersionGroup.TARGET;
+	}
+
+	private boolean staysOnOld(long pinKey, double progress, long nowNanos) {
+		if (!this.schedule.sessionsStay(progress)) {
+			return false;
+		}
+		Long last = this.sessionsOnOld.get(pinKey);
+		return last != null && nowNanos - last < this.sessionNanos;
+	}
+
+	/**
+	 * Notes that a session's request goes to an old version.
+	 * @param pinKey hash of the session
+	 * @param nowNanos monotonic time
+	 */
+	public void ranOnOld(long pinKey, long nowNanos) {
+		this.sessionsOnOld.put(pinKey, nowNanos);
+	}
+
+	private static double position(long pinKey) {
+		long mixed = pinKey * 0x9E3779B97F4A7C15L;
+		mixed ^= mixed >>> 32;
+		return (mixed >>> 11 & 0xFFFFFFFFFFL) / (double) (1L << 40);
+	}
+
+	/**
+	 * Returns the time since the order in parts of its duration. It stands still while
+	 * the published states are not known, since a verdict may have been missed.
+	 * @param nowNanos monotonic time
+	 * @return the progress, 0 to 1 and more
+	 */
+	public double progress(long nowNanos) {
+		long known = Math.min(nowNanos, this.confirmedAt + RolloutWatch.CONFIRMATION_NANOS);
+		return (known - this.began) / (Math.max(1, this.order.value().durationMillis()) * 1_000_000.0);
+	}
+
+	/**
+	 * Returns the time since the order.
+	 * @param nowNanos monotonic time
+	 * @return nanoseconds
+	 */
+	public long ageNanos(long nowNanos) {
+		return nowNanos - this.began;
+	}
+
+	/**
+	 * Notes an answer.
+	 * @param route route of the request
+	 * @param ofTarget whether the new version gave it
+	 * @param bad whether it was a failure or several times slower than usual
+	 */
+	public void answered(String route, boolean ofTarget, boolean bad) {
+		this.own.put(route, this.own.getOrDefault(route, RouteEvidence.NONE).with(ofTarget, bad));
+	}
+
+	/**
+	 * Takes what a host saw. What this host published in an earlier life is added to what
+	 * it sees now.
+	 * @param evidence the evidence
+	 */
+	public void take(HostEvidence evidence) {
+		if (!evidence.host().equals(this.host)) {
+			this.others.put(evidence.host(), evidence);
+		}
+		else if (!this.publishedOwn) {
+			this.publishedOwn = true;
+			evidence.routes().forEach((route, counts) -> this.own.merge(route, counts, RouteEvidence::plus));
+		}
+	}
+
+	/**
+	 * Returns what this host saw, earlier lives included, in order to publish it.
+	 * @return the evidence
+	 */
+	public HostEvidence publish() {
+		this.publishedOwn = true;
+		return ownEvidence();
+	}
+
+	/**
+	 * Returns what this host saw, earlier lives included.
+	 * @return the evidence
+	 */
+	public HostEvidence ownEvidence() {
+		return new HostEvidence(this.order.value().service(), this.host, this.order.offset(), this.own);
+	}
+
+	/**
+	 * Judges the version by what all hosts saw.
+	 * @return whether the version is to be rolled back
+	 */
+	public boolean worse() {
+		Map<String, RouteEvidence> sums = new HashMap<>(this.own);
+		for (HostEvidence other : this.others.values()) {
+			other.routes().forEach((route, counts) -> sums.merge(route, counts, RouteEvidence::plus));
+		}
+		RouteEvidence all = sums.values().stream().reduce(RouteEvidence.NONE, RouteEvidence::plus);
+		if (sums.size() > 1 && sums.values().stream().anyMatch(this::worse)) {
+			return true;
+		}
+		return mixedWorse(sums, all);
+	}
+
+	private boolean worse(RouteEvidence route) {
+		return this.test.worse(route.target(), route.reference());
+	}
+
+	// Judges all routes together. The reference is weighted by the routes of the tested
+	// answers, since routes differ in their usual share of bad answers.
+	private boolean mixedWorse(Map<String, RouteEvidence> sums, RouteEvidence all) {
+		double expected = 0;
+		long referenceAnswers = 0;
+		for (RouteEvidence route : sums.values()) {
+			AnswerCounts reference = route.reference();
+			double share = (reference.answers() == 0) ? 0 : (double) reference.bad() / reference.answers();
+			expected += share * route.target().answers();
+			referenceAnswers += reference.answers();
+		}
+		long answers = Math.max(1, all.target().answers());
+		long bad = Math.round(expected / answers * referenceAnswers);
+		return this.test.worse(all.target(), new AnswerCounts(referenceAnswers, bad));
+	}
+
+	/**
+	 * Stops this host from giving the version new work.
+	 */
+	public void stop() {
+		this.stopped = true;
+	}
+
+	/**
+	 * Returns whether this host has stopped the version by itself.
+	 * @return whether evidence spoke against it
+	 */
+	public boolean stopped() {
+		return this.stopped;
+	}
+
+	/**
+	 * Returns whether the old versions may be stopped.
+	 * @param nowNanos monotonic time
+	 * @return whether it is time and nothing speaks against it
+	 */
+	public boolean mayComplete(long nowNanos) {
+		return !this.stopped && !ended() && this.schedule.mayComplete(progress(nowNanos));
+	}
+
+}
