--- a/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
@@ -65,19 +65,20 @@
 	 * @param model index of the model
 	 * @param opinion the opinion, from 0 to 100
 	 * @param prices price of each model, smallest first
-	 * @param timeFactor what an answer of a larger model is worth beside one that can be
-	 * accepted now, 1 if it would still be on time
+	 * @param strain how hard pressed the engines are, 0 if not at all; it raises the
+	 * weight of prices
 	 * @return index of a larger model to ask instead, or empty to accept the answer
 	 */
-	public OptionalInt judge(String route, int model, int opinion, List<Double> prices, double timeFactor) {
+	public OptionalInt judge(String route, int model, int opinion, List<Double> prices, double strain) {
 		double chance = chance(opinion);
 		double dearest = prices.get(prices.size() - 1);
 		double best = chance;
 		int choice = -1;
 		for (int larger = model + 1; larger < prices.size(); larger++) {
 			double gain = learnt(route, model, larger).value(0.5 + 0.5 * larger / (prices.size() - 1));
-			double price = (dearest > 0) ? this.options.priceWeight() * prices.get(larger) / dearest : 0;
-			double worth = gain * timeFactor - price;
+			double weight = this.options.priceWeight() * (1 + strain);
+			double price = (dearest > 0) ? weight * prices.get(larger) / dearest : 0;
+			double worth = gain - price;
 			if (worth > best) {
 				best = worth;
 				choice = larger;
--- a/decision/src/main/java/io/sequoialink/decision/retry/RepeatBudget.java
+++ b/decision/src/main/java/io/sequoialink/decision/retry/RepeatBudget.java
@@ -15,9 +15,9 @@
 	/** Slices of a window; a window counts one slice more than its length. */
 	private static final int SLICES = 20;
 
-	private final double ratio;
+	private double ratio;
 
-	private final double slack;
+	private double slack;
 
 	private final long sliceNanos;
 
@@ -35,6 +35,16 @@
 		this.sliceNanos = windowNanos / SLICES;
 	}
 
+	/**
+	 * Takes other bounds; what was counted stays.
+	 * @param newRatio repeats allowed for each request
+	 * @param newSlack repeats of this host that are allowed besides, in any window
+	 */
+	public void limits(double newRatio, double newSlack) {
+		this.ratio = newRatio;
+		this.slack = newSlack;
+	}
+
 	/**
 	 * Counts a request of a client.
 	 * @param service service that it is for
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.sequoialink.decision.cascade.ConfidenceCascade;
+import io.sequoialink.decision.limits.Strain;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.feed.FleetUpdates;
@@ -66,7 +67,13 @@
 
 	private static final long POLL_MILLIS = 100;
 
-	private final EntrySettings settings;
+	/**
+	 * Parts into which the common slack of repeats is split, so that the hosts' sum
+	 * holds.
+	 */
+	private static final int SLACK_PARTS = 16;
+
+	private EntrySettings settings;
 
 	private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
 
@@ -82,6 +89,8 @@
 
 	private final FleetUpdates updates;
 
+	private final RepeatBudget budget;
+
 	private final FrontServer front;
 
 	private final CountDownLatch idle = new CountDownLatch(1);
@@ -106,12 +115,12 @@
 		this.statuses.readInto(this.updates);
 		ServerTable servers = new ServerTable(this.view);
 		ReadingSpeed speed = new ReadingSpeed();
-		RepeatBudget budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack() / 16,
+		this.budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack() / SLACK_PARTS,
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
 		Gateway gateway = new Gateway(this.view, servers,
 				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
-				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.rollouts, speed, new UsualPace(),
-				new BackendPool(this.loops, dialect), dialect, budget, System::nanoTime);
+				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), this.rollouts, speed,
+				new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget, System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
 
@@ -152,6 +161,44 @@
 		return !this.draining && this.updates.complete();
 	}
 
+	/**
+	 * Takes changed settings. Called on the event loop. Addresses of this host stay until
+	 * its next start.
+	 * @param changed the settings
+	 */
+	void apply(EntrySettings changed) {
+		if (!changed.clients().equals(this.settings.clients())
+				|| !changed.readiness().equals(this.settings.readiness())) {
+			logger.warn(GatewayEvents.SETTINGS_NEED_RESTART);
+		}
+		this.settings = changed;
+		EntrySettings.Bounds bounds = changed.bounds();
+		this.store.address(changed.store());
+		this.budget.limits(bounds.repeatRatio(), bounds.repeatSlack() / SLACK_PARTS);
+		this.rollouts.options(options(bounds));
+	}
+
+	/**
+	 * Runs work on the event loop.
+	 * @param work the work
+	 */
+	void execute(Runnable work) {
+		this.loop.execute(work);
+	}
+
+	/**
+	 * Runs work on the event loop again and again.
+	 * @param periodMillis time between two runs, in milliseconds
+	 * @param work the work
+	 */
+	void every(long periodMillis, Runnable work) {
+		this.loop.scheduleAtFixedRate(work, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private static RolloutWatch.Options options(EntrySettings.Bounds bounds) {
+		return new RolloutWatch.Options(bounds.exposureShare(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis()));
+	}
+
 	/**
 	 * Stops: reports not ready, serves on until the platform sends nothing more, and ends
 	 * when nothing is under way or the time to stop is over.
--- a/entry/src/main/java/io/sequoialink/entry/EntryMain.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryMain.java
@@ -2,6 +2,8 @@
 
 import java.nio.file.Path;
 
+import sun.misc.Signal;
+
 /**
  * Entry point of an entry host. Exits with 2 and all errors if the settings can't be
  * used.
@@ -33,6 +35,9 @@
 			LogSetup.configure();
 			EntryHost host = new EntryHost(settings);
 			host.start();
+			SettingsWatch watch = new SettingsWatch(Path.of(file), host::apply);
+			host.every(SettingsWatch.PERIOD_MILLIS, watch::check);
+			Signal.handle(new Signal("HUP"), (signal) -> host.execute(watch::reload));
 			Runtime.getRuntime().addShutdownHook(new Thread(host::stop, "stop"));
 		}
 		catch (SettingsException ex) {
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -44,6 +44,15 @@
 	/** The process ends. */
 	public static final String STOPPED = "SL-3003 host {} stops after {} ms with {} requests under way";
 
+	/** The settings file was read again. */
+	public static final String SETTINGS_TAKEN = "SL-3005 settings were read again from {}";
+
+	/** The settings file can't be used. */
+	public static final String SETTINGS_REFUSED = "SL-3006 settings stay as they are: {}";
+
+	/** A changed setting needs a restart. */
+	public static final String SETTINGS_NEED_RESTART = "SL-3007 a changed address of this host takes effect at its next start";
+
 	/** Readiness changed. */
 	public static final String READINESS = "SL-3004 host {} is {}: {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -271,7 +271,7 @@
 		this.exchange = null;
 		this.partialSince = 0;
 		this.lastActive = System.nanoTime();
-		if (!this.keepAlive) {
+		if (!this.keepAlive || this.server.draining()) {
 			this.ending = true;
 			dropWaiting();
 			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((future) -> endOutput());
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -47,6 +47,15 @@
 	/** Time below which a larger model is not asked, in milliseconds. */
 	private static final long MIN_ESCALATE_MILLIS = 800;
 
+	/** Distance between the ranks of routes, so that size can decide within a rank. */
+	private static final int RANKS_APART = 2;
+
+	/** Least urgent rank that a server knows. */
+	private static final int LAST_RANK = 9;
+
+	/** Prompts above this wait behind shorter ones of the same rank. */
+	private static final int LONG_PROMPT_TOKENS = 6000;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final Gateway gateway;
@@ -223,7 +232,7 @@
 	private FullHttpRequest outgoing(ServerState server) {
 		HttpHeaders headers = ConnectionHeaders.without(this.request.headers());
 		Optional<String> chosen = (this.model >= 0) ? modelName() : Optional.empty();
-		OptionalInt rank = OptionalInt.empty();
+		OptionalInt rank = this.route.streaming() ? OptionalInt.of(rank()) : OptionalInt.empty();
 		this.gateway.dialect()
 			.dispatch(headers, new DispatchFacts(server.entry().id(), remainingMillis(),
 					this.account.map(ClientAccount::name), chosen, rank, Optional.ofNullable(this.lastEvent)));
@@ -236,6 +245,20 @@
 		return outgoing;
 	}
 
+	private int rank() {
+		int own = this.account.map(ClientAccount::rank).orElse(OptionalInt.empty()).orElse(this.route.rank());
+		int doubled = RANKS_APART * Math.max(0, Math.min(own, LAST_RANK / RANKS_APART));
+		return doubled + ((this.facts.promptTokens() > LONG_PROMPT_TOKENS) ? 1 : 0);
+	}
+
+	// Notes when the first part of the client's answer was there.
+	private void began() {
+		if (this.route.targetMillis() > 0) {
+			double millis = (now() - this.request.receivedNanos()) / (double) NANOS_PER_MILLI;
+			this.gateway.strain().observe(millis / this.route.targetMillis(), now());
+		}
+	}
+
 	/**
 	 * A send ended, and the request was not run by it.
 	 */
@@ -288,6 +311,7 @@
 	void passEvents(int status, HttpHeaders headers, ByteBuf events, Optional<String> lastId) {
 		if (!this.flow.answerBegun()) {
 			this.flow.answering();
+			began();
 			this.client.answerHead(status, ConnectionHeaders.without(headers));
 		}
 		lastId.ifPresent((id) -> this.lastEvent = id);
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
@@ -3,6 +3,7 @@
 import java.util.function.LongSupplier;
 
 import io.sequoialink.decision.cascade.ConfidenceCascade;
+import io.sequoialink.decision.limits.Strain;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.place.ReadingSpeed;
@@ -18,6 +19,7 @@
  * @param servers states of the backend servers
  * @param choice choice among the servers
  * @param cascade choice among models
+ * @param strain how hard pressed the engines are
  * @param rollouts choice among versions
  * @param speed how long engines take to read
  * @param pace how long answers usually take
@@ -27,6 +29,6 @@
  * @param clock monotonic time in nanoseconds
  */
 public record Gateway(FleetView view, ServerTable servers, ServerChoice choice, ConfidenceCascade cascade,
-		RolloutWatch rollouts, ReadingSpeed speed, UsualPace pace, BackendPool pool, WireDialect dialect,
+		Strain strain, RolloutWatch rollouts, ReadingSpeed speed, UsualPace pace, BackendPool pool, WireDialect dialect,
 		RepeatBudget budget, LongSupplier clock) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -48,7 +48,7 @@
 
 	private final String host;
 
-	private final Options options;
+	private Options options;
 
 	private final RolloutRecords records;
 
@@ -83,6 +83,14 @@
 		this.random = random;
 	}
 
+	/**
+	 * Takes changed bounds; they hold for roll-outs ordered from now on.
+	 * @param changed the bounds
+	 */
+	public void options(Options changed) {
+		this.options = changed;
+	}
+
 	/**
 	 * Takes an operator's order.
 	 * @param order the order with its offset
