--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -20,6 +20,7 @@
 import io.sequoialink.gateway.http.FrontServer;
 import io.sequoialink.gateway.http.Gateway;
 import io.sequoialink.gateway.http.ReadinessServer;
+import io.sequoialink.gateway.http.StartGate;
 import io.sequoialink.gateway.place.LeastWorkChoice;
 import io.sequoialink.gateway.place.ReadingSpeed;
 import io.sequoialink.gateway.place.ServerTable;
@@ -111,13 +112,14 @@
 		this.rollouts = new RolloutWatch(settings.host(),
 				new RolloutWatch.Options(bounds.exposureShare(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis())),
 				this.statuses, System::nanoTime, random);
-		this.updates = new FleetUpdates(this.view, this.rollouts, this::followStatuses, System::nanoTime);
+		StartGate gate = new StartGate();
+		this.updates = new FleetUpdates(this.view, this.rollouts, this::followStatuses, gate::open, System::nanoTime);
 		this.statuses.readInto(this.updates);
 		ServerTable servers = new ServerTable(this.view);
 		ReadingSpeed speed = new ReadingSpeed();
 		this.budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack() / SLACK_PARTS,
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
-		Gateway gateway = new Gateway(this.view, servers,
+		Gateway gateway = new Gateway(gate, this.view, servers,
 				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), this.rollouts, speed,
 				new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget, System::nanoTime);
--- a/entry/src/main/java/io/sequoialink/entry/EntryMain.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryMain.java
@@ -12,6 +12,9 @@
 
 	private static final String SETTINGS_VARIABLE = "SEQUOIALINK_NODE_FILE";
 
+	/** Loads the classes of a start and ends, for the build's archive of classes. */
+	private static final String LOAD_CLASSES = "--load-classes";
+
 	private static final int INVALID_SETTINGS = 2;
 
 	private EntryMain() {
@@ -23,6 +26,10 @@
 	 * @throws InterruptedException if interrupted while sockets are bound
 	 */
 	public static void main(String[] arguments) throws InterruptedException {
+		if (arguments.length == 1 && arguments[0].equals(LOAD_CLASSES)) {
+			System.out.println(StartupClasses.load() + " classes loaded");
+			return;
+		}
 		String named = System.getenv(SETTINGS_VARIABLE);
 		String file = (arguments.length > 0) ? arguments[0] : named;
 		if (file == null) {
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetUpdates.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetUpdates.java
@@ -38,6 +38,8 @@
 
 	private final Runnable firstOrder;
 
+	private final Runnable firstComplete;
+
 	private final LongSupplier clock;
 
 	private final Map<String, Long> leaving = new HashMap<>();
@@ -50,6 +52,8 @@
 
 	private boolean statusesRead;
 
+	private boolean announced;
+
 	private long outageEnded;
 
 	/**
@@ -58,12 +62,15 @@
 	 * @param rollouts carries out roll-outs
 	 * @param firstOrder run when the first order to roll out is read, to follow what
 	 * hosts publish
+	 * @param firstComplete run once the view rests on what the store holds
 	 * @param clock monotonic time in nanoseconds
 	 */
-	public FleetUpdates(FleetView view, RolloutWatch rollouts, Runnable firstOrder, LongSupplier clock) {
+	public FleetUpdates(FleetView view, RolloutWatch rollouts, Runnable firstOrder, Runnable firstComplete,
+			LongSupplier clock) {
 		this.view = view;
 		this.rollouts = rollouts;
 		this.firstOrder = firstOrder;
+		this.firstComplete = firstComplete;
 		this.clock = clock;
 	}
 
@@ -113,6 +120,7 @@
 	public void statusesRead(long end) {
 		this.statusesRead = true;
 		this.rollouts.read(end);
+		announce();
 	}
 
 	/**
@@ -188,6 +196,7 @@
 	 */
 	public void operatorRead() {
 		this.operatorRead = true;
+		announce();
 	}
 
 	/**
@@ -195,6 +204,14 @@
 	 */
 	public void serversRead() {
 		this.serversRead = true;
+		announce();
+	}
+
+	private void announce() {
+		if (!this.announced && complete()) {
+			this.announced = true;
+			this.firstComplete.run();
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -84,6 +84,10 @@
 
 	private KeptFailure failure;
 
+	private Future<?> holdTimer;
+
+	private boolean begun;
+
 	private String lastEvent;
 
 	private PromptShape prompt;
@@ -102,9 +106,26 @@
 	}
 
 	/**
-	 * Admits the request and sends it, or answers it at once.
+	 * Admits the request and sends it, or answers it at once; waits a moment if the host
+	 * has only just started.
 	 */
 	void start() {
+		StartGate gate = this.gateway.gate();
+		if (gate.isOpen() || !gate.hold(this::goOn)) {
+			goOn();
+			return;
+		}
+		this.holdTimer = this.client.schedule(this::goOn, StartGate.MAX_HOLD_MILLIS);
+	}
+
+	private void goOn() {
+		if (this.begun) {
+			return;
+		}
+		this.begun = true;
+		if (this.holdTimer != null) {
+			this.holdTimer.cancel(false);
+		}
 		Optional<OwnAnswer> refusal = admit();
 		if (refusal.isPresent()) {
 			finishOwn(refusal.get());
@@ -383,6 +404,8 @@
 	 */
 	void clientGone() {
 		if (this.flow == null) {
+			this.begun = true;
+			finish(0, "client gone");
 			return;
 		}
 		perform(this.flow.clientGone());
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
@@ -15,6 +15,7 @@
 /**
  * What all exchanges of a host share. Confined to the event loop.
  *
+ * @param gate holds requests until the configuration is known
  * @param view what the host believes about the fleet
  * @param servers states of the backend servers
  * @param choice choice among the servers
@@ -28,7 +29,7 @@
  * @param budget budget of repeats
  * @param clock monotonic time in nanoseconds
  */
-public record Gateway(FleetView view, ServerTable servers, ServerChoice choice, ConfidenceCascade cascade,
-		Strain strain, RolloutWatch rollouts, ReadingSpeed speed, UsualPace pace, BackendPool pool, WireDialect dialect,
-		RepeatBudget budget, LongSupplier clock) {
+public record Gateway(StartGate gate, FleetView view, ServerTable servers, ServerChoice choice,
+		ConfidenceCascade cascade, Strain strain, RolloutWatch rollouts, ReadingSpeed speed, UsualPace pace,
+		BackendPool pool, WireDialect dialect, RepeatBudget budget, LongSupplier clock) {
 }
