Stop listening earlier in a drain; tests of the request flow, the data path over loopback and the policies

The platform stops sending after two unanswered questions, so at 2.7 s nothing new is due; the process now also uses 0.2 s more. Ruled out: the kept connections of the earlier finding (they are closed). Tests: exhaustive exploration of the request flow, 45 cases over loopback, policies; all pass.

--- /dev/null
+++ b/decision/src/test/java/io/sequoialink/decision/limits/StrainTests.java
@@ -0,0 +1,46 @@
+package io.sequoialink.decision.limits;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StrainTests {
+
+	private static final long TENTH = 100_000_000L;
+
+	private final Strain strain = new Strain();
+
+	private long now;
+
+	@Test
+	void promptAnswersCauseNone() {
+		observe(0.1, 200);
+		assertThat(this.strain.value()).isZero();
+	}
+
+	@Test
+	void lateAnswersRaiseItWithinSecondsAndPromptOnesLowerItAgain() {
+		observe(1.0, 60);
+		assertThat(this.strain.value()).isGreaterThan(1);
+		observe(0.05, 200);
+		assertThat(this.strain.value()).isZero();
+	}
+
+	@Test
+	void itStaysWithinItsBoundsAndAPauseSaysNothing() {
+		observe(50, 1000);
+		assertThat(this.strain.value()).isLessThanOrEqualTo(6);
+		Strain paused = new Strain();
+		paused.observe(2, TENTH);
+		paused.observe(2, 1000 * TENTH);
+		assertThat(paused.value()).isLessThan(1);
+	}
+
+	private void observe(double share, int times) {
+		for (int i = 0; i < times; i++) {
+			this.now += TENTH;
+			this.strain.observe(share, this.now);
+		}
+	}
+
+}
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -59,12 +59,12 @@
 	 * Time from the request to stop until the platform sends no more connections, in
 	 * milliseconds.
 	 */
-	private static final long LISTEN_MILLIS = 3500;
+	private static final long LISTEN_MILLIS = 2700;
 
 	/**
 	 * Part of the time to stop that is left for the end of the process, in milliseconds.
 	 */
-	private static final long END_MARGIN_MILLIS = 500;
+	private static final long END_MARGIN_MILLIS = 300;
 
 	private static final long POLL_MILLIS = 100;
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/FrontServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/FrontServer.java
@@ -120,6 +120,14 @@
 		List.copyOf(this.connections).forEach(ClientConnection::closeIfIdle);
 	}
 
+	/**
+	 * Returns the port on which clients are accepted.
+	 * @return the port
+	 */
+	int port() {
+		return ((InetSocketAddress) this.listening.localAddress()).getPort();
+	}
+
 	/**
 	 * Returns the number of open connections.
 	 * @return open connections of clients
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
@@ -0,0 +1,238 @@
+package io.sequoialink.gateway.flow;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
+
+/**
+ * Explores every series of inputs up to a length and holds the promises against each.
+ */
+class RequestFlowTests {
+
+	private static final int DEPTH = 7;
+
+	private enum Input {
+
+		SENT, NOT_RUN, NOT_RUN_LAST, BROKEN, BROKEN_LAST, FAILED, FAILED_LAST, DROPPED, ANSWERING, ANSWERED, NO_ROOM,
+		TIMED_OUT, CLIENT_GONE
+
+	}
+
+	private int explored;
+
+	@ParameterizedTest
+	@CsvSource({ "true, 1", "true, 2", "true, 3", "false, 1", "false, 2", "false, 3" })
+	void everySeriesOfInputsKeepsThePromises(boolean repeatable, int maxAttempts) {
+		explore(repeatable, maxAttempts, new ArrayList<>());
+		assertThat(this.explored).isGreaterThan(100);
+	}
+
+	private void explore(boolean repeatable, int maxAttempts, List<Input> path) {
+		Replay replay = new Replay(repeatable, maxAttempts, path);
+		if (!replay.possible) {
+			return;
+		}
+		this.explored++;
+		replay.check();
+		if (path.size() == DEPTH || replay.flow.done()) {
+			return;
+		}
+		for (Input next : Input.values()) {
+			path.add(next);
+			explore(repeatable, maxAttempts, path);
+			path.remove(path.size() - 1);
+		}
+	}
+
+	@Test
+	void aSendOfWorkThatMayHaveRunIsRefused() {
+		RequestFlow flow = new RequestFlow(false, 3);
+		flow.sent();
+		assertThat(flow.broken(true)).isEqualTo(Next.REPORT_UNKNOWN);
+		assertThatIllegalStateException().isThrownBy(flow::sent);
+	}
+
+	@Test
+	void nothingFollowsAFinalStep() {
+		RequestFlow flow = new RequestFlow(true, 2);
+		assertThat(flow.noRoom()).isEqualTo(Next.REFUSE);
+		assertThat(flow.timedOut()).isEqualTo(Next.NOTHING);
+		assertThat(flow.clientGone()).isEqualTo(Next.NOTHING);
+		assertThat(flow.broken(true)).isEqualTo(Next.NOTHING);
+	}
+
+	@Test
+	void aKeptFailureIsHandedOnRatherThanAnUnknownOutcome() {
+		RequestFlow flow = new RequestFlow(true, 2);
+		flow.sent();
+		assertThat(flow.failed(true)).isEqualTo(Next.SEND);
+		flow.sent();
+		assertThat(flow.broken(false)).isEqualTo(Next.PASS_FAILURE);
+	}
+
+	@Test
+	void anAnswerIsNotDroppedOnceTheClientHasAPart() {
+		RequestFlow flow = new RequestFlow(true, 3);
+		flow.sent();
+		flow.answering();
+		assertThat(flow.dropped()).isEqualTo(Next.NOTHING);
+	}
+
+	/**
+	 * Plays a series of inputs and keeps count of what a client and servers would see.
+	 */
+	private static final class Replay {
+
+		private final boolean repeatable;
+
+		private final int maxAttempts;
+
+		private final RequestFlow flow;
+
+		private final List<Input> path;
+
+		private boolean possible = true;
+
+		private boolean inFlight;
+
+		private int mayHaveRun;
+
+		private int sends;
+
+		private boolean partSeen;
+
+		private int finals;
+
+		private Next last = Next.SEND;
+
+		private Replay(boolean repeatable, int maxAttempts, List<Input> path) {
+			this.repeatable = repeatable;
+			this.maxAttempts = maxAttempts;
+			this.flow = new RequestFlow(repeatable, maxAttempts);
+			this.path = List.copyOf(path);
+			for (Input input : this.path) {
+				if (!apply(input)) {
+					this.possible = false;
+					return;
+				}
+			}
+		}
+
+		private boolean apply(Input input) {
+			return switch (input) {
+				case SENT -> send();
+				case NOT_RUN, NOT_RUN_LAST -> end(input == Input.NOT_RUN, false, Input.NOT_RUN);
+				case BROKEN, BROKEN_LAST -> end(input == Input.BROKEN, true, Input.BROKEN);
+				case FAILED, FAILED_LAST -> end(input == Input.FAILED, true, Input.FAILED);
+				case DROPPED -> drop();
+				case ANSWERING -> answering();
+				case ANSWERED -> answered();
+				case NO_ROOM -> !this.inFlight && this.last == Next.SEND && step(this.flow.noRoom());
+				case TIMED_OUT -> timedOut();
+				case CLIENT_GONE -> step(this.flow.clientGone());
+			};
+		}
+
+		private boolean send() {
+			if (this.inFlight || this.last != Next.SEND) {
+				return false;
+			}
+			this.flow.sent();
+			this.sends++;
+			this.inFlight = true;
+			return true;
+		}
+
+		private boolean end(boolean repeatAllowed, boolean ran, Input kind) {
+			if (!this.inFlight || (kind != Input.BROKEN && this.partSeen)) {
+				return false;
+			}
+			this.inFlight = false;
+			this.mayHaveRun += ran ? 1 : 0;
+			return step(ended(kind, repeatAllowed));
+		}
+
+		private Next ended(Input kind, boolean repeatAllowed) {
+			return switch (kind) {
+				case NOT_RUN -> this.flow.notRun(repeatAllowed);
+				case FAILED -> this.flow.failed(repeatAllowed);
+				default -> this.flow.broken(repeatAllowed);
+			};
+		}
+
+		private boolean drop() {
+			if (!this.inFlight) {
+				return false;
+			}
+			Next next = this.flow.dropped();
+			if (next == Next.SEND) {
+				this.inFlight = false;
+				this.mayHaveRun++;
+				return step(next);
+			}
+			return true;
+		}
+
+		private boolean answering() {
+			if (!this.inFlight) {
+				return false;
+			}
+			this.flow.answering();
+			this.partSeen = true;
+			return true;
+		}
+
+		private boolean answered() {
+			if (!this.inFlight || !this.partSeen) {
+				return false;
+			}
+			this.inFlight = false;
+			this.mayHaveRun++;
+			this.flow.answered();
+			this.finals++;
+			this.last = Next.NOTHING;
+			return true;
+		}
+
+		private boolean timedOut() {
+			if (this.inFlight) {
+				this.mayHaveRun++;
+			}
+			this.inFlight = false;
+			return step(this.flow.timedOut());
+		}
+
+		private boolean step(Next next) {
+			this.last = next;
+			if (next != Next.SEND && next != Next.NOTHING) {
+				this.finals++;
+			}
+			return true;
+		}
+
+		private void check() {
+			assertThat(this.finals).as("final answers after %s", this.path).isLessThanOrEqualTo(1);
+			assertThat(this.sends).as("sends after %s", this.path).isLessThanOrEqualTo(this.maxAttempts);
+			if (!this.repeatable) {
+				int runs = this.mayHaveRun + (this.inFlight ? 1 : 0);
+				assertThat(runs).as("possible runs after %s", this.path).isLessThanOrEqualTo(1);
+			}
+			if (this.last == Next.REFUSE) {
+				assertThat(this.mayHaveRun).as("runs behind a refusal after %s", this.path).isZero();
+			}
+			if (this.partSeen && this.flow.done()) {
+				assertThat(this.last).as("end of a begun answer after %s", this.path)
+					.isIn(Next.CUT, Next.ABANDON, Next.NOTHING);
+			}
+			assertThat(this.flow.done()).as("done after %s", this.path).isEqualTo(this.finals == 1);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/EventSplitterTests.java
@@ -0,0 +1,61 @@
+package io.sequoialink.gateway.http;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EventSplitterTests {
+
+	private static final String STREAM = "id: 7\ndata: one\n\nid: 8\r\ndata: two\r\n\r\n: note\n\nid:9\ndata: three\n\n";
+
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3, 5, 8, 13, 21, 100 })
+	void wholeEventsComeOutInWhateverPiecesTheyArrive(int size) {
+		EventSplitter splitter = new EventSplitter();
+		StringBuilder seen = new StringBuilder();
+		for (int from = 0; from < STREAM.length(); from += size) {
+			String piece = STREAM.substring(from, Math.min(STREAM.length(), from + size));
+			String out = text(splitter.take(bytes(piece)));
+			assertThat(out).matches((text) -> text.isEmpty() || text.endsWith("\n\n") || text.endsWith("\n\r\n"));
+			seen.append(out);
+		}
+		assertThat(seen).hasToString(STREAM);
+		assertThat(splitter.lastId()).contains("9");
+		assertThat(splitter.events()).isEqualTo(3);
+		assertThat(splitter.unfinished()).isFalse();
+	}
+
+	@Test
+	void aCutEventIsHeldBackAndItsIdDoesNotCount() {
+		EventSplitter splitter = new EventSplitter();
+		assertThat(text(splitter.take(bytes("id: 1\ndata: a\n\nid: 2\ndata: b")))).isEqualTo("id: 1\ndata: a\n\n");
+		assertThat(splitter.lastId()).contains("1");
+		assertThat(splitter.unfinished()).isTrue();
+		splitter.release();
+		assertThat(splitter.unfinished()).isFalse();
+	}
+
+	@Test
+	void anEventWithoutEndOverflows() {
+		EventSplitter splitter = new EventSplitter();
+		splitter.take(Unpooled.wrappedBuffer(new byte[EventSplitter.MAX_EVENT_BYTES + 1])).release();
+		assertThat(splitter.overflown()).isTrue();
+	}
+
+	private static ByteBuf bytes(String text) {
+		return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+	}
+
+	private static String text(ByteBuf bytes) {
+		String text = bytes.toString(StandardCharsets.US_ASCII);
+		bytes.release();
+		return text;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -0,0 +1,201 @@
+package io.sequoialink.gateway.http;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.sequoialink.decision.cascade.ConfidenceCascade;
+import io.sequoialink.decision.limits.Strain;
+import io.sequoialink.decision.retry.RepeatBudget;
+import io.sequoialink.gateway.fleet.BackendService;
+import io.sequoialink.gateway.fleet.ClientAccount;
+import io.sequoialink.gateway.fleet.ClientLimits;
+import io.sequoialink.gateway.fleet.Configuration;
+import io.sequoialink.gateway.fleet.FleetView;
+import io.sequoialink.gateway.fleet.ModelCost;
+import io.sequoialink.gateway.fleet.RequestKind;
+import io.sequoialink.gateway.fleet.Route;
+import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.fleet.WeightedService;
+import io.sequoialink.gateway.place.LeastWorkChoice;
+import io.sequoialink.gateway.place.ReadingSpeed;
+import io.sequoialink.gateway.place.ServerTable;
+import io.sequoialink.gateway.place.UsualPace;
+import io.sequoialink.gateway.rollout.RolloutWatch;
+
+/**
+ * A gateway on loopback before scripted backend servers. Paths: {@code /safe/} idempotent
+ * with two sends, {@code /once/} non-idempotent with two sends, {@code /stream/}
+ * resumable with three, {@code /firm/} a stream that may not be repeated, {@code /sized/}
+ * a stream with two models, {@code /brief/} idempotent with a timeout of 300 ms.
+ */
+final class GatewayFixture implements AutoCloseable {
+
+	static final ClientLimits LIMITS = new ClientLimits(2048, 10_000, 400, 1500);
+
+	private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+
+	private final List<ScriptedServer> servers = new ArrayList<>();
+
+	private final FleetView view = new FleetView();
+
+	private final StartGate gate = new StartGate();
+
+	private final FrontServer front;
+
+	private GatewayFixture() {
+		PlainDialect dialect = new PlainDialect();
+		ServerTable table = new ServerTable(this.view);
+		ReadingSpeed speed = new ReadingSpeed();
+		RolloutWatch rollouts = new RolloutWatch("h", new RolloutWatch.Options(0.1, 0), null, System::nanoTime,
+				new SplittableRandom(1));
+		Gateway gateway = new Gateway(this.gate, this.view, table,
+				new LeastWorkChoice(table, speed, "z", System::nanoTime, new SplittableRandom(1)),
+				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), rollouts, speed,
+				new UsualPace(), new BackendPool(this.loops, dialect), dialect,
+				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), System::nanoTime);
+		this.front = new FrontServer(gateway);
+	}
+
+	static GatewayFixture before(ScriptedServer.Script... scripts) throws Exception {
+		GatewayFixture fixture = closed(scripts);
+		fixture.open();
+		return fixture;
+	}
+
+	/**
+	 * Starts a gateway that knows no configuration yet.
+	 */
+	static GatewayFixture closed(ScriptedServer.Script... scripts) throws Exception {
+		GatewayFixture fixture = new GatewayFixture();
+		for (ScriptedServer.Script script : scripts) {
+			fixture.servers.add(new ScriptedServer(script));
+		}
+		fixture.front.start(fixture.loops, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		return fixture;
+	}
+
+	void open() throws Exception {
+		this.loops.submit(() -> {
+			this.view.offer(configuration());
+			int number = 0;
+			for (ScriptedServer server : this.servers) {
+				number++;
+				this.view.put(new ServerEntry("s" + number, "svc",
+						new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port()), "z", "v1", 8, false, 0,
+						0));
+			}
+			this.gate.open();
+		}).get();
+	}
+
+	private static Configuration configuration() {
+		List<Route> routes = List.of(route("/safe/", RequestKind.IDEMPOTENT, 5000, 2, false, List.of()),
+				route("/brief/", RequestKind.IDEMPOTENT, 300, 2, false, List.of()),
+				route("/once/", RequestKind.NON_IDEMPOTENT, 5000, 2, false, List.of()),
+				route("/stream/", RequestKind.STREAMING, 5000, 3, true, List.of()),
+				route("/firm/", RequestKind.STREAMING, 5000, 3, false, List.of()),
+				route("/sized/", RequestKind.STREAMING, 5000, 3, true, List.of("small", "large")));
+		BackendService service = new BackendService("svc", "/health", 100, 1000,
+				List.of(new ModelCost("small", 0.1), new ModelCost("large", 1)));
+		return new Configuration(1, routes, List.of(service),
+				List.of(new ClientAccount("acme", List.of("k"), OptionalInt.empty())), LIMITS);
+	}
+
+	private static Route route(String prefix, RequestKind kind, int timeout, int attempts, boolean resumable,
+			List<String> models) {
+		return new Route(prefix, "h.example", prefix, kind, List.of(new WeightedService("svc", 1)), timeout, 1000, 0,
+				attempts, false, resumable, 1000, models);
+	}
+
+	ScriptedServer server(int number) {
+		return this.servers.get(number - 1);
+	}
+
+	int runs() {
+		return this.servers.stream().mapToInt((server) -> server.requests().size()).sum();
+	}
+
+	Client connect() throws IOException {
+		return new Client(new Socket(InetAddress.getLoopbackAddress(), this.front.port()));
+	}
+
+	String exchange(String path, String headers) throws IOException {
+		try (Client client = connect()) {
+			client.send(path, headers);
+			return client.read();
+		}
+	}
+
+	FrontServer front() {
+		return this.front;
+	}
+
+	void onLoop(Runnable work) throws Exception {
+		this.loops.submit(work).get();
+	}
+
+	@Override
+	public void close() throws Exception {
+		for (ScriptedServer server : this.servers) {
+			server.close();
+		}
+		this.loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).get();
+	}
+
+	/**
+	 * A client's connection.
+	 */
+	static final class Client implements AutoCloseable {
+
+		private static int lastId;
+
+		private final Socket socket;
+
+		private final InputStream in;
+
+		private Client(Socket socket) throws IOException {
+			this.socket = socket;
+			this.socket.setSoTimeout(10_000);
+			this.in = new BufferedInputStream(socket.getInputStream());
+		}
+
+		void send(String path, String headers) throws IOException {
+			raw("GET " + path + " HTTP/1.1\r\nHost: h.example\r\nid: r" + nextId() + "\r\nkey: k\r\n" + headers
+					+ "\r\n");
+		}
+
+		private static synchronized int nextId() {
+			return ++lastId;
+		}
+
+		void raw(String text) throws IOException {
+			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+		}
+
+		String read() throws IOException {
+			return RawHttp.readMessage(this.in);
+		}
+
+		int readByte() throws IOException {
+			return this.in.read();
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.socket.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/PlainDialect.java
@@ -0,0 +1,57 @@
+package io.sequoialink.gateway.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * A dialect with short names for tests.
+ */
+final class PlainDialect implements WireDialect {
+
+	@Override
+	public RequestFacts request(HttpHeaders headers) {
+		List<PromptPart> prompt = new ArrayList<>();
+		return new RequestFacts(text(headers, "id"), text(headers, "key"), number(headers, "deadline"),
+				text(headers, "model"), 0, 0, prompt, text(headers, "session"), text(headers, "last-event-id"));
+	}
+
+	@Override
+	public void dispatch(HttpHeaders headers, DispatchFacts facts) {
+		headers.remove("key");
+		headers.set("server", facts.server());
+		headers.set("deadline", facts.remainingMillis());
+		facts.account().ifPresent((account) -> headers.set("account", account));
+		facts.model().ifPresent((model) -> headers.set("model", model));
+		facts.lastEvent().ifPresent((event) -> headers.set("last-event-id", event));
+	}
+
+	@Override
+	public AnswerFacts answer(HttpHeaders headers) {
+		return new AnswerFacts(text(headers, "id"), headers.contains("seal"), headers.contains("not-run"),
+				Optional.empty(), number(headers, "confidence"));
+	}
+
+	@Override
+	public void ownAnswer(HttpHeaders headers, String id) {
+		headers.set("id", id);
+	}
+
+	@Override
+	public String readinessPath() {
+		return "/ready";
+	}
+
+	private static Optional<String> text(HttpHeaders headers, String name) {
+		return Optional.ofNullable(headers.get(name));
+	}
+
+	private static OptionalInt number(HttpHeaders headers, String name) {
+		String text = headers.get(name);
+		return (text != null) ? OptionalInt.of(Integer.parseInt(text)) : OptionalInt.empty();
+	}
+
+}
