--- /dev/null
+++ b/entry/src/test/java/io/sequoialink/entry/SettingsReaderTests.java
@@ -0,0 +1,63 @@
+package io.sequoialink.entry;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class SettingsReaderTests {
+
+	static final String GOOD = """
+			{"host":"h1","zone":"a","clients":"127.0.0.1:8227","readiness":"127.0.0.1:8220",
+			"store":{"address":"127.0.0.1:8223"},
+			"bounds":{"stop_seconds":8,"repeat_ratio":0.9,"repeat_slack":56,"repeat_window_seconds":10,
+			"exposure_share":0.15,"exposure_slack":30,"session_seconds":5},"unheard_of":{"x":1}}""";
+
+	@TempDir
+	private Path folder;
+
+	@Test
+	void goodSettingsAreReadAndUnknownFieldsIgnored() throws Exception {
+		EntrySettings settings = SettingsReader.read(file(GOOD));
+		assertThat(settings.host()).isEqualTo("h1");
+		assertThat(settings.clients().getPort()).isEqualTo(8227);
+		assertThat(settings.bounds().stopMillis()).isEqualTo(8000);
+		assertThat(settings.bounds().repeatRatio()).isEqualTo(0.9);
+	}
+
+	@Test
+	void allErrorsAreNamedAtOnce() throws IOException {
+		Path file = file("{\"host\":7,\"clients\":\"here\",\"store\":{},\"bounds\":{\"stop_seconds\":-1}}");
+		assertThatExceptionOfType(SettingsException.class).isThrownBy(() -> SettingsReader.read(file))
+			.satisfies((ex) -> assertThat(ex.errors()).hasSizeGreaterThanOrEqualTo(11)
+				.anyMatch((error) -> error.contains("host is 7"))
+				.anyMatch((error) -> error.contains("zone is missing"))
+				.anyMatch((error) -> error.contains("clients is \"here\""))
+				.anyMatch((error) -> error.contains("stop_seconds is -1")));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "''", "[]", "{", "7" })
+	void whatIsNoTableIsRefused(String text) throws IOException {
+		Path file = file(text);
+		assertThatExceptionOfType(SettingsException.class).isThrownBy(() -> SettingsReader.read(file));
+	}
+
+	@Test
+	void aMissingFileIsRefused() {
+		assertThatExceptionOfType(SettingsException.class)
+			.isThrownBy(() -> SettingsReader.read(this.folder.resolve("none")));
+	}
+
+	private Path file(String text) throws IOException {
+		return Files.writeString(this.folder.resolve("settings.json"), text);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FakeTopic.java
@@ -0,0 +1,132 @@
+package io.sequoialink.gateway.feed;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+/**
+ * A keyed topic in memory that can be made to fail, forget its history or hold back
+ * answers. Replies at once unless it waits for records.
+ */
+public final class FakeTopic implements KeyedTopic {
+
+	private final List<KeyedRecord> log = new ArrayList<>();
+
+	private final List<Runnable> waiting = new ArrayList<>();
+
+	private long first;
+
+	private boolean down;
+
+	private int pageSize = 100;
+
+	private int reads;
+
+	public FakeTopic pageSize(int records) {
+		this.pageSize = records;
+		return this;
+	}
+
+	public void down(boolean isDown) {
+		this.down = isDown;
+		if (isDown) {
+			wake();
+		}
+	}
+
+	public int reads() {
+		return this.reads;
+	}
+
+	public long end() {
+		return this.log.size();
+	}
+
+	public void put(String key, String value) {
+		this.log.add(new KeyedRecord(key, value.getBytes(java.nio.charset.StandardCharsets.UTF_8), this.log.size()));
+		wake();
+	}
+
+	public void forgetHistory() {
+		this.first = this.log.size();
+	}
+
+	private void wake() {
+		List<Runnable> due = new ArrayList<>(this.waiting);
+		this.waiting.clear();
+		due.forEach(Runnable::run);
+	}
+
+	@Override
+	public String name() {
+		return "fake";
+	}
+
+	@Override
+	public void newest(Optional<String> after, Consumer<StoreReply<NewestPage>> reply) {
+		this.reads++;
+		if (this.down) {
+			reply.accept(failure());
+			return;
+		}
+		Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+		for (KeyedRecord record : this.log) {
+			newest.remove(record.key());
+			if (!record.dropped()) {
+				newest.put(record.key(), record);
+			}
+		}
+		List<KeyedRecord> sorted = newest.values()
+			.stream()
+			.sorted((one, other) -> one.key().compareTo(other.key()))
+			.filter((record) -> after.isEmpty() || record.key().compareTo(after.get()) > 0)
+			.toList();
+		List<KeyedRecord> page = sorted.subList(0, Math.min(this.pageSize, sorted.size()));
+		Optional<String> next = (page.size() < sorted.size()) ? Optional.of(page.get(page.size() - 1).key())
+				: Optional.empty();
+		reply.accept(StoreReply.of(new NewestPage(page, next, this.log.size())));
+	}
+
+	@Override
+	public void read(long from, int waitMillis, Consumer<StoreReply<Tail>> reply) {
+		this.reads++;
+		if (this.down) {
+			reply.accept(failure());
+		}
+		else if (from < this.first) {
+			reply.accept(StoreReply.of(new Tail(List.of(), from, this.log.size(), true)));
+		}
+		else if (from < this.log.size()) {
+			List<KeyedRecord> tail = List.copyOf(this.log.subList((int) from, this.log.size()));
+			reply.accept(StoreReply.of(new Tail(tail, this.log.size(), this.log.size(), false)));
+		}
+		else {
+			this.waiting.add(() -> read(from, waitMillis, reply));
+		}
+	}
+
+	@Override
+	public void append(String key, byte[] value, OptionalLong at, Consumer<StoreReply<Long>> reply) {
+		if (this.down) {
+			reply.accept(failure());
+			return;
+		}
+		if (at.isPresent() && at.getAsLong() != this.log.size()) {
+			reply.accept(StoreReply.failed(new StoreFailure(StoreFailure.Kind.CONFLICT, "moved on")));
+			return;
+		}
+		long offset = this.log.size();
+		this.log.add(new KeyedRecord(key, value, offset));
+		reply.accept(StoreReply.of(offset));
+		wake();
+	}
+
+	private static <T> StoreReply<T> failure() {
+		return StoreReply.failed(new StoreFailure(StoreFailure.Kind.REFUSED, "down"));
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -0,0 +1,128 @@
+package io.sequoialink.gateway.feed;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TopicFollowerTests {
+
+	private final FakeTopic topic = new FakeTopic();
+
+	private final Map<String, String> seen = new HashMap<>();
+
+	private final Deque<Runnable> later = new ArrayDeque<>();
+
+	private int returns;
+
+	private final TopicFollower follower = new TopicFollower(this.topic, new Sink(), new FollowPace(1000, 100, 100),
+			(work, millis) -> this.later.add(work), () -> 1L);
+
+	@Test
+	void whatIsThereAndWhatFollowsIsHandedOn() {
+		this.topic.put("a", "1");
+		this.topic.put("a", "2");
+		this.follower.start();
+		assertThat(this.seen).containsExactly(Map.entry("a", "2"));
+		assertThat(this.follower.whole()).isTrue();
+		this.topic.put("b", "3");
+		assertThat(this.seen).containsEntry("b", "3");
+	}
+
+	@Test
+	void allPagesAreRead() {
+		this.topic.pageSize(2);
+		for (int i = 0; i < 7; i++) {
+			this.topic.put("k" + i, "v" + i);
+		}
+		this.follower.start();
+		assertThat(this.seen).hasSize(7);
+	}
+
+	@Test
+	void aDroppedKeyIsHandedOnAsDropped() {
+		this.topic.put("a", "1");
+		this.follower.start();
+		this.topic.put("a", "");
+		assertThat(this.seen).isEmpty();
+	}
+
+	@Test
+	void anOutageLeavesWhatIsKnownAndWhatWasMissedFollows() {
+		this.topic.put("a", "1");
+		this.follower.start();
+		this.topic.down(true);
+		assertThat(this.seen).containsEntry("a", "1");
+		assertThat(this.follower.steadyNanos()).isEmpty();
+		this.topic.put("a", "2");
+		this.topic.put("b", "3");
+		this.topic.down(false);
+		runLater();
+		assertThat(this.seen).containsEntry("a", "2").containsEntry("b", "3");
+		assertThat(this.returns).isEqualTo(1);
+	}
+
+	@Test
+	void aStoreThatIsDownAtTheStartIsAskedAgain() {
+		this.topic.put("a", "1");
+		this.topic.down(true);
+		this.follower.start();
+		assertThat(this.follower.whole()).isFalse();
+		this.topic.down(false);
+		runLater();
+		assertThat(this.seen).containsEntry("a", "1");
+	}
+
+	@Test
+	void aForgottenHistoryIsReadAnewAndKeysThatAreGoneAreDropped() {
+		this.topic.put("a", "1");
+		this.topic.put("b", "2");
+		this.follower.start();
+		this.topic.down(true);
+		this.topic.put("a", "");
+		this.topic.put("c", "3");
+		this.topic.forgetHistory();
+		this.topic.down(false);
+		runLater();
+		assertThat(this.seen).containsOnlyKeys("b", "c");
+	}
+
+	private void runLater() {
+		int runs = this.later.size();
+		for (int i = 0; i < runs; i++) {
+			this.later.pollFirst().run();
+		}
+	}
+
+	/**
+	 * Keeps the newest value of each key.
+	 */
+	private final class Sink implements RecordSink {
+
+		@Override
+		public void take(KeyedRecord record) {
+			if (record.dropped()) {
+				TopicFollowerTests.this.seen.remove(record.key());
+				return;
+			}
+			TopicFollowerTests.this.seen.put(record.key(), new String(record.value(), StandardCharsets.UTF_8));
+		}
+
+		@Override
+		public void caughtUp(long end) {
+			assertThat(end).isLessThanOrEqualTo(TopicFollowerTests.this.topic.end());
+		}
+
+		@Override
+		public void returned() {
+			TopicFollowerTests.this.returns++;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LeastWorkChoiceTests.java
@@ -0,0 +1,120 @@
+package io.sequoialink.gateway.place;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import io.sequoialink.gateway.fleet.FleetView;
+import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.rollout.VersionGroup;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LeastWorkChoiceTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private final FleetView view = new FleetView();
+
+	private final ServerTable servers = new ServerTable(this.view);
+
+	private long now = 100 * SECOND;
+
+	private final LeastWorkChoice choice = new LeastWorkChoice(this.servers, new ReadingSpeed(), "a", () -> this.now,
+			new SplittableRandom(5));
+
+	@ParameterizedTest
+	@CsvSource({ "ANY, true", "TARGET, true", "OLD, false", "OLD_ONLY, false" })
+	void theVersionsThatMayAnswerAreKept(VersionGroup group, boolean mayBeNew) {
+		put("old", "v1");
+		put("new", "v2");
+		for (int i = 0; i < 20; i++) {
+			String version = choose(group, EngineWork.PLAIN, Set.of()).orElseThrow().entry().version();
+			assertThat(version.equals("v2") && !mayBeNew).isFalse();
+			assertThat(version.equals("v1") && group == VersionGroup.TARGET).isFalse();
+		}
+	}
+
+	@Test
+	void aRolledBackVersionIsNotUsedEvenIfNothingElseIsLeft() {
+		put("new", "v2");
+		assertThat(choose(VersionGroup.OLD_ONLY, EngineWork.PLAIN, Set.of())).isEmpty();
+		assertThat(choose(VersionGroup.OLD, EngineWork.PLAIN, Set.of())).isPresent();
+	}
+
+	@Test
+	void aServerThatWasTriedOrFailsIsUsedOnlyIfNothingElseIsLeft() {
+		put("one", "v1");
+		put("two", "v1");
+		assertThat(choose(VersionGroup.ANY, EngineWork.PLAIN, Set.of("one")).orElseThrow().entry().id())
+			.isEqualTo("two");
+		ServerState two = this.servers.find("two").orElseThrow();
+		two.failed(this.now);
+		two.failed(this.now);
+		assertThat(choose(VersionGroup.ANY, EngineWork.PLAIN, Set.of()).orElseThrow().entry().id()).isEqualTo("one");
+		assertThat(choose(VersionGroup.ANY, EngineWork.PLAIN, Set.of("one")).orElseThrow().entry().id())
+			.isEqualTo("two");
+	}
+
+	@Test
+	void aDrainingServerIsNeverUsed() {
+		this.view.put(new ServerEntry("leaving", "s", new InetSocketAddress("127.0.0.1", 1), "a", "v1", 8, true, 0, 0));
+		assertThat(choose(VersionGroup.ANY, EngineWork.PLAIN, Set.of())).isEmpty();
+	}
+
+	@Test
+	void requestsThatShareAPartMeetAtOneServerOnEveryHost() {
+		for (int i = 0; i < 12; i++) {
+			put("s" + i, "v1");
+		}
+		LeastWorkChoice otherHost = new LeastWorkChoice(new ServerTable(this.view), new ReadingSpeed(), "b",
+				() -> this.now, new SplittableRandom(99));
+		EngineWork work = new EngineWork("m", 4711, 5000, 100);
+		String first = choose(VersionGroup.ANY, work, Set.of()).orElseThrow().entry().id();
+		PlaceRequest request = new PlaceRequest("s", VersionGroup.ANY, "", work, Set.of());
+		assertThat(otherHost.choose(request).orElseThrow().server().entry().id()).isEqualTo(first);
+	}
+
+	@Test
+	void aPartThatIsAskedForTooOftenSpillsOver() {
+		for (int i = 0; i < 12; i++) {
+			put("s" + i, "v1");
+		}
+		EngineWork work = new EngineWork("m", 4711, 1000, 3000);
+		Map<String, Integer> used = new HashMap<>();
+		for (int i = 0; i < 60; i++) {
+			Placed placed = this.choice.choose(new PlaceRequest("s", VersionGroup.ANY, "", work, Set.of()))
+				.orElseThrow();
+			placed.server().sent(placed.workMillis());
+			used.merge(placed.server().entry().id(), 1, Integer::sum);
+		}
+		assertThat(used.values().stream().mapToInt(Integer::intValue).max().orElseThrow()).isLessThan(15);
+	}
+
+	@Test
+	void aLongPromptUnderWaySendsOthersElsewhere() {
+		put("busy", "v1");
+		put("free", "v1");
+		choose(VersionGroup.ANY, EngineWork.PLAIN, Set.of());
+		this.servers.find("busy").orElseThrow().sent(1800);
+		for (int i = 0; i < 20; i++) {
+			EngineWork work = new EngineWork("m", 0, 0, 500);
+			assertThat(choose(VersionGroup.ANY, work, Set.of()).orElseThrow().entry().id()).isEqualTo("free");
+		}
+	}
+
+	private void put(String id, String version) {
+		this.view.put(new ServerEntry(id, "s", new InetSocketAddress("127.0.0.1", 1), "a", version, 8, false, 0, 0));
+	}
+
+	private Optional<ServerState> choose(VersionGroup group, EngineWork work, Set<String> tried) {
+		return this.choice.choose(new PlaceRequest("s", group, "v2", work, tried)).map(Placed::server);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
@@ -0,0 +1,255 @@
+package io.sequoialink.gateway.rollout;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.function.Consumer;
+
+import io.sequoialink.gateway.feed.StoreFailure;
+import io.sequoialink.gateway.feed.StoreReply;
+import io.sequoialink.gateway.fleet.Found;
+import io.sequoialink.gateway.fleet.RolloutOrder;
+import io.sequoialink.gateway.fleet.RolloutState;
+import io.sequoialink.gateway.fleet.RolloutStatus;
+
+/**
+ * Hosts that carry out a roll-out over one shared log, in simulated time and without
+ * sockets. Hosts can be cut off from the log and killed.
+ */
+final class RolloutFleet {
+
+	static final long STEP = 50_000_000L;
+
+	private static final long ORDER = 7;
+
+	private final Random random;
+
+	private final List<Object> log = new ArrayList<>();
+
+	private final List<Long> writtenAt = new ArrayList<>();
+
+	private final List<Host> hosts = new ArrayList<>();
+
+	private final double badShare;
+
+	private final double requestsPerStep;
+
+	private long now = 1_000_000_000L;
+
+	private final Map<Integer, String> sessionVersions = new HashMap<>();
+
+	private long exposed;
+
+	private long requests;
+
+	private int movedBack;
+
+	private int movedEarly;
+
+	RolloutFleet(long seed, int size, double badShare, double requestsPerSecond) {
+		this.random = new Random(seed);
+		this.badShare = badShare;
+		this.requestsPerStep = requestsPerSecond * STEP / 1e9;
+		for (int i = 0; i < size; i++) {
+			this.hosts.add(new Host(i));
+		}
+	}
+
+	void order(long durationMillis) {
+		for (Host host : this.hosts) {
+			host.start(durationMillis);
+		}
+	}
+
+	void run(long millis) {
+		for (long step = 0; step < millis * 1_000_000L / STEP; step++) {
+			this.now += STEP;
+			for (Host host : this.hosts) {
+				host.step();
+			}
+			this.requestsDue();
+		}
+	}
+
+	private void requestsDue() {
+		double due = this.requestsPerStep;
+		while (due > this.random.nextDouble()) {
+			due--;
+			Host host = this.hosts.get(this.random.nextInt(this.hosts.size()));
+			if (host.alive) {
+				request(host);
+			}
+		}
+	}
+
+	private void request(Host host) {
+		int session = this.random.nextInt(200);
+		long key = session * 0x9E3779B97F4A7C15L + 12345;
+		VersionGroup group = host.watch.choose("s", key, true);
+		boolean target = group == VersionGroup.TARGET;
+		String version = target ? "v2" : "v1";
+		String before = this.sessionVersions.put(session, version);
+		countMoves(before, version);
+		host.watch.sent("s", version, key);
+		this.requests++;
+		this.exposed += target ? 1 : 0;
+		boolean bad = this.random.nextDouble() < (target ? this.badShare : 0.004);
+		host.watch.answered("s", version, "r", bad);
+	}
+
+	private void countMoves(String before, String version) {
+		if ("v2".equals(before) && version.equals("v1")) {
+			this.movedBack++;
+		}
+		if ("v1".equals(before) && version.equals("v2") && this.now < 1_000_000_000L + 12_000_000_000L) {
+			this.movedEarly++;
+		}
+	}
+
+	List<RolloutState> states() {
+		return this.log.stream()
+			.filter(RolloutStatus.class::isInstance)
+			.map((entry) -> ((RolloutStatus) entry).state())
+			.toList();
+	}
+
+	long writes() {
+		return this.log.size();
+	}
+
+	long exposed() {
+		return this.exposed;
+	}
+
+	long requests() {
+		return this.requests;
+	}
+
+	int movedBack() {
+		return this.movedBack;
+	}
+
+	int movedEarly() {
+		return this.movedEarly;
+	}
+
+	Host host(int index) {
+		return this.hosts.get(index);
+	}
+
+	/**
+	 * One host.
+	 */
+	final class Host implements RolloutRecords {
+
+		private final int index;
+
+		private RolloutWatch watch;
+
+		private int read;
+
+		private boolean reachesLog = true;
+
+		private boolean alive = true;
+
+		private long durationMillis;
+
+		private final Deque<Runnable> replies = new ArrayDeque<>();
+
+		private Host(int index) {
+			this.index = index;
+		}
+
+		private void start(long millis) {
+			this.durationMillis = millis;
+			this.watch = new RolloutWatch("h" + this.index, new RolloutWatch.Options(0.15, 5_000_000_000L), this,
+					() -> RolloutFleet.this.now, new Random(this.index));
+			this.watch.order(new Found<>(new RolloutOrder("s", "v2", millis), ORDER));
+		}
+
+		void cut(boolean off) {
+			this.reachesLog = !off;
+		}
+
+		void kill() {
+			this.alive = false;
+		}
+
+		void restart() {
+			this.alive = true;
+			this.read = 0;
+			start(this.durationMillis);
+		}
+
+		private void step() {
+			if (!this.alive) {
+				return;
+			}
+			while (!this.replies.isEmpty()) {
+				this.replies.pollFirst().run();
+			}
+			if (this.reachesLog) {
+				readLog();
+			}
+			this.watch.tick();
+		}
+
+		private void readLog() {
+			while (this.read < RolloutFleet.this.log.size()) {
+				Object entry = RolloutFleet.this.log.get(this.read);
+				if (entry instanceof RolloutStatus status) {
+					this.watch.status(new Found<>(aged(status, this.read), this.read));
+				}
+				else {
+					this.watch.evidence((HostEvidence) entry);
+				}
+				this.read++;
+			}
+			this.watch.read(this.read);
+		}
+
+		// The age grows with the time since the record was written, as with a time of
+		// day.
+		private RolloutStatus aged(RolloutStatus status, int offset) {
+			long since = (RolloutFleet.this.now - RolloutFleet.this.writtenAt.get(offset)) / 1_000_000L;
+			return new RolloutStatus(status.service(), status.target(), status.state(), status.order(),
+					status.ageMillis() + since);
+		}
+
+		@Override
+		public void status(RolloutStatus status, OptionalLong at, Consumer<StoreReply<Long>> reply) {
+			append(status, at, reply);
+		}
+
+		@Override
+		public void evidence(HostEvidence evidence, Consumer<StoreReply<Long>> reply) {
+			append(evidence, OptionalLong.empty(), reply);
+		}
+
+		private void append(Object entry, OptionalLong at, Consumer<StoreReply<Long>> reply) {
+			List<Object> log = RolloutFleet.this.log;
+			if (!this.reachesLog) {
+				answer(reply, StoreReply.failed(new StoreFailure(StoreFailure.Kind.UNKNOWN, "cut off")));
+			}
+			else if (at.isPresent() && at.getAsLong() != log.size()) {
+				answer(reply, StoreReply.failed(new StoreFailure(StoreFailure.Kind.CONFLICT, "moved on")));
+			}
+			else {
+				log.add(entry);
+				RolloutFleet.this.writtenAt.add(RolloutFleet.this.now);
+				answer(reply, StoreReply.of(log.size() - 1L));
+			}
+		}
+
+		private void answer(Consumer<StoreReply<Long>> reply, StoreReply<Long> answer) {
+			this.replies.addLast(() -> reply.accept(answer));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -0,0 +1,87 @@
+package io.sequoialink.gateway.rollout;
+
+import io.sequoialink.gateway.fleet.RolloutState;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Roll-outs by whole fleets. The bounds are those of the users' deployments: exposure of
+ * 0.15 of the requests plus 30 within the duration of 24 s.
+ */
+class RolloutWatchTests {
+
+	private static final long DURATION = 24_000;
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
+	void aGoodVersionIsCompletedInTimeAndSessionsMoveOnceAndLate(long seed) {
+		RolloutFleet fleet = new RolloutFleet(seed, 8, 0.004, 45);
+		fleet.order(DURATION);
+		fleet.run(23_500);
+		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.COMPLETED);
+		assertThat(fleet.movedBack()).isZero();
+		assertThat(fleet.movedEarly()).isLessThanOrEqualTo(3);
+		assertThat(fleet.writes()).as("records in the store").isLessThan(120);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1, 0.33", "2, 0.33", "3, 0.5", "4, 0.5", "5, 0.37", "6, 0.52" })
+	void aBadVersionIsRolledBackWithinTheExposure(long seed, double badShare) {
+		RolloutFleet fleet = new RolloutFleet(seed, 8, badShare, 45);
+		fleet.order(DURATION);
+		fleet.run(DURATION);
+		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.ROLLED_BACK);
+		assertThat((double) fleet.exposed()).isLessThan(0.15 * fleet.requests() + 30);
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3 })
+	void aVerdictIsReachedThoughHostsDieAndStartAgain(long seed) {
+		RolloutFleet fleet = new RolloutFleet(seed, 8, 0.4, 45);
+		fleet.order(DURATION);
+		for (int round = 0; round < 6; round++) {
+			fleet.host(round).kill();
+			fleet.run(700);
+			fleet.host(round).restart();
+		}
+		fleet.run(DURATION - 4_200);
+		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.ROLLED_BACK);
+		assertThat((double) fleet.exposed()).isLessThan(0.15 * fleet.requests() + 30);
+	}
+
+	@Test
+	void aGoodVersionIsCompletedInTimeThoughEveryHostStartsAgainHalfWay() {
+		RolloutFleet fleet = new RolloutFleet(9, 6, 0.004, 45);
+		fleet.order(DURATION);
+		fleet.run(5_000);
+		for (int host = 0; host < 6; host++) {
+			fleet.host(host).restart();
+		}
+		fleet.run(18_500);
+		assertThat(fleet.states()).endsWith(RolloutState.COMPLETED);
+	}
+
+	@Test
+	void aHostThatCannotReadVerdictsKeepsTheShareSmall() {
+		RolloutFleet fleet = new RolloutFleet(3, 1, 0.004, 45);
+		fleet.order(DURATION);
+		fleet.run(4_000);
+		fleet.host(0).cut(true);
+		fleet.run(DURATION);
+		assertThat(fleet.states()).doesNotContain(RolloutState.COMPLETED);
+		assertThat((double) fleet.exposed()).isLessThan(0.15 * fleet.requests() + 30);
+	}
+
+	@Test
+	void oneVerdictStandsThoughSeveralHostsTryAtOnce() {
+		RolloutFleet fleet = new RolloutFleet(4, 30, 0.6, 400);
+		fleet.order(DURATION);
+		fleet.run(6_000);
+		assertThat(fleet.states()).containsOnlyOnce(RolloutState.ROLLED_BACK);
+	}
+
+}
