--- a/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
@@ -26,6 +26,9 @@
 	/** Weight of a new observation once many are known. */
 	private static final double MIN_WEIGHT = 0.01;
 
+	/** Strain below which the largest model may be asked first. */
+	private static final double CALM = 0.5;
+
 	/** Observations after which a prior counts for nothing. */
 	private static final double TRUSTED_COUNT = 8;
 
@@ -44,19 +47,25 @@
 	}
 
 	/**
-	 * Chooses the model to start with.
+	 * Chooses the model to start with: the smallest one, unless it is seldom accepted or
+	 * only the largest model alone would still be on time.
 	 * @param route name of the route
-	 * @param models number of models, smallest first
+	 * @param timing when answers of each model would begin
+	 * @param strain how hard pressed the engines are, 0 if not at all
 	 * @return index of the model
 	 */
-	public int start(String route, int models) {
+	public int start(String route, Timing timing, double strain) {
 		this.starts++;
-		if (models < 2) {
+		int largest = timing.millis().size() - 1;
+		if (largest < 1) {
 			return 0;
 		}
+		if (strain < CALM && timing.onlyAlone(largest)) {
+			return largest;
+		}
 		double accepted = learnt(route, 0, 0).value(0.5);
 		boolean worthwhile = accepted >= this.options.minAcceptShare();
-		return (worthwhile || this.starts % EXPLORE_ONE_IN == 0) ? 0 : models - 1;
+		return (worthwhile || this.starts % EXPLORE_ONE_IN == 0) ? 0 : largest;
 	}
 
 	/**
@@ -65,11 +74,12 @@
 	 * @param model index of the model
 	 * @param opinion the opinion, from 0 to 100
 	 * @param prices price of each model, smallest first
+	 * @param timing when answers of each model would begin if asked now
 	 * @param strain how hard pressed the engines are, 0 if not at all; it raises the
 	 * weight of prices
 	 * @return index of a larger model to ask instead, or empty to accept the answer
 	 */
-	public OptionalInt judge(String route, int model, int opinion, List<Double> prices, double strain) {
+	public OptionalInt judge(String route, int model, int opinion, List<Double> prices, Timing timing, double strain) {
 		double chance = chance(opinion);
 		double dearest = prices.get(prices.size() - 1);
 		double best = chance;
@@ -78,7 +88,7 @@
 			double gain = learnt(route, model, larger).value(0.5 + 0.5 * larger / (prices.size() - 1));
 			double weight = this.options.priceWeight() * (1 + strain);
 			double price = (dearest > 0) ? weight * prices.get(larger) / dearest : 0;
-			double worth = gain - price;
+			double worth = gain * timing.worth(larger) - price;
 			if (worth > best) {
 				best = worth;
 				choice = larger;
@@ -144,7 +154,46 @@
 	public record Options(double opinionScale, double priceWeight, double minAcceptShare) {
 
 		/** Values that were measured on the users' deployments. */
-		public static final Options DEFAULT = new Options(12, 0.25, 0.1);
+		public static final Options DEFAULT = new Options(12, 0.35, 0.1);
+
+	}
+
+	/**
+	 * When answers would begin. Immutable.
+	 *
+	 * @param millis time until an answer of each model would begin, smallest model first,
+	 * in milliseconds
+	 * @param leftMillis time that is left until answers count as late, in milliseconds; 0
+	 * if they never do
+	 */
+	public record Timing(List<Double> millis, double leftMillis) {
+
+		/** What a late answer is worth beside one on time. */
+		private static final double LATE_WORTH = 0.35;
+
+		/** Part of the time that is left which an estimate may fill. */
+		private static final double SAFE_PART = 0.8;
+
+		/**
+		 * Returns the timing of models that are all prompt.
+		 * @param models number of models
+		 * @return the timing
+		 */
+		public static Timing prompt(int models) {
+			return new Timing(java.util.Collections.nCopies(models, 0.0), 0);
+		}
+
+		private double worth(int model) {
+			return (this.leftMillis <= 0 || this.millis.get(model) <= this.leftMillis) ? 1 : LATE_WORTH;
+		}
+
+		private boolean onlyAlone(int model) {
+			if (this.leftMillis <= 0) {
+				return false;
+			}
+			double alone = this.millis.get(model);
+			return alone <= SAFE_PART * this.leftMillis && this.millis.get(0) + alone > SAFE_PART * this.leftMillis;
+		}
 
 	}
 
--- a/decision/src/main/java/io/sequoialink/decision/limits/Strain.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/Strain.java
@@ -9,13 +9,13 @@
 public final class Strain {
 
 	/** Share of the permitted time that beginnings should take on average. */
-	private static final double AIM = 0.3;
+	private static final double AIM = 0.18;
 
 	/** Weight of one observation in the mean. */
-	private static final double WEIGHT = 0.04;
+	private static final double WEIGHT = 0.06;
 
 	/** How fast the strain follows, per second and unit of distance from the aim. */
-	private static final double GAIN_PER_SECOND = 2.5;
+	private static final double GAIN_PER_SECOND = 4;
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -43,14 +43,14 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(EntryHost.class);
 
-	/** Configurations are rare, so the store is asked to wait for one. */
-	private static final FollowPace OPERATOR_PACE = new FollowPace(2000, 0, 300);
+	/** Configurations are rare, so the store is asked to wait long for one. */
+	private static final FollowPace OPERATOR_PACE = new FollowPace(12_000, 0, 300);
 
 	/**
-	 * Servers write all the time, so reads are paced; the pause bounds how late one is
-	 * seen to leave.
+	 * Part of the time in which a leaving server must be noticed that may pass between
+	 * two reads.
 	 */
-	private static final FollowPace SERVER_PACE = new FollowPace(1000, 700, 300);
+	private static final double LEAVING_PART = 0.55;
 
 	/** Hosts publish in bursts while a roll-out is under way. */
 	private static final FollowPace STATUS_PACE = new FollowPace(2000, 300, 300);
@@ -141,7 +141,8 @@
 
 	private void follow() {
 		follow("op", new OperatorRecords(this.updates), OPERATOR_PACE);
-		follow("servers", new ServerRecords(this.updates), SERVER_PACE);
+		int pause = (int) (LEAVING_PART * this.settings.bounds().leavingMillis());
+		follow("servers", new ServerRecords(this.updates), new FollowPace(500, pause, 300));
 		this.loop.scheduleAtFixedRate(this::tick, POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
+import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.Configuration;
@@ -141,7 +142,7 @@
 		this.pinKey = Hashing.wyhashFinal4().hashStream().putString(pinName()).getAsLong();
 		this.prompt = PromptShape.of(this.facts);
 		if (!this.route.models().isEmpty()) {
-			this.model = this.gateway.cascade().start(this.route.name(), this.route.models().size());
+			this.model = this.gateway.cascade().start(this.route.name(), timing(), this.gateway.strain().value());
 		}
 		send();
 	}
@@ -217,7 +218,8 @@
 		if (this.droppedModel >= 0) {
 			this.gateway.cascade().escalated(this.route.name(), this.droppedModel, this.model, opinion);
 		}
-		OptionalInt larger = this.gateway.cascade().judge(this.route.name(), this.model, opinion, prices(), 1);
+		OptionalInt larger = this.gateway.cascade()
+			.judge(this.route.name(), this.model, opinion, prices(), timing(), this.gateway.strain().value());
 		if (larger.isEmpty() || remainingMillis() < MIN_ESCALATE_MILLIS || !this.flow.sendsLeft()
 				|| !this.gateway.budget().tryRepeat(this.service, now())) {
 			return false;
@@ -237,6 +239,16 @@
 		perform(this.flow.dropped());
 	}
 
+	private ConfidenceCascade.Timing timing() {
+		List<Double> millis = new ArrayList<>();
+		for (String name : this.route.models()) {
+			millis.add(this.gateway.speed().millis(name, this.facts.promptTokens()));
+		}
+		double elapsed = (now() - this.request.receivedNanos()) / (double) NANOS_PER_MILLI;
+		double left = (this.route.targetMillis() > 0) ? Math.max(1, this.route.targetMillis() - elapsed) : 0;
+		return new ConfidenceCascade.Timing(millis, left);
+	}
+
 	private List<Double> prices() {
 		Map<String, Double> costs = new HashMap<>();
 		this.gateway.view()
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
@@ -26,7 +26,9 @@
 	/** Parts read longer ago are taken to be gone from memory. */
 	static final long PART_KEPT_NANOS = 20_000_000_000L;
 
-	private static final int DRAWS = 4;
+	private static final int DRAWS = 3;
+
+	private static final int LOCAL_DRAWS = 3;
 
 	/** What each request under way adds to the time of others, in milliseconds. */
 	private static final double RUNNING_MILLIS = 4;
@@ -37,8 +39,11 @@
 	/** What a full server is taken to need until a slot is free, in milliseconds. */
 	private static final double FULL_MILLIS = 400;
 
-	/** Keeps work in its zone unless another zone is better by more, in milliseconds. */
-	private static final double OTHER_ZONE_MILLIS = 6;
+	/**
+	 * Bytes between zones are paid for: another zone must be better by this, in
+	 * milliseconds.
+	 */
+	private static final double OTHER_ZONE_MILLIS = 50;
 
 	/**
 	 * Share of a part's reading time that its owner is credited before it is known to
@@ -136,25 +141,36 @@
 		return best;
 	}
 
+	// Some of the own zone, some of all zones, and the owner.
 	private List<ServerState> drawn(List<ServerState> candidates, ServerState owner) {
-		if (candidates.size() <= DRAWS) {
+		if (candidates.size() <= LOCAL_DRAWS + DRAWS) {
 			return candidates;
 		}
-		List<ServerState> drawn = new ArrayList<>(DRAWS + 1);
-		for (int i = 0; i < DRAWS; i++) {
-			drawn.add(candidates.get(this.random.nextInt(candidates.size())));
-		}
+		List<ServerState> local = keep(candidates, this::inZone);
+		List<ServerState> drawn = new ArrayList<>(LOCAL_DRAWS + DRAWS + 1);
+		draw(local, LOCAL_DRAWS, drawn);
+		draw(candidates, DRAWS, drawn);
 		if (owner != null) {
 			drawn.add(owner);
 		}
 		return drawn;
 	}
 
+	private void draw(List<ServerState> from, int count, List<ServerState> into) {
+		for (int i = 0; i < count && !from.isEmpty(); i++) {
+			into.add(from.get(this.random.nextInt(from.size())));
+		}
+	}
+
+	private boolean inZone(ServerState state) {
+		return state.entry().zone().equals(this.zone);
+	}
+
 	private double cost(ServerState state, EngineWork work, boolean owner, long now) {
 		double load = state.load(now, REPORT_FADE_NANOS);
 		int slots = Math.max(1, state.entry().slots());
 		double full = Math.max(0, load + 1 - slots) / slots * FULL_MILLIS;
-		double away = state.entry().zone().equals(this.zone) ? 0 : OTHER_ZONE_MILLIS;
+		double away = inZone(state) ? 0 : OTHER_ZONE_MILLIS;
 		double cost = full + away + state.entry().coldMillis() / 10.0;
 		if (!work.engine()) {
 			return cost + load / slots * FULL_MILLIS / 4;
