Remember sessions from before an order, let strain follow in proportion, read the store less often

Ruled out: sessions that change hosts (clients stay with their host while the rotation is unchanged). Change: the last version of each session of the last moments is kept always; strain = 7 x (mean - 0.22) without a sum; servers read at 0.7 of the time in which leaving must be noticed, states wait longer, random delays of writes up to 1.5 s.

--- a/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
@@ -154,7 +154,7 @@
 	public record Options(double opinionScale, double priceWeight, double minAcceptShare) {
 
 		/** Values that were measured on the users' deployments. */
-		public static final Options DEFAULT = new Options(12, 0.35, 0.1);
+		public static final Options DEFAULT = new Options(12, 0.3, 0.1);
 
 	}
 
--- a/decision/src/main/java/io/sequoialink/decision/limits/Strain.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/Strain.java
@@ -2,32 +2,35 @@
 
 /**
  * How hard pressed the engines of a service are, by how much of the time that answers may
- * take to begin they do take. Rises while beginnings come late and falls while they come
- * early, so that whoever asks for optional work asks for less of it until answers are
- * prompt again. Confined to one thread.
+ * take to begin they do take. Whoever asks for optional work asks for less of it the
+ * later answers begin. In proportion to the mean of the last seconds and without a memory
+ * beyond it, so that it neither lags behind a burst nor outlasts it. Confined to one
+ * thread.
  */
 public final class Strain {
 
-	/** Share of the permitted time that beginnings should take on average. */
-	private static final double AIM = 0.18;
+	/** Share of the permitted time that beginnings take without any queue before them. */
+	private static final double CALM = 0.22;
 
-	/** Weight of one observation in the mean. */
-	private static final double WEIGHT = 0.06;
+	/** Strain for each part of the permitted time beyond that. */
+	private static final double STEEPNESS = 7;
 
-	/** How fast the strain follows, per second and unit of distance from the aim. */
-	private static final double GAIN_PER_SECOND = 4;
+	/** Least weight of one observation in the mean. */
+	private static final double MIN_WEIGHT = 0.05;
 
-	private static final double NANOS_PER_SECOND = 1e9;
+	/** Most weight of one observation, however rare they are. */
+	private static final double MAX_WEIGHT = 0.2;
 
-	/** Longest step that is taken at once, so that a pause says nothing, in seconds. */
-	private static final double MAX_STEP_SECONDS = 0.5;
+	/** Time over which the mean is taken, in nanoseconds. */
+	private static final double MEAN_NANOS = 1.5e9;
+
+	/** An answer that is later than this many times the permitted time says no more. */
+	private static final double MOST_SHARE = 1.5;
 
 	private static final double MAX = 6;
 
 	private double mean;
 
-	private double value;
-
 	private long last;
 
 	/**
@@ -36,10 +39,10 @@
 	 * @param nowNanos monotonic time
 	 */
 	public void observe(double share, long nowNanos) {
-		this.mean += WEIGHT * (Math.min(share, 2) - this.mean);
-		double seconds = (this.last == 0) ? 0 : Math.min(MAX_STEP_SECONDS, (nowNanos - this.last) / NANOS_PER_SECOND);
+		double since = (this.last == 0) ? 0 : nowNanos - this.last;
+		double weight = Math.max(MIN_WEIGHT, Math.min(MAX_WEIGHT, 1 - Math.exp(-since / MEAN_NANOS)));
 		this.last = nowNanos;
-		this.value = Math.max(0, Math.min(MAX, this.value + GAIN_PER_SECOND * seconds * (this.mean - AIM)));
+		this.mean += weight * (Math.min(share, MOST_SHARE) - this.mean);
 	}
 
 	/**
@@ -47,7 +50,7 @@
 	 * @return 0 if there is none, up to 6
 	 */
 	public double value() {
-		return this.value;
+		return Math.max(0, Math.min(MAX, STEEPNESS * (this.mean - CALM)));
 	}
 
 }
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -50,10 +50,10 @@
 	 * Part of the time in which a leaving server must be noticed that may pass between
 	 * two reads.
 	 */
-	private static final double LEAVING_PART = 0.55;
+	private static final double LEAVING_PART = 0.7;
 
 	/** Hosts publish in bursts while a roll-out is under way. */
-	private static final FollowPace STATUS_PACE = new FollowPace(2000, 300, 300);
+	private static final FollowPace STATUS_PACE = new FollowPace(2500, 100, 300);
 
 	/**
 	 * Time from the request to stop until the platform sends no more connections, in
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -194,7 +194,9 @@
 		ServerState server = placed.server();
 		this.flow.sent();
 		this.tried.add(server.entry().id());
-		this.gateway.rollouts().sent(this.service, server.entry().version(), this.pinKey);
+		if (this.facts.session().isPresent()) {
+			this.gateway.rollouts().sent(server.entry().version(), this.pinKey);
+		}
 		this.attempt = new Attempt(this, placed, work);
 		BackendSend send = new BackendSend(this.facts.id().orElseThrow(), outgoing(server), this.attempt);
 		this.attempt.begin(send);
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -1,7 +1,6 @@
 package io.sequoialink.gateway.rollout;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 import io.sequoialink.decision.rollout.AnswerCounts;
@@ -20,9 +19,6 @@
  */
 public final class Canary {
 
-	/** Sessions that are remembered, so that memory is bounded. */
-	private static final int MAX_SESSIONS = 20000;
-
 	private final String host;
 
 	private final Found<RolloutOrder> order;
@@ -31,8 +27,6 @@
 
 	private final BadAnswerTest test;
 
-	private final long sessionNanos;
-
 	private long began;
 
 	private RolloutState state;
@@ -47,29 +41,20 @@
 
 	private boolean publishedOwn;
 
-	private final Map<Long, Long> sessionsOnOld = new LinkedHashMap<>(64, 0.75f, true) {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-			return size() > MAX_SESSIONS;
-		}
-	};
-
 	/**
 	 * Creates the view of a roll-out.
 	 * @param host name of this host
 	 * @param order the operator's order
 	 * @param schedule share of the sessions by time
 	 * @param test test of the new version's answers
-	 * @param sessionNanos time within which requests of a session belong together
 	 * @param beganNanos monotonic time at which the order was seen
 	 */
 	public Canary(String host, Found<RolloutOrder> order, CanarySchedule schedule, BadAnswerTest test,
-			long sessionNanos, long beganNanos) {
+			long beganNanos) {
 		this.host = host;
 		this.order = order;
 		this.schedule = schedule;
 		this.test = test;
-		this.sessionNanos = sessionNanos;
 		this.began = beganNanos;
 		this.confirmedAt = beganNanos;
 	}
@@ -127,11 +112,12 @@
 	/**
 	 * Chooses the version for a request.
 	 * @param pinKey hash of the session, or of the request if it belongs to none
-	 * @param session whether the request belongs to a session
+	 * @param onOld whether the session's last request, a moment ago, went to an old
+	 * version
 	 * @param nowNanos monotonic time
 	 * @return the group of versions
 	 */
-	public VersionGroup choose(long pinKey, boolean session, long nowNanos) {
+	public VersionGroup choose(long pinKey, boolean onOld, long nowNanos) {
 		if (this.state == RolloutState.COMPLETED) {
 			return VersionGroup.TARGET;
 		}
@@ -139,27 +125,11 @@
 			return VersionGroup.OLD_ONLY;
 		}
 		double progress = progress(nowNanos);
-		if (position(pinKey) >= this.schedule.share(progress)) {
+		boolean stays = onOld && this.schedule.sessionsStay(progress);
+		if (stays || position(pinKey) >= this.schedule.share(progress)) {
 			return VersionGroup.OLD;
 		}
-		return (session && staysOnOld(pinKey, progress, nowNanos)) ? VersionGroup.OLD : VersionGroup.TARGET;
-	}
-
-	private boolean staysOnOld(long pinKey, double progress, long nowNanos) {
-		if (!this.schedule.sessionsStay(progress)) {
-			return false;
-		}
-		Long last = this.sessionsOnOld.get(pinKey);
-		return last != null && nowNanos - last < this.sessionNanos;
-	}
-
-	/**
-	 * Notes that a session's request goes to an old version.
-	 * @param pinKey hash of the session
-	 * @param nowNanos monotonic time
-	 */
-	public void ranOnOld(long pinKey, long nowNanos) {
-		this.sessionsOnOld.put(pinKey, nowNanos);
+		return VersionGroup.TARGET;
 	}
 
 	private static double position(long pinKey) {
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -36,8 +36,11 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
-	/** Longest random delay before a verdict is written. */
-	private static final long MAX_DELAY_NANOS = 600_000_000L;
+	/**
+	 * Longest random delay before a state is written, so that of many hosts few write at
+	 * once.
+	 */
+	private static final long MAX_DELAY_NANOS = 1_500_000_000L;
 
 	private static final long EVIDENCE_PAUSE_NANOS = 700_000_000L;
 
@@ -58,6 +61,8 @@
 
 	private final Map<String, Canary> canaries = new HashMap<>();
 
+	private final RecentSessions sessions = new RecentSessions();
+
 	private final Map<String, Pending> pending = new HashMap<>();
 
 	private final Map<String, Found<RolloutStatus>> statuses = new HashMap<>();
@@ -101,9 +106,8 @@
 			return;
 		}
 		BadAnswerTest test = new BadAnswerTest(RolloutSettings.defaults());
-		this.canaries.put(order.value().service(),
-				new Canary(this.host, order, new CanarySchedule(this.options.permittedShare()), test,
-						this.options.sessionNanos(), this.clock.getAsLong()));
+		this.canaries.put(order.value().service(), new Canary(this.host, order,
+				new CanarySchedule(this.options.permittedShare()), test, this.clock.getAsLong()));
 		this.pending.put(order.value().service(), new Pending());
 		logger.info(GatewayEvents.ROLLOUT_ORDERED, order.value().service(), order.value().target(),
 				order.value().durationMillis(), order.offset());
@@ -172,7 +176,15 @@
 	 */
 	public VersionGroup choose(String service, long pinKey, boolean session) {
 		Canary canary = this.canaries.get(service);
-		return (canary != null) ? canary.choose(pinKey, session, this.clock.getAsLong()) : VersionGroup.ANY;
+		if (canary == null) {
+			return VersionGroup.ANY;
+		}
+		long now = this.clock.getAsLong();
+		String target = canary.order().value().target();
+		boolean onOld = session && this.sessions.version(pinKey, now - this.options.sessionNanos())
+			.filter((version) -> !version.equals(target))
+			.isPresent();
+		return canary.choose(pinKey, onOld, now);
 	}
 
 	/**
@@ -187,15 +199,11 @@
 
 	/**
 	 * Notes that a session's request is sent.
-	 * @param service service that answers
 	 * @param version version of the backend server
 	 * @param pinKey hash of the session
 	 */
-	public void sent(String service, String version, long pinKey) {
-		Canary canary = this.canaries.get(service);
-		if (canary != null && !canary.ended() && !version.equals(canary.order().value().target())) {
-			canary.ranOnOld(pinKey, this.clock.getAsLong());
-		}
+	public void sent(String version, long pinKey) {
+		this.sessions.sent(pinKey, version, this.clock.getAsLong());
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -20,6 +20,7 @@
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
 	void aGoodVersionIsCompletedInTimeAndSessionsMoveOnceAndLate(long seed) {
 		RolloutFleet fleet = new RolloutFleet(seed, 8, 0.004, 45);
+		fleet.prepare(6_000);
 		fleet.order(DURATION);
 		fleet.run(23_500);
 		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.COMPLETED);
