--- a/decision/src/main/java/io/sequoialink/decision/limits/Strain.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/Strain.java
@@ -10,10 +10,10 @@
 public final class Strain {
 
 	/** Share of the permitted time that beginnings take without any queue before them. */
-	private static final double CALM = 0.22;
+	private static final double CALM = 0.2;
 
 	/** Strain for each part of the permitted time beyond that. */
-	private static final double STEEPNESS = 7;
+	private static final double STEEPNESS = 12;
 
 	/** Least weight of one observation in the mean. */
 	private static final double MIN_WEIGHT = 0.05;
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.decision.limits.Strain;
+import io.sequoialink.decision.limits.WorkDensity;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.feed.FleetUpdates;
@@ -121,8 +122,9 @@
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
 		Gateway gateway = new Gateway(gate, this.view, servers,
 				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
-				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), this.rollouts, speed,
-				new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget, System::nanoTime);
+				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(),
+				this.rollouts, speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget,
+				System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -142,7 +142,8 @@
 		this.pinKey = Hashing.wyhashFinal4().hashStream().putString(pinName()).getAsLong();
 		this.prompt = PromptShape.of(this.facts);
 		if (!this.route.models().isEmpty()) {
-			this.model = this.gateway.cascade().start(this.route.name(), timing(), this.gateway.strain().value());
+			this.gateway.density().observe(this.route.name(), this.facts.promptTokens());
+			this.model = this.gateway.cascade().start(this.route.name(), timing(), strain());
 		}
 		send();
 	}
@@ -221,7 +222,7 @@
 			this.gateway.cascade().escalated(this.route.name(), this.droppedModel, this.model, opinion);
 		}
 		OptionalInt larger = this.gateway.cascade()
-			.judge(this.route.name(), this.model, opinion, prices(), timing(), this.gateway.strain().value());
+			.judge(this.route.name(), this.model, opinion, prices(), timing(), strain());
 		if (larger.isEmpty() || remainingMillis() < MIN_ESCALATE_MILLIS || !this.flow.sendsLeft()
 				|| !this.gateway.budget().tryRepeat(this.service, now())) {
 			return false;
@@ -280,9 +281,18 @@
 		return outgoing;
 	}
 
+	// The strain as it counts for this request.
+	private double strain() {
+		return this.gateway.strain().value()
+				* this.gateway.density().of(this.route.name(), this.facts.promptTokens(), urgency());
+	}
+
+	private int urgency() {
+		return this.account.map(ClientAccount::rank).orElse(OptionalInt.empty()).orElse(this.route.rank());
+	}
+
 	private int rank() {
-		int own = this.account.map(ClientAccount::rank).orElse(OptionalInt.empty()).orElse(this.route.rank());
-		int doubled = RANKS_APART * Math.max(0, Math.min(own, LAST_RANK / RANKS_APART));
+		int doubled = RANKS_APART * Math.max(0, Math.min(urgency(), LAST_RANK / RANKS_APART));
 		return doubled + ((this.facts.promptTokens() > LONG_PROMPT_TOKENS) ? 1 : 0);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
@@ -4,6 +4,7 @@
 
 import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.decision.limits.Strain;
+import io.sequoialink.decision.limits.WorkDensity;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.place.ReadingSpeed;
@@ -21,6 +22,7 @@
  * @param choice choice among the servers
  * @param cascade choice among models
  * @param strain how hard pressed the engines are
+ * @param density how much of an engine's time requests take for their worth
  * @param rollouts choice among versions
  * @param speed how long engines take to read
  * @param pace how long answers usually take
@@ -30,6 +32,6 @@
  * @param clock monotonic time in nanoseconds
  */
 public record Gateway(StartGate gate, FleetView view, ServerTable servers, ServerChoice choice,
-		ConfidenceCascade cascade, Strain strain, RolloutWatch rollouts, ReadingSpeed speed, UsualPace pace,
-		BackendPool pool, WireDialect dialect, RepeatBudget budget, LongSupplier clock) {
+		ConfidenceCascade cascade, Strain strain, WorkDensity density, RolloutWatch rollouts, ReadingSpeed speed,
+		UsualPace pace, BackendPool pool, WireDialect dialect, RepeatBudget budget, LongSupplier clock) {
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -16,6 +16,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.decision.limits.Strain;
+import io.sequoialink.decision.limits.WorkDensity;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.fleet.BackendService;
 import io.sequoialink.gateway.fleet.ClientAccount;
@@ -61,8 +62,8 @@
 				new SplittableRandom(1));
 		Gateway gateway = new Gateway(this.gate, this.view, table,
 				new LeastWorkChoice(table, speed, "z", System::nanoTime, new SplittableRandom(1)),
-				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), rollouts, speed,
-				new UsualPace(), new BackendPool(this.loops, dialect), dialect,
+				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(), rollouts,
+				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect,
 				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
