Leave silent servers, say why each request ended, write the log as JSON from a bounded queue

Cause: a server that accepts and never answers held requests that may be repeated until their deadline and was never avoided; the final line of a request did not say what led to its end; the log's queue dropped lines without a count; a resend to the only server of a service was refused although that server would do. Change: a send without any byte of its server for several times the usual is left for another server if there is one; reasons in the final line; LogQueue (bounded, batches of 100 ms, drops counted); Exchange split into admission, choice of model and life cycle. Ruled out: asking a second server beside the silent one, since a run must not go on at two.

--- a/entry/src/main/java/io/sequoialink/entry/EntryMain.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryMain.java
@@ -15,6 +15,9 @@
 	/** Loads the classes of a start and ends, for the build's archive of classes. */
 	private static final String LOAD_CLASSES = "--load-classes";
 
+	/** Longest time to write the last lines of the log, in milliseconds. */
+	private static final long LOG_FLUSH_MILLIS = 100;
+
 	private static final int INVALID_SETTINGS = 2;
 
 	private EntryMain() {
@@ -39,13 +42,13 @@
 		}
 		try {
 			EntrySettings settings = SettingsReader.read(Path.of(file));
-			LogSetup.configure();
+			LogQueue log = LogSetup.configure(settings.host());
 			EntryHost host = new EntryHost(settings);
 			host.start();
 			SettingsWatch watch = new SettingsWatch(Path.of(file), host::apply);
 			host.every(SettingsWatch.PERIOD_MILLIS, watch::check);
 			Signal.handle(new Signal("HUP"), (signal) -> host.execute(watch::reload));
-			Runtime.getRuntime().addShutdownHook(new Thread(host::stop, "stop"));
+			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(host, log), "stop"));
 		}
 		catch (SettingsException ex) {
 			ex.errors().forEach(System.err::println);
@@ -53,4 +56,9 @@
 		}
 	}
 
+	private static void stop(EntryHost host, LogQueue log) {
+		host.stop();
+		log.flush(LOG_FLUSH_MILLIS);
+	}
+
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -6,7 +6,7 @@
 public final class GatewayEvents {
 
 	/** Final line of a request. */
-	public static final String REQUEST_ENDED = "SL-3101 request {} of {} on {} ended with {}: run {}, sends {}, server {}, {} ms, {}";
+	public static final String REQUEST_ENDED = "SL-3101 request {} of account {} on route {} ended with {}: run {}, sends {}, server {}, {} ms: {}";
 
 	/** A send ended without a complete answer. */
 	public static final String SEND_ENDED = "SL-3102 request {} send {} to {} ended: {} after {} ms";
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -76,17 +76,54 @@
 	void begin(BackendSend sending) {
 		this.send = sending;
 		this.alone = this.server.pendingMillis() == 0;
+		double ahead = this.server.pendingMillis();
 		this.server.sent(this.workMillis);
+		this.exchange.schedule(this::checkSilence, patience(ahead + this.workMillis));
 	}
 
 	String serverId() {
 		return this.server.entry().id();
 	}
 
+	/**
+	 * Names the server with its version and the model, for the log.
+	 * @return the label
+	 */
+	String serverLabel() {
+		String model = this.work.engine() ? "/" + this.work.model() : "";
+		return serverId() + '/' + this.server.entry().version() + model;
+	}
+
 	void read(boolean wanted) {
 		this.send.read(wanted);
 	}
 
+	private long patience(double expectedMillis) {
+		long remaining = this.exchange.remainingMillis();
+		if (this.exchange.streaming()) {
+			return Patience.stream(expectedMillis, remaining);
+		}
+		return Patience.plain(this.exchange.gateway().pace().usual(paceKind()), remaining);
+	}
+
+	// A server that sends nothing at all while others are waited for is avoided; work
+	// that
+	// may be repeated is sent elsewhere.
+	private void checkSilence() {
+		if (this.over || this.answering || this.server.heardSince(this.begun)) {
+			return;
+		}
+		this.server.silent(this.exchange.now());
+		logger.info(GatewayEvents.SERVER_AVOIDED, serverId(), "silence");
+		if (this.exchange.mayLeaveSilent()) {
+			breakOff("silent");
+		}
+	}
+
+	private String paceKind() {
+		return this.exchange.routeName() + '/' + this.work.model();
+	}
+
 	@Override
 	public void written() {
 		// the answer's deadline runs from the request's receipt, not from here
@@ -97,6 +134,7 @@
 		this.status = answered;
 		this.headers = answerHeaders;
 		this.headAt = this.exchange.now();
+		this.server.heard(this.headAt);
 		noteBegun();
 		facts.load().ifPresent((load) -> this.server.report(load.running(), load.waiting(), this.exchange.now()));
 		this.verdict = judge(answered, answerHeaders, facts);
@@ -170,6 +208,7 @@
 			}
 			return;
 		}
+		this.server.heard(this.exchange.now());
 		ByteBuf ready = this.events.take(data);
 		if (this.events.overflown()) {
 			ready.release();
@@ -195,7 +234,7 @@
 			case NOT_RUN -> {
 				this.whole.release();
 				note("not run, status " + this.status);
-				this.exchange.notRun();
+				this.exchange.notRun("server " + serverId() + " did not run it, status " + this.status);
 			}
 			case FAILURE -> {
 				note("failed with status " + this.status);
@@ -203,7 +242,7 @@
 				this.exchange.failed(new KeptFailure(this.status, this.headers, this.whole));
 			}
 			case SUCCESS -> succeed();
-			case NONE -> this.exchange.broken();
+			case NONE -> this.exchange.broken("answer without a head");
 		}
 	}
 
@@ -220,7 +259,7 @@
 	// Tells whether the answer was several times slower than usual, by the pauses between
 	// events for streams, and learns what is usual from versions that are not on trial.
 	private boolean slow() {
-		String kind = this.exchange.routeName() + '/' + this.work.model();
+		String kind = paceKind();
 		double millis = millisSince(this.begun);
 		if (this.events != null) {
 			if (this.events.events() < MIN_PACED_EVENTS) {
@@ -247,10 +286,10 @@
 		note(loss.toString());
 		markFailed(loss.toString());
 		if (loss == SendLoss.NOT_CONNECTED || statedNotRun) {
-			this.exchange.notRun();
+			this.exchange.notRun("server " + serverId() + ": " + loss);
 		}
 		else {
-			this.exchange.broken();
+			this.exchange.broken("server " + serverId() + ": " + loss);
 		}
 	}
 
@@ -260,7 +299,7 @@
 		note(why);
 		markFailed(why);
 		this.send.cancel();
-		this.exchange.broken();
+		this.exchange.broken("server " + serverId() + ": " + why);
 	}
 
 	private void markFailed(String why) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -1,10 +1,6 @@
 package io.sequoialink.gateway.http;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -19,12 +15,11 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
-import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.fleet.ClientAccount;
-import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.flow.Next;
+import io.sequoialink.gateway.flow.Ran;
 import io.sequoialink.gateway.flow.RequestFlow;
 import io.sequoialink.gateway.place.EngineWork;
 import io.sequoialink.gateway.place.PlaceRequest;
@@ -33,6 +28,7 @@
 import io.sequoialink.gateway.rollout.VersionGroup;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * Carries one request from its receipt to its final answer, as {@link RequestFlow}
@@ -48,15 +44,6 @@
 	/** Time below which a larger model is not asked, in milliseconds. */
 	private static final long MIN_ESCALATE_MILLIS = 800;
 
-	/** Distance between the ranks of routes, so that size can decide within a rank. */
-	private static final int RANKS_APART = 2;
-
-	/** Least urgent rank that a server knows. */
-	private static final int LAST_RANK = 9;
-
-	/** Prompts above this wait behind shorter ones of the same rank. */
-	private static final int LONG_PROMPT_TOKENS = 6000;
-
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final Gateway gateway;
@@ -69,11 +56,7 @@
 
 	private final Set<String> tried = new HashSet<>();
 
-	private Route route;
-
-	private String service;
-
-	private Optional<ClientAccount> account = Optional.empty();
+	private Admission admission;
 
 	private RequestFlow flow;
 
@@ -93,12 +76,12 @@
 
 	private PromptShape prompt;
 
-	private int model = -1;
-
-	private int droppedModel = -1;
+	private ModelChoice models;
 
 	private long pinKey;
 
+	private String reason = "";
+
 	Exchange(Gateway gateway, ClientConnection client, ClientRequest request) {
 		this.gateway = gateway;
 		this.client = client;
@@ -127,68 +110,68 @@
 		if (this.holdTimer != null) {
 			this.holdTimer.cancel(false);
 		}
-		Optional<OwnAnswer> refusal = admit();
-		if (refusal.isPresent()) {
-			finishOwn(refusal.get());
+		this.admission = Admission.of(this.gateway.view().configuration(), this.request, this.facts);
+		if (this.admission.refusal().isPresent()) {
+			finishOwn(this.admission.refusal().get());
 			return;
 		}
-		this.flow = new RequestFlow(this.route.repeatable(), this.route.maxAttempts());
+		admitted();
+		send();
+	}
+
+	private void admitted() {
+		Route route = route();
+		this.flow = new RequestFlow(route.repeatable(), route.maxAttempts());
 		this.lastEvent = this.facts.lastEvent().orElse(null);
-		long allowed = Math.min(this.facts.deadlineMillis().orElse(this.route.timeoutMillis()),
-				this.route.timeoutMillis());
+		long allowed = Math.min(this.facts.deadlineMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
 		this.deadlineNanos = this.request.receivedNanos() + allowed * NANOS_PER_MILLI;
 		this.deadlineTimer = this.client.schedule(this::deadlineOver, remainingMillis());
-		this.gateway.budget().request(this.service, now());
+		this.gateway.budget().request(service(), now());
 		this.pinKey = Hashing.wyhashFinal4().hashStream().putString(pinName()).getAsLong();
 		this.prompt = PromptShape.of(this.facts);
-		if (!this.route.models().isEmpty()) {
-			this.gateway.density().observe(this.route.name(), this.facts.promptTokens());
-			this.model = this.gateway.cascade().start(this.route.name(), timing(), strain());
-		}
-		send();
+		this.models = new ModelChoice(this.gateway, this.admission, this.facts, this.request.receivedNanos());
 	}
 
-	private String pinName() {
-		return this.facts.session().or(this.facts::id).orElse("");
+	private Route route() {
+		return this.admission.route();
 	}
 
-	private Optional<OwnAnswer> admit() {
-		Configuration known = this.gateway.view().configuration().orElse(null);
-		if (known == null) {
-			return Optional.of(OwnAnswer.notRun("no configuration yet", retryAfterMillis()));
-		}
-		if (this.facts.id().isEmpty()) {
-			return Optional.of(OwnAnswer.of(400, "no request id"));
-		}
-		Optional<Route> found = known.route(this.request.host(), this.request.path());
-		if (found.isEmpty()) {
-			return Optional.of(OwnAnswer.of(404, "no route"));
-		}
-		this.route = found.get();
-		this.service = ServiceDraw.draw(this.route.services(), this.facts.session().or(this.facts::id).orElse(""));
-		this.account = this.facts.key().flatMap(known::account);
-		if (known.keysRequired() && !this.route.open() && this.account.isEmpty()) {
-			return Optional.of(OwnAnswer.of(401, "unknown key"));
-		}
-		return Optional.empty();
+	private String service() {
+		return this.admission.service();
+	}
+
+	private String pinName() {
+		return this.facts.session().or(this.facts::id).orElse("");
 	}
 
 	private void send() {
 		if (remainingMillis() < MIN_SEND_MILLIS) {
+			this.reason = "too little time left";
 			perform(this.flow.noRoom());
 			return;
 		}
-		VersionGroup versions = this.gateway.rollouts()
-			.choose(this.service, this.pinKey, this.facts.session().isPresent());
-		EngineWork work = this.prompt.work(modelName().orElse(""));
-		PlaceRequest wanted = new PlaceRequest(this.service, versions, this.gateway.rollouts().target(this.service),
-				work, this.tried);
+		PlaceRequest wanted = wanted();
 		Optional<Placed> placed = this.gateway.choice().choose(wanted);
 		if (placed.isEmpty()) {
+			this.reason = "no server of " + service() + " for versions " + wanted.versions();
 			perform(this.flow.noRoom());
 			return;
 		}
-		send(placed.get(), work);
+		send(placed.get(), wanted.work());
+	}
+
+	private PlaceRequest wanted() {
+		VersionGroup versions = this.gateway.rollouts()
+			.choose(service(), this.pinKey, this.facts.session().isPresent());
+		EngineWork work = this.prompt.work(this.models.name().orElse(""));
+		return new PlaceRequest(service(), versions, this.gateway.rollouts().target(service()), work, this.tried);
+	}
+
+	private boolean anotherServer() {
+		return this.gateway.choice()
+			.choose(wanted())
+			.filter((placed) -> !this.tried.contains(placed.server().entry().id()))
+			.isPresent();
 	}
 
 	private void send(Placed placed, EngineWork work) {
@@ -201,36 +184,25 @@
 		this.attempt = new Attempt(this, placed, work);
 		BackendSend send = new BackendSend(this.facts.id().orElseThrow(), outgoing(server), this.attempt);
 		this.attempt.begin(send);
-		boolean onlyNew = !this.route.repeatable();
+		boolean onlyNew = !route().repeatable();
 		this.gateway.pool().send(server.entry(), send, onlyNew);
 	}
 
-	private Optional<String> modelName() {
-		return (this.model >= 0) ? Optional.of(this.route.models().get(this.model)) : this.facts.model();
-	}
-
 	/**
 	 * Judges an answer by its model's opinion, before any of it is handed on.
 	 * @param opinion the opinion, from 0 to 100
 	 * @return whether the answer was dropped in favour of a larger model's
 	 */
 	boolean dropFor(int opinion) {
-		if (this.model < 0 || this.flow.answerBegun()) {
+		if (this.flow.answerBegun()) {
 			return false;
 		}
-		if (this.droppedModel >= 0) {
-			this.gateway.cascade().escalated(this.route.name(), this.droppedModel, this.model, opinion);
-		}
-		OptionalInt larger = this.gateway.cascade()
-			.judge(this.route.name(), this.model, opinion, prices(), timing(), strain());
+		OptionalInt larger = this.models.larger(opinion);
 		if (larger.isEmpty() || remainingMillis() < MIN_ESCALATE_MILLIS || !this.flow.sendsLeft()
-				|| !this.gateway.budget().tryRepeat(this.service, now())) {
+				|| !this.gateway.budget().tryRepeat(service(), now())) {
 			return false;
 		}
-		logger.info(GatewayEvents.ANSWER_DROPPED, id(), modelName().orElse(""), opinion,
-				this.route.models().get(larger.getAsInt()));
-		this.droppedModel = this.model;
-		this.model = larger.getAsInt();
+		this.models.take(larger.getAsInt(), opinion);
 		return true;
 	}
 
@@ -242,80 +214,57 @@
 		perform(this.flow.dropped());
 	}
 
-	private ConfidenceCascade.Timing timing() {
-		List<Double> millis = new ArrayList<>();
-		for (String name : this.route.models()) {
-			millis.add(this.gateway.speed().millis(name, this.facts.promptTokens()));
-		}
-		double elapsed = (now() - this.request.receivedNanos()) / (double) NANOS_PER_MILLI;
-		double left = (this.route.targetMillis() > 0) ? Math.max(1, this.route.targetMillis() - elapsed) : 0;
-		return new ConfidenceCascade.Timing(millis, left);
-	}
-
-	private List<Double> prices() {
-		Map<String, Double> costs = new HashMap<>();
-		this.gateway.view()
-			.configuration()
-			.flatMap((known) -> known.service(this.service))
-			.ifPresent((known) -> known.models().forEach((cost) -> costs.put(cost.name(), cost.cost())));
-		List<Double> prices = new ArrayList<>();
-		for (String name : this.route.models()) {
-			prices.add(costs.getOrDefault(name, 1.0));
-		}
-		return prices;
-	}
-
 	private FullHttpRequest outgoing(ServerState server) {
 		HttpHeaders headers = ConnectionHeaders.without(this.request.headers());
-		Optional<String> chosen = (this.model >= 0) ? modelName() : Optional.empty();
-		OptionalInt rank = this.route.streaming() ? OptionalInt.of(rank()) : OptionalInt.empty();
 		this.gateway.dialect()
-			.dispatch(headers, new DispatchFacts(server.entry().id(), remainingMillis(),
-					this.account.map(ClientAccount::name), chosen, rank, Optional.ofNullable(this.lastEvent)));
+			.dispatch(headers, new DispatchFacts(server.entry().id(), remainingMillis(), accountName(),
+					this.models.chosen(), this.models.rank(), Optional.ofNullable(this.lastEvent)));
 		ByteBuf body = this.request.body().retainedDuplicate();
 		if (body.isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		}
-		FullHttpRequest outgoing = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.request.method(),
-				this.request.target(), body, headers, new DefaultHttpHeaders());
-		return outgoing;
-	}
-
-	// The strain as it counts for this request.
-	private double strain() {
-		return this.gateway.strain().value()
-				* this.gateway.density().of(this.route.name(), this.facts.promptTokens(), urgency());
+		return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.request.method(), this.request.target(), body,
+				headers, new DefaultHttpHeaders());
 	}
 
-	private int urgency() {
-		return this.account.map(ClientAccount::rank).orElse(OptionalInt.empty()).orElse(this.route.rank());
+	private Optional<String> accountName() {
+		return this.admission.account().map(ClientAccount::name);
 	}
 
-	private int rank() {
-		int doubled = RANKS_APART * Math.max(0, Math.min(urgency(), LAST_RANK / RANKS_APART));
-		return doubled + ((this.facts.promptTokens() > LONG_PROMPT_TOKENS) ? 1 : 0);
+	/**
+	 * A send ended, and the request was not run by it.
+	 * @param why what was seen
+	 */
+	void notRun(String why) {
+		this.reason = why;
+		perform(this.flow.notRun(mayRepeat()));
 	}
 
-	// Notes when the first part of the client's answer was there.
-	private void began() {
-		if (this.route.targetMillis() > 0) {
-			double millis = (now() - this.request.receivedNanos()) / (double) NANOS_PER_MILLI;
-			this.gateway.strain().observe(millis / this.route.targetMillis(), now());
-		}
+	/**
+	 * A send ended without a whole answer.
+	 * @param why what was seen
+	 */
+	void broken(String why) {
+		this.reason = why;
+		perform(this.flow.broken(route().repeatable() && mayRepeat()));
 	}
 
 	/**
-	 * A send ended, and the request was not run by it.
+	 * Returns whether a server that is silent may be left for another.
+	 * @return whether the request may be sent again
 	 */
-	void notRun() {
-		perform(this.flow.notRun(mayRepeat()));
+	boolean mayLeaveSilent() {
+		return route().repeatable() && this.flow.sendsLeft() && remainingMillis() >= MIN_SEND_MILLIS
+				&& this.gateway.budget().hasRoom(service(), now()) && anotherServer();
 	}
 
 	/**
-	 * A send ended without a whole answer.
+	 * Runs work later, unless the client's connection is gone by then.
+	 * @param work the work
+	 * @param delayMillis when, in milliseconds from now
 	 */
-	void broken() {
-		perform(this.flow.broken(this.route.repeatable() && mayRepeat()));
+	void schedule(Runnable work, long delayMillis) {
+		this.client.schedule(work, delayMillis);
 	}
 
 	/**
@@ -324,13 +273,20 @@
 	 */
 	void failed(KeptFailure kept) {
 		dropFailure();
+		this.reason = "server " + this.attempt.serverId() + " answered " + kept.status();
 		this.failure = kept;
-		perform(this.flow.failed(this.route.repeatable() && mayRepeat()));
+		perform(this.flow.failed(route().repeatable() && mayRepeat()));
 	}
 
 	private boolean mayRepeat() {
-		return this.flow.sendsLeft() && remainingMillis() >= MIN_SEND_MILLIS
-				&& this.gateway.budget().tryRepeat(this.service, now());
+		if (!this.flow.sendsLeft() || remainingMillis() < MIN_SEND_MILLIS) {
+			return false;
+		}
+		boolean allowed = this.gateway.budget().tryRepeat(service(), now());
+		if (!allowed) {
+			this.reason += ", budget of repeats used up";
+		}
+		return allowed;
 	}
 
 	/**
@@ -356,7 +312,7 @@
 	void passEvents(int status, HttpHeaders headers, ByteBuf events, Optional<String> lastId) {
 		if (!this.flow.answerBegun()) {
 			this.flow.answering();
-			began();
+			this.models.began();
 			this.client.answerHead(status, ConnectionHeaders.without(headers));
 		}
 		lastId.ifPresent((id) -> this.lastEvent = id);
@@ -388,7 +344,7 @@
 	private void perform(Next next) {
 		switch (next) {
 			case SEND -> send();
-			case REFUSE -> finishOwn(OwnAnswer.notRun("not run", retryAfterMillis()));
+			case REFUSE -> finishOwn(OwnAnswer.notRun("not run", OwnAnswer.RETRY_MILLIS));
 			case REPORT_UNKNOWN -> finishOwn(OwnAnswer.of(502, "outcome unknown"));
 			case REPORT_TIMEOUT -> finishOwn(OwnAnswer.of(504, "time over, outcome unknown"));
 			case PASS_FAILURE -> passFailure();
@@ -439,19 +395,29 @@
 		if (this.deadlineTimer != null) {
 			this.deadlineTimer.cancel(false);
 		}
-		String server = (this.attempt != null) ? this.attempt.serverId() : "none";
+		String server = (this.attempt != null) ? this.attempt.serverLabel() : "none";
 		if (this.attempt != null) {
 			this.attempt.cancel();
 		}
 		dropFailure();
 		this.request.release();
-		if (logger.isInfoEnabled()) {
-			logger.info(GatewayEvents.REQUEST_ENDED, this.facts.id().orElse("unnamed"),
-					this.account.map(ClientAccount::name).orElse("none"),
-					(this.route != null) ? this.route.name() : "none", status,
-					(this.flow != null) ? this.flow.ran() : "NO", (this.flow != null) ? this.flow.attempts() : 0,
-					server, (now() - this.request.receivedNanos()) / NANOS_PER_MILLI, outcome);
-		}
+		logEnd(status, outcome, server);
+	}
+
+	private void logEnd(int status, String outcome, String server) {
+		String detail = this.reason.isEmpty() ? outcome : outcome + " (" + this.reason + ")";
+		Object ran = (this.flow != null) ? this.flow.ran() : Ran.NO;
+		int sends = (this.flow != null) ? this.flow.attempts() : 0;
+		String account = (this.admission != null) ? accountName().orElse("none") : "none";
+		long millis = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
+		Level level = (status >= 200 && status < 300) ? Level.INFO : Level.WARN;
+		logger.atLevel(level)
+			.log(GatewayEvents.REQUEST_ENDED, this.facts.id().orElse("unnamed"), account, routeLabel(), status, ran,
+					sends, server, millis, detail);
+	}
+
+	private String routeLabel() {
+		return (this.admission != null && route() != null) ? route().name() : "none";
 	}
 
 	private void dropFailure() {
@@ -469,17 +435,13 @@
 		return (this.deadlineNanos - now()) / NANOS_PER_MILLI;
 	}
 
-	private long retryAfterMillis() {
-		return 300;
-	}
-
 	/**
 	 * Notes an answer for the judgement of versions.
 	 * @param server server that gave it
 	 * @param bad whether it was a failure or several times slower than usual
 	 */
 	void judged(ServerState server, boolean bad) {
-		this.gateway.rollouts().answered(this.service, server.entry().version(), this.route.name(), bad);
+		this.gateway.rollouts().answered(service(), server.entry().version(), route().name(), bad);
 	}
 
 	/**
@@ -488,7 +450,7 @@
 	 * @return whether the version is on trial
 	 */
 	boolean onTrial(ServerState server) {
-		return server.entry().version().equals(this.gateway.rollouts().target(this.service));
+		return server.entry().version().equals(this.gateway.rollouts().target(service()));
 	}
 
 	Gateway gateway() {
@@ -496,11 +458,11 @@
 	}
 
 	String routeName() {
-		return this.route.name();
+		return route().name();
 	}
 
 	boolean streaming() {
-		return this.route.streaming();
+		return route().streaming();
 	}
 
 	String id() {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/OwnAnswer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/OwnAnswer.java
@@ -12,6 +12,12 @@
  */
 record OwnAnswer(int status, String reason, OptionalLong retryAfterMillis) {
 
+	/**
+	 * When a client may come again after a refusal, in milliseconds; a server that left
+	 * or failed is known by then.
+	 */
+	static final long RETRY_MILLIS = 300;
+
 	static OwnAnswer of(int status, String reason) {
 		return new OwnAnswer(status, reason, OptionalLong.empty());
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
@@ -105,17 +105,25 @@
 		if (request.versions() != VersionGroup.ANY) {
 			boolean wantsTarget = request.versions() == VersionGroup.TARGET;
 			allowed = keep(usable, (state) -> state.entry().version().equals(request.target()) == wantsTarget);
-			if (request.versions() == VersionGroup.OLD_ONLY && allowed.isEmpty()) {
-				return allowed;
-			}
 		}
-		List<ServerState> untried = keep(allowed.isEmpty() ? usable : allowed,
-				(state) -> !request.tried().contains(state.entry().id()));
-		if (untried.isEmpty() && !allowed.isEmpty() && request.versions() != VersionGroup.OLD_ONLY) {
-			untried = keep(usable, (state) -> !request.tried().contains(state.entry().id()));
+		List<ServerState> permitted = (request.versions() == VersionGroup.OLD_ONLY) ? allowed : usable;
+		List<ServerState> untried = firstNonEmpty(keep(allowed, (state) -> untried(state, request)),
+				keep(permitted, (state) -> untried(state, request)), firstNonEmpty(allowed, permitted));
+		return firstNonEmpty(keep(untried, (state) -> !state.avoided(now)), untried);
+	}
+
+	private static boolean untried(ServerState state, PlaceRequest request) {
+		return !request.tried().contains(state.entry().id());
+	}
+
+	@SafeVarargs
+	private static List<ServerState> firstNonEmpty(List<ServerState>... lists) {
+		for (List<ServerState> list : lists) {
+			if (!list.isEmpty()) {
+				return list;
+			}
 		}
-		List<ServerState> sound = keep(untried, (state) -> !state.avoided(now));
-		return sound.isEmpty() ? untried : sound;
+		return List.of();
 	}
 
 	private static List<ServerState> keep(List<ServerState> states, java.util.function.Predicate<ServerState> test) {
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
@@ -46,6 +46,10 @@
 
 	private long avoidedUntil;
 
+	private long heardAt;
+
+	private boolean heardOnce;
+
 	/**
 	 * Creates the state of a server that has received nothing yet.
 	 * @param entry what the server says of itself
@@ -194,6 +198,33 @@
 		return true;
 	}
 
+	/**
+	 * Notes that bytes of the server arrived.
+	 * @param nowNanos monotonic time
+	 */
+	public void heard(long nowNanos) {
+		this.heardAt = nowNanos;
+		this.heardOnce = true;
+	}
+
+	/**
+	 * Returns whether anything was heard of the server.
+	 * @param sinceNanos earliest monotonic time that counts
+	 * @return whether bytes of it arrived since
+	 */
+	public boolean heardSince(long sinceNanos) {
+		return this.heardOnce && this.heardAt - sinceNanos >= 0;
+	}
+
+	/**
+	 * Avoids the server for a moment, since it does not answer.
+	 * @param nowNanos monotonic time
+	 */
+	public void silent(long nowNanos) {
+		this.failuresInRow = Math.max(this.failuresInRow, FAILURES_BEFORE_AVOIDANCE - 1);
+		failed(nowNanos);
+	}
+
 	/**
 	 * Returns whether the server failed of late.
 	 * @param nowNanos monotonic time
--- a/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * How long answers usually take, to tell those that are several times slower. Confined to
@@ -30,6 +31,16 @@
 		return mean != null && mean.count >= MIN_ANSWERS && millis > SLOW_TIMES * mean.value;
 	}
 
+	/**
+	 * Returns the usual time.
+	 * @param kind what kind of time it is
+	 * @return milliseconds, empty before enough is known
+	 */
+	public OptionalDouble usual(String kind) {
+		Mean mean = this.means.get(kind);
+		return (mean != null && mean.count >= MIN_ANSWERS) ? OptionalDouble.of(mean.value) : OptionalDouble.empty();
+	}
+
 	/**
 	 * Learns from an answer.
 	 * @param kind what kind of time it is
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
@@ -225,6 +225,28 @@
 		}
 	}
 
+	// A server whose health is good but which answers nothing.
+	@ParameterizedTest
+	@ValueSource(strings = { "/safe/x", "/stream/x" })
+	void aSilentServerIsLeftForAnotherIfTheWorkMayBeRepeated(String path) throws Exception {
+		ScriptedServer.Script silent = firstOnly(ScriptedServer.Call::waitUntilCallerLeaves);
+		try (GatewayFixture fixture = GatewayFixture.before(silent, silent)) {
+			long began = System.nanoTime();
+			assertThat(RawHttp.status(fixture.exchange(path, ""))).isEqualTo(200);
+			assertThat((System.nanoTime() - began) / 1_000_000).isLessThan(2500);
+		}
+	}
+
+	@Test
+	void aSilentServerIsAvoidedAndWorkThatMayNotBeRepeatedWaitsForItAlone() throws Exception {
+		ScriptedServer.Script silent = ScriptedServer.Call::waitUntilCallerLeaves;
+		try (GatewayFixture fixture = GatewayFixture.before(silent); GatewayFixture.Client client = fixture.connect()) {
+			client.send("/once/x", "deadline: 900\r\n");
+			assertThat(RawHttp.status(client.read())).isEqualTo(504);
+			assertThat(fixture.runs()).isEqualTo(1);
+		}
+	}
+
 	@Test
 	void theServerIsLeftAtOnceWhenTheClientLeaves() throws Exception {
 		ScriptedServer.Script slow = ScriptedServer.Call::waitUntilCallerLeaves;
