--- a/cli/src/main/java/io/sequoialink/cli/ExplainCommand.java
+++ b/cli/src/main/java/io/sequoialink/cli/ExplainCommand.java
@@ -1,5 +1,13 @@
 package io.sequoialink.cli;
 
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import io.sequoialink.model.Identifiers;
 import picocli.CommandLine;
@@ -12,12 +20,44 @@
 		exitCodeListHeading = ExitCodes.HELP_HEADING,
 		exitCodeList = { "0:explained", "1:no host that answers remembers the request", "2:no request identifier" },
 		footer = { "", "The request identifier stands in the header x-sequoialink-request of the answer.", "",
-				"Example:", "  sequoialink explain magnolia-3.mx84xlqj.1" })
+				"Example:", "  sequoialink explain magnolia-3.mx84xlqj.1",
+				"  sequoialink explain 5e0f3831b7d1f19a --lines host-1.log host-2.log",
+				"  sequoialink explain 5e0f3831b7d1f19a --lines - < all.log" })
 final class ExplainCommand extends CommandBase {
 
 	@CommandLine.Parameters(paramLabel = "REQUEST_ID", description = "the request")
 	private String request;
 
+	@CommandLine.Option(names = "--lines", paramLabel = "FILE", arity = "1..*",
+			description = "read the log lines of entry hosts from these files instead of asking a host; - is standard input")
+	private List<String> files = List.of();
+
+	@Override
+	public Integer call() throws Exception {
+		return this.files.isEmpty() ? super.call() : fromLines();
+	}
+
+	private int fromLines() throws IOException {
+		LogStory story = new LogStory(this.request);
+		for (String file : this.files) {
+			try (BufferedReader lines = open(file)) {
+				story.read(lines);
+			}
+		}
+		List<String> told = story.tell();
+		told.forEach(out()::println);
+		if (told.isEmpty()) {
+			out().println("no line names request " + this.request);
+		}
+		out().flush();
+		return told.isEmpty() ? ExitCodes.FAILED : ExitCodes.OK;
+	}
+
+	private static BufferedReader open(String file) throws IOException {
+		return file.equals("-") ? new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))
+				: Files.newBufferedReader(Path.of(file));
+	}
+
 	@Override
 	int run(AdminClient client) throws Exception {
 		if (!Identifiers.valid(this.request)) {
