Judge a version by streams that have not ended, and try a small share of it on few servers

A version that is bad under load never had load. Change: a stream is judged after 16 events if its pace is five times the usual; streams of fewer than 12 events say nothing; the share rises until 0.83 of the duration; evidence every 0.4 s; a small share goes to as few servers, the same on all hosts.

--- a/decision/src/main/java/io/sequoialink/decision/rollout/CanarySchedule.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/CanarySchedule.java
@@ -21,7 +21,7 @@
 
 	private static final double RISE_BEGINS = 0.52;
 
-	private static final double RISE_ENDS = 0.74;
+	private static final double RISE_ENDS = 0.83;
 
 	private static final double COMPLETE = 0.9;
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -27,7 +27,13 @@
 	private static final int MISDIRECTED = 421;
 
 	/** Streams with fewer events say little of their pace. */
-	private static final int MIN_PACED_EVENTS = 3;
+	private static final int MIN_PACED_EVENTS = 12;
+
+	/**
+	 * Events after which a stream's pace is judged before its end; fewer may all fall
+	 * into the reading of one long prompt.
+	 */
+	private static final int EARLY_PACED_EVENTS = 16;
 
 	private enum Verdict {
 
@@ -49,6 +55,10 @@
 
 	private boolean alone;
 
+	private double expectedMillis;
+
+	private boolean judged;
+
 	private long headAt;
 
 	private BackendSend send;
@@ -76,9 +86,9 @@
 	void begin(BackendSend sending) {
 		this.send = sending;
 		this.alone = this.server.pendingMillis() == 0;
-		double ahead = this.server.pendingMillis();
+		this.expectedMillis = this.server.pendingMillis() + this.workMillis;
 		this.server.sent(this.workMillis);
-		this.exchange.schedule(this::checkSilence, patience(ahead + this.workMillis));
+		this.exchange.schedule(this::checkSilence, patience(this.expectedMillis));
 	}
 
 	String serverId() {
@@ -103,7 +113,7 @@
 		if (this.exchange.streaming()) {
 			return Patience.stream(expectedMillis, remaining);
 		}
-		return Patience.plain(this.exchange.gateway().pace().usual(paceKind()), remaining);
+		return Patience.plain(pace().usual(paceKind()), remaining);
 	}
 
 	// A server that sends nothing at all while others are waited for is avoided; work
@@ -210,6 +220,7 @@
 		}
 		this.server.heard(this.exchange.now());
 		ByteBuf ready = this.events.take(data);
+		judgePace();
 		if (this.events.overflown()) {
 			ready.release();
 			breakOff("event too long");
@@ -238,7 +249,7 @@
 			}
 			case FAILURE -> {
 				note("failed with status " + this.status);
-				this.exchange.judged(this.server, true);
+				judge(true);
 				this.exchange.failed(new KeptFailure(this.status, this.headers, this.whole));
 			}
 			case SUCCESS -> succeed();
@@ -248,7 +259,7 @@
 
 	private void succeed() {
 		this.server.succeeded();
-		this.exchange.judged(this.server, slow());
+		judgeEnd();
 		if (this.events == null) {
 			this.exchange.passWhole(this.status, this.headers, this.whole);
 			return;
@@ -256,23 +267,41 @@
 		this.exchange.passEnd();
 	}
 
-	// Tells whether the answer was several times slower than usual, by the pauses between
-	// events for streams, and learns what is usual from versions that are not on trial.
-	private boolean slow() {
-		String kind = paceKind();
+	// Judges an answer once: as bad as soon as that is clear, which for a stream may be
+	// long before its end, else at its end.
+	private void judge(boolean bad) {
+		if (!this.judged) {
+			this.judged = true;
+			this.exchange.judged(this.server, bad);
+		}
+	}
+
+	private void judgePace() {
+		if (!this.judged && this.events.events() >= EARLY_PACED_EVENTS && pace().slow(paceKind(), eventMillis())) {
+			judge(true);
+		}
+	}
+
+	private void judgeEnd() {
 		double millis = millisSince(this.begun);
 		if (this.events != null) {
 			if (this.events.events() < MIN_PACED_EVENTS) {
-				return false;
+				return;
 			}
-			millis = millisSince(this.headAt) / this.events.events();
+			millis = eventMillis();
 		}
-		UsualPace pace = this.exchange.gateway().pace();
-		boolean slow = pace.slow(kind, millis);
+		judge(pace().slow(paceKind(), millis));
 		if (!this.exchange.onTrial(this.server)) {
-			pace.observe(kind, millis);
+			pace().observe(paceKind(), millis);
 		}
-		return slow;
+	}
+
+	private double eventMillis() {
+		return millisSince(this.headAt) / this.events.events();
+	}
+
+	private UsualPace pace() {
+		return this.exchange.gateway().pace();
 	}
 
 	@Override
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -164,7 +164,8 @@
 		VersionGroup versions = this.gateway.rollouts()
 			.choose(service(), this.pinKey, this.facts.session().isPresent());
 		EngineWork work = this.prompt.work(this.models.name().orElse(""));
-		return new PlaceRequest(service(), versions, this.gateway.rollouts().target(service()), work, this.tried);
+		return new PlaceRequest(service(), versions, this.gateway.rollouts().target(service()),
+				this.gateway.rollouts().share(service()), work, this.tried);
 	}
 
 	private boolean anotherServer() {
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
@@ -105,6 +105,7 @@
 		if (request.versions() != VersionGroup.ANY) {
 			boolean wantsTarget = request.versions() == VersionGroup.TARGET;
 			allowed = keep(usable, (state) -> state.entry().version().equals(request.target()) == wantsTarget);
+			allowed = wantsTarget ? TrialServers.of(allowed, request.targetShare()) : allowed;
 		}
 		List<ServerState> permitted = (request.versions() == VersionGroup.OLD_ONLY) ? allowed : usable;
 		List<ServerState> untried = firstNonEmpty(keep(allowed, (state) -> untried(state, request)),
--- a/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
@@ -13,7 +13,7 @@
 	private static final double WEIGHT = 0.05;
 
 	/** How many times the usual time counts as slow. */
-	private static final double SLOW_TIMES = 4;
+	private static final double SLOW_TIMES = 5;
 
 	/** Answers before which nothing counts as slow. */
 	private static final int MIN_ANSWERS = 10;
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -132,6 +132,15 @@
 		return VersionGroup.TARGET;
 	}
 
+	/**
+	 * Returns the share of the sessions for the new version.
+	 * @param nowNanos monotonic time
+	 * @return the share, from 0 to 1
+	 */
+	public double share(long nowNanos) {
+		return this.schedule.share(progress(nowNanos));
+	}
+
 	private static double position(long pinKey) {
 		long mixed = pinKey * 0x9E3779B97F4A7C15L;
 		mixed ^= mixed >>> 32;
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -42,7 +42,7 @@
 	 */
 	private static final long MAX_DELAY_NANOS = 1_500_000_000L;
 
-	private static final long EVIDENCE_PAUSE_NANOS = 700_000_000L;
+	private static final long EVIDENCE_PAUSE_NANOS = 400_000_000L;
 
 	/**
 	 * Answers of the new version after which a host publishes again though none was bad.
@@ -197,6 +197,17 @@
 		return (canary != null) ? canary.order().value().target() : "";
 	}
 
+	/**
+	 * Returns the share of the requests that goes to the version that a service is moved
+	 * to.
+	 * @param service name of the service
+	 * @return the share, 1 if no roll-out is under way
+	 */
+	public double share(String service) {
+		Canary canary = this.canaries.get(service);
+		return (canary != null && !canary.ended()) ? canary.share(this.clock.getAsLong()) : 1;
+	}
+
 	/**
 	 * Notes that a session's request is sent.
 	 * @param version version of the backend server
