Make waiting calls to the store again after an outage, and let it wait less for a while

Change: once a topic is read again, reads of other topics that wait are made again at once; for 15 s after an outage the store is asked to wait 0.7 of the time in which a configuration must be in force. The repeats of a host beyond its share are 1 at most: 16 parts of the slack were more than the whole on 65 hosts and more.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -44,8 +44,25 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(EntryHost.class);
 
-	/** Configurations are rare, so the store is asked to wait long for one. */
-	private static final FollowPace OPERATOR_PACE = new FollowPace(12_000, 0, 300);
+	/** Pause after a call to the store that failed, in milliseconds. */
+	private static final int RETRY_MILLIS = 300;
+
+	/**
+	 * Configurations are rare, so the store is asked to wait long for one, in
+	 * milliseconds.
+	 */
+	private static final int OPERATOR_WAIT_MILLIS = 12_000;
+
+	/**
+	 * Part of the time in which a configuration must be in force that the store may wait
+	 * after an outage.
+	 */
+	private static final double CAUTIOUS_PART = 0.7;
+
+	/**
+	 * How long the store may wait for servers, which write all the time, in milliseconds.
+	 */
+	private static final int SERVERS_WAIT_MILLIS = 500;
 
 	/**
 	 * Part of the time in which a leaving server must be noticed that may pass between
@@ -54,7 +71,7 @@
 	private static final double LEAVING_PART = 0.7;
 
 	/** Hosts publish in bursts while a roll-out is under way. */
-	private static final FollowPace STATUS_PACE = new FollowPace(2500, 100, 300);
+	private static final FollowPace STATUS_PACE = new FollowPace(2500, 1000, 100, RETRY_MILLIS);
 
 	/**
 	 * Time from the request to stop until the platform sends no more connections, in
@@ -70,10 +87,10 @@
 	private static final long POLL_MILLIS = 100;
 
 	/**
-	 * Parts into which the common slack of repeats is split, so that the hosts' sum
-	 * holds.
+	 * Repeats of one host beyond its share, small enough that the common slack holds for
+	 * hundreds of hosts.
 	 */
-	private static final int SLACK_PARTS = 16;
+	private static final double MAX_HOST_SLACK = 1;
 
 	private EntrySettings settings;
 
@@ -118,7 +135,7 @@
 		this.statuses.readInto(this.updates);
 		ServerTable servers = new ServerTable(this.view);
 		ReadingSpeed speed = new ReadingSpeed();
-		this.budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack() / SLACK_PARTS,
+		this.budget = new RepeatBudget(bounds.repeatRatio(), hostSlack(bounds),
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
 		Gateway gateway = new Gateway(gate, this.view, servers,
 				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
@@ -142,9 +159,13 @@
 	}
 
 	private void follow() {
-		follow("op", new OperatorRecords(this.updates), OPERATOR_PACE);
-		int pause = (int) (LEAVING_PART * this.settings.bounds().leavingMillis());
-		follow("servers", new ServerRecords(this.updates), new FollowPace(500, pause, 300));
+		EntrySettings.Bounds bounds = this.settings.bounds();
+		int cautious = (int) (CAUTIOUS_PART * bounds.applyMillis());
+		follow("op", new OperatorRecords(this.updates),
+				new FollowPace(OPERATOR_WAIT_MILLIS, cautious, 0, RETRY_MILLIS));
+		int pause = (int) (LEAVING_PART * bounds.leavingMillis());
+		follow("servers", new ServerRecords(this.updates),
+				new FollowPace(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause, RETRY_MILLIS));
 		this.loop.scheduleAtFixedRate(this::tick, POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -179,7 +200,7 @@
 		this.settings = changed;
 		EntrySettings.Bounds bounds = changed.bounds();
 		this.store.address(changed.store());
-		this.budget.limits(bounds.repeatRatio(), bounds.repeatSlack() / SLACK_PARTS);
+		this.budget.limits(bounds.repeatRatio(), hostSlack(bounds));
 		this.rollouts.options(options(bounds));
 	}
 
@@ -200,6 +221,10 @@
 		this.loop.scheduleAtFixedRate(work, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
 	}
 
+	private static double hostSlack(EntrySettings.Bounds bounds) {
+		return Math.min(MAX_HOST_SLACK, bounds.repeatSlack());
+	}
+
 	private static RolloutWatch.Options options(EntrySettings.Bounds bounds) {
 		return new RolloutWatch.Options(bounds.exposureShare(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis()));
 	}
--- a/entry/src/main/java/io/sequoialink/entry/EntrySettings.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntrySettings.java
@@ -20,6 +20,7 @@
 	 *
 	 * @param stopMillis time from the request to stop to the end of the process
 	 * @param leavingMillis time in which a server that leaves must receive no more work
+	 * @param applyMillis time in which a configuration must be in force
 	 * @param repeatRatio repeats allowed for each request
 	 * @param repeatSlack repeats of all hosts together that are allowed besides
 	 * @param repeatWindowMillis window over which repeats are counted
@@ -27,7 +28,7 @@
 	 * @param exposureSlack requests that it may get besides
 	 * @param sessionMillis time within which requests of a session belong together
 	 */
-	public record Bounds(long stopMillis, long leavingMillis, double repeatRatio, double repeatSlack,
+	public record Bounds(long stopMillis, long leavingMillis, long applyMillis, double repeatRatio, double repeatSlack,
 			long repeatWindowMillis, double exposureShare, double exposureSlack, long sessionMillis) {
 	}
 
--- a/entry/src/main/java/io/sequoialink/entry/SettingsReader.java
+++ b/entry/src/main/java/io/sequoialink/entry/SettingsReader.java
@@ -47,9 +47,10 @@
 		EntrySettings settings = new EntrySettings(text(root, "host"), text(root, "zone"), address(root, "clients"),
 				address(root, "readiness"), address(root.path("store"), "address"),
 				new EntrySettings.Bounds(millis(bounds, "stop_seconds"), (long) number(bounds, "leaving_millis"),
-						number(bounds, "repeat_ratio"), number(bounds, "repeat_slack"),
-						millis(bounds, "repeat_window_seconds"), number(bounds, "exposure_share"),
-						number(bounds, "exposure_slack"), millis(bounds, "session_seconds")));
+						(long) number(bounds, "apply_millis"), number(bounds, "repeat_ratio"),
+						number(bounds, "repeat_slack"), millis(bounds, "repeat_window_seconds"),
+						number(bounds, "exposure_share"), number(bounds, "exposure_slack"),
+						millis(bounds, "session_seconds")));
 		if (!this.errors.isEmpty()) {
 			throw new SettingsException(this.errors);
 		}
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FollowPace.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FollowPace.java
@@ -4,8 +4,10 @@
  * How often a topic is read. Immutable.
  *
  * @param waitMillis how long the store may wait for a record, in milliseconds
+ * @param cautiousMillis how long it may wait for a while after an outage, when it may not
+ * answer every call, in milliseconds
  * @param pauseMillis pause between two reads, in milliseconds
  * @param retryMillis pause after a failed call, in milliseconds
  */
-public record FollowPace(int waitMillis, int pauseMillis, int retryMillis) {
+public record FollowPace(int waitMillis, int cautiousMillis, int pauseMillis, int retryMillis) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/KeyedTopic.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/KeyedTopic.java
@@ -31,6 +31,12 @@
 	 */
 	void read(long from, int waitMillis, Consumer<StoreReply<Tail>> reply);
 
+	/**
+	 * Gives up the calls to the store that wait for an answer, since they may have been
+	 * made while it answered nothing; each ends as renewed.
+	 */
+	void renewWaiting();
+
 	/**
 	 * Appends a record.
 	 * @param key key of the record
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/StoreFailure.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/StoreFailure.java
@@ -20,7 +20,10 @@
 		CONFLICT,
 
 		/** Whether the call was or will be done is not known. */
-		UNKNOWN
+		UNKNOWN,
+
+		/** The call was given up by this host in order to be made again at once. */
+		RENEWED
 
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -26,6 +26,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(TopicFollower.class);
 
+	/** Time after an outage in which the store is asked to wait less, in nanoseconds. */
+	static final long CAUTION_NANOS = 15_000_000_000L;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private static final byte[] NO_VALUE = new byte[0];
@@ -52,6 +55,8 @@
 
 	private long backSince;
 
+	private long cautiousUntil;
+
 	private boolean whole;
 
 	/**
@@ -117,7 +122,7 @@
 	private void readPage(Optional<String> after, long firstEnd) {
 		this.topic.newest(after, (reply) -> reply.match((page) -> takePage(page, firstEnd), (failure) -> {
 			failed(failure);
-			this.timer.later(this::readNewest, this.pace.retryMillis());
+			this.timer.later(this::readNewest, retryMillis(failure));
 		}));
 	}
 
@@ -165,12 +170,17 @@
 	}
 
 	private void readTail() {
-		this.topic.read(this.next, this.pace.waitMillis(), (reply) -> reply.match(this::takeTail, (failure) -> {
+		this.topic.read(this.next, waitMillis(), (reply) -> reply.match(this::takeTail, (failure) -> {
 			failed(failure);
-			this.timer.later(this::readTail, this.pace.retryMillis());
+			this.timer.later(this::readTail, retryMillis(failure));
 		}));
 	}
 
+	private int waitMillis() {
+		boolean cautious = this.cautiousUntil != 0 && this.clock.getAsLong() - this.cautiousUntil < 0;
+		return cautious ? this.pace.cautiousMillis() : this.pace.waitMillis();
+	}
+
 	private void takeTail(Tail tail) {
 		succeeded();
 		if (tail.lost() || tail.end() < this.next) {
@@ -195,7 +205,9 @@
 					this.next);
 			this.lostSince = 0;
 			this.backSince = now;
+			this.cautiousUntil = now + CAUTION_NANOS;
 			this.sink.returned();
+			this.topic.renewWaiting();
 		}
 		if (this.backSince == 0) {
 			this.backSince = now;
@@ -203,8 +215,12 @@
 		this.lastRead = now;
 	}
 
+	private long retryMillis(StoreFailure failure) {
+		return (failure.kind() == StoreFailure.Kind.RENEWED) ? 0 : this.pace.retryMillis();
+	}
+
 	private void failed(StoreFailure failure) {
-		if (this.lostSince == 0) {
+		if (this.lostSince == 0 && failure.kind() != StoreFailure.Kind.RENEWED) {
 			this.lostSince = this.clock.getAsLong();
 			logger.warn(GatewayEvents.STORE_LOST, this.topic.name(), ageNanos() / NANOS_PER_MILLI, failure.detail());
 		}
