Let a new version's share rise only on enough sound answers; usual pace by its geometric mean

Change: pace by model, nothing judged while it is unknown, geometric mean; the share stays at its first value while fewer than 12 answers are known (until 0.62 of the duration) or the bad share is over the reference's by 0.15; hosts publish each 4 answers. One send is kept for a server that breaks off; a middle model counts as helping in half of the cases until learnt.

--- a/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
@@ -26,6 +26,11 @@
 	/** Weight of a new observation once many are known. */
 	private static final double MIN_WEIGHT = 0.01;
 
+	/**
+	 * Chance that a middle model is taken to have of a good answer before it is learnt.
+	 */
+	private static final double MIDDLE_PRIOR = 0.5;
+
 	/** Strain below which the largest model may be asked first. */
 	private static final double CALM = 0.5;
 
@@ -85,7 +90,7 @@
 		double best = chance;
 		int choice = -1;
 		for (int larger = model + 1; larger < prices.size(); larger++) {
-			double gain = learnt(route, model, larger).value(0.5 + 0.5 * larger / (prices.size() - 1));
+			double gain = learnt(route, model, larger).value((larger < prices.size() - 1) ? MIDDLE_PRIOR : 1);
 			double weight = this.options.priceWeight() * (1 + strain);
 			double price = (dearest > 0) ? weight * prices.get(larger) / dearest : 0;
 			double worth = gain * timing.worth(larger) - price;
--- a/decision/src/main/java/io/sequoialink/decision/rollout/CanarySchedule.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/CanarySchedule.java
@@ -27,6 +27,15 @@
 
 	private static final double SETTLED = 0.5;
 
+	/** Answers of the new version that are enough to let more sessions go to it. */
+	private static final int ENOUGH_ANSWERS = 12;
+
+	/** Progress from which fewer answers are enough, since the traffic is thin. */
+	private static final double THIN_TRAFFIC = 0.62;
+
+	/** Share of bad answers beyond the reference's that is still put down to chance. */
+	private static final double TOLERATED = 0.15;
+
 	private final double firstShare;
 
 	/**
@@ -53,6 +62,21 @@
 		return Math.min(1, this.firstShare + (1 - this.firstShare) * risen);
 	}
 
+	/**
+	 * Returns the progress as far as the answers allow it: the share stays small while
+	 * too little is known of the version or too much of it is bad, though no verdict is
+	 * reached yet.
+	 * @param progress time since the order in parts of the duration
+	 * @param target answers of the new version
+	 * @param reference answers of the old versions
+	 * @return the progress, held back before the rise if need be
+	 */
+	public double allowed(double progress, AnswerCounts target, AnswerCounts reference) {
+		boolean enough = target.answers() >= ENOUGH_ANSWERS || progress >= THIN_TRAFFIC;
+		boolean sound = target.badShare() <= reference.badShare() + TOLERATED;
+		return (enough && sound) ? progress : Math.min(progress, RISE_BEGINS);
+	}
+
 	/**
 	 * Returns whether sessions of the old version stay with it.
 	 * @param progress time since the order in parts of the duration
--- a/decision/src/test/java/io/sequoialink/decision/rollout/CanaryScheduleTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/rollout/CanaryScheduleTests.java
@@ -1,6 +1,8 @@
 package io.sequoialink.decision.rollout;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -21,6 +23,14 @@
 		}
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "0.55, 12, 0, 0.55", "0.55, 11, 0, 0.52", "0.65, 3, 0, 0.65", "0.9, 20, 8, 0.52", "0.9, 20, 3, 0.9",
+			"0.3, 0, 0, 0.3" })
+	void theShareStaysSmallWhileTooLittleIsKnownOrTooMuchIsBad(double progress, int answers, int bad, double allowed) {
+		AnswerCounts reference = new AnswerCounts(200, 10);
+		assertThat(this.schedule.allowed(progress, new AnswerCounts(answers, bad), reference)).isEqualTo(allowed);
+	}
+
 	@Test
 	void allSessionsHaveMovedWellBeforeTheOldVersionIsStopped() {
 		assertThat(this.schedule.share(0.84)).isEqualTo(1);
--- a/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
@@ -206,6 +206,16 @@
 		return this.attempts < this.maxAttempts;
 	}
 
+	/**
+	 * Returns whether an answer may be given up for another model's. One send is kept for
+	 * a server that breaks off, unless only two are allowed in all.
+	 * @return whether a send can be spared
+	 */
+	public boolean canSpareSend() {
+		int left = this.maxAttempts - this.attempts;
+		return left > 1 || (left == 1 && this.maxAttempts == 2);
+	}
+
 	/**
 	 * Returns whether a part of an answer has been handed on.
 	 * @return whether the client has received a part
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -59,6 +59,8 @@
 
 	private boolean judged;
 
+	private boolean paced;
+
 	private long headAt;
 
 	private BackendSend send;
@@ -131,7 +133,7 @@
 	}
 
 	private String paceKind() {
-		return this.exchange.routeName() + '/' + this.work.model();
+		return this.work.engine() ? this.exchange.serviceName() + '/' + this.work.model() : this.exchange.routeName();
 	}
 
 	@Override
@@ -277,22 +279,36 @@
 	}
 
 	private void judgePace() {
-		if (!this.judged && this.events.events() >= EARLY_PACED_EVENTS && pace().slow(paceKind(), eventMillis())) {
-			judge(true);
+		if (this.paced || this.events.events() < EARLY_PACED_EVENTS) {
+			return;
+		}
+		this.paced = true;
+		learnPace();
+	}
+
+	// A stream says nothing of its version while the usual pace of its model is not
+	// known,
+	// which would count as good otherwise.
+	private void learnPace() {
+		if (pace().usual(paceKind()).isPresent()) {
+			judge(pace().slow(paceKind(), eventMillis()));
+		}
+		if (!this.exchange.onTrial(this.server)) {
+			pace().observe(paceKind(), eventMillis());
 		}
 	}
 
 	private void judgeEnd() {
-		double millis = millisSince(this.begun);
-		if (this.events != null) {
-			if (this.events.events() < MIN_PACED_EVENTS) {
-				return;
+		if (this.events == null) {
+			double millis = millisSince(this.begun);
+			judge(pace().slow(paceKind(), millis));
+			if (!this.exchange.onTrial(this.server)) {
+				pace().observe(paceKind(), millis);
 			}
-			millis = eventMillis();
 		}
-		judge(pace().slow(paceKind(), millis));
-		if (!this.exchange.onTrial(this.server)) {
-			pace().observe(paceKind(), millis);
+		else if (!this.paced && this.events.events() >= MIN_PACED_EVENTS) {
+			this.paced = true;
+			learnPace();
 		}
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -199,7 +199,7 @@
 			return false;
 		}
 		OptionalInt larger = this.models.larger(opinion);
-		if (larger.isEmpty() || remainingMillis() < MIN_ESCALATE_MILLIS || !this.flow.sendsLeft()
+		if (larger.isEmpty() || remainingMillis() < MIN_ESCALATE_MILLIS || !this.flow.canSpareSend()
 				|| !this.gateway.budget().tryRepeat(service(), now())) {
 			return false;
 		}
@@ -458,6 +458,10 @@
 		return this.gateway;
 	}
 
+	String serviceName() {
+		return service();
+	}
+
 	String routeName() {
 		return route().name();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
@@ -16,7 +16,9 @@
 	private static final double SLOW_TIMES = 5;
 
 	/** Answers before which nothing counts as slow. */
-	private static final int MIN_ANSWERS = 10;
+	private static final int MIN_ANSWERS = 6;
+
+	private static final double MIN_MILLIS = 0.1;
 
 	private final Map<String, Mean> means = new HashMap<>();
 
@@ -28,7 +30,7 @@
 	 */
 	public boolean slow(String kind, double millis) {
 		Mean mean = this.means.get(kind);
-		return mean != null && mean.count >= MIN_ANSWERS && millis > SLOW_TIMES * mean.value;
+		return mean != null && mean.count >= MIN_ANSWERS && millis > SLOW_TIMES * mean.millis();
 	}
 
 	/**
@@ -38,7 +40,7 @@
 	 */
 	public OptionalDouble usual(String kind) {
 		Mean mean = this.means.get(kind);
-		return (mean != null && mean.count >= MIN_ANSWERS) ? OptionalDouble.of(mean.value) : OptionalDouble.empty();
+		return (mean != null && mean.count >= MIN_ANSWERS) ? OptionalDouble.of(mean.millis()) : OptionalDouble.empty();
 	}
 
 	/**
@@ -49,17 +51,22 @@
 	public void observe(String kind, double millis) {
 		Mean mean = this.means.computeIfAbsent(kind, (name) -> new Mean());
 		mean.count++;
-		mean.value += Math.max(WEIGHT, 1.0 / mean.count) * (millis - mean.value);
+		mean.log += Math.max(WEIGHT, 1.0 / mean.count) * (Math.log(Math.max(MIN_MILLIS, millis)) - mean.log);
 	}
 
 	/**
-	 * A mean that follows slow changes. Confined to its owner.
+	 * A geometric mean that follows slow changes; a few very long times hardly move it.
+	 * Confined to its owner.
 	 */
 	private static final class Mean {
 
 		private long count;
 
-		private double value;
+		private double log;
+
+		private double millis() {
+			return Math.exp(this.log);
+		}
 
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -124,7 +124,7 @@
 		if (this.state == RolloutState.ROLLED_BACK || this.stopped) {
 			return VersionGroup.OLD_ONLY;
 		}
-		double progress = progress(nowNanos);
+		double progress = allowedProgress(nowNanos);
 		boolean stays = onOld && this.schedule.sessionsStay(progress);
 		if (stays || position(pinKey) >= this.schedule.share(progress)) {
 			return VersionGroup.OLD;
@@ -138,7 +138,12 @@
 	 * @return the share, from 0 to 1
 	 */
 	public double share(long nowNanos) {
-		return this.schedule.share(progress(nowNanos));
+		return this.schedule.share(allowedProgress(nowNanos));
+	}
+
+	private double allowedProgress(long nowNanos) {
+		RouteEvidence all = total(sums());
+		return this.schedule.allowed(progress(nowNanos), all.target(), all.reference());
 	}
 
 	private static double position(long pinKey) {
@@ -214,17 +219,26 @@
 	 * @return whether the version is to be rolled back
 	 */
 	public boolean worse() {
-		Map<String, RouteEvidence> sums = new HashMap<>(this.own);
-		for (HostEvidence other : this.others.values()) {
-			other.routes().forEach((route, counts) -> sums.merge(route, counts, RouteEvidence::plus));
-		}
-		RouteEvidence all = sums.values().stream().reduce(RouteEvidence.NONE, RouteEvidence::plus);
+		Map<String, RouteEvidence> sums = sums();
+		RouteEvidence all = total(sums);
 		if (sums.size() > 1 && sums.values().stream().anyMatch(this::worse)) {
 			return true;
 		}
 		return mixedWorse(sums, all);
 	}
 
+	private Map<String, RouteEvidence> sums() {
+		Map<String, RouteEvidence> sums = new HashMap<>(this.own);
+		for (HostEvidence other : this.others.values()) {
+			other.routes().forEach((route, counts) -> sums.merge(route, counts, RouteEvidence::plus));
+		}
+		return sums;
+	}
+
+	private static RouteEvidence total(Map<String, RouteEvidence> sums) {
+		return sums.values().stream().reduce(RouteEvidence.NONE, RouteEvidence::plus);
+	}
+
 	private boolean worse(RouteEvidence route) {
 		return this.test.worse(route.target(), route.reference());
 	}
@@ -266,7 +280,7 @@
 	 * @return whether it is time and nothing speaks against it
 	 */
 	public boolean mayComplete(long nowNanos) {
-		return !this.stopped && !ended() && this.schedule.mayComplete(progress(nowNanos));
+		return !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -47,7 +47,7 @@
 	/**
 	 * Answers of the new version after which a host publishes again though none was bad.
 	 */
-	private static final int EVIDENCE_STEP = 16;
+	private static final int EVIDENCE_STEP = 4;
 
 	private final String host;
 
--- a/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
@@ -76,6 +76,21 @@
 		assertThat(flow.broken(false)).isEqualTo(Next.PASS_FAILURE);
 	}
 
+	// Streams that two models had given up were cut when the third one's server broke
+	// off.
+	@ParameterizedTest
+	@CsvSource({ "1, 1, false", "2, 1, true", "3, 1, true", "3, 2, false", "4, 2, true" })
+	void oneSendIsKeptForAServerThatBreaksOff(int maxAttempts, int sends, boolean spare) {
+		RequestFlow flow = new RequestFlow(true, maxAttempts);
+		for (int i = 0; i < sends; i++) {
+			flow.sent();
+			if (i < sends - 1) {
+				assertThat(flow.dropped()).isEqualTo(Next.SEND);
+			}
+		}
+		assertThat(flow.canSpareSend()).isEqualTo(spare);
+	}
+
 	@Test
 	void anAnswerIsNotDroppedOnceTheClientHasAPart() {
 		RequestFlow flow = new RequestFlow(true, 3);
--- a/gateway/src/test/java/io/sequoialink/gateway/place/PaceTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/PaceTests.java
@@ -18,6 +18,18 @@
 		assertThat(pace.slow("other", 300)).isFalse();
 	}
 
+	// A few streams that fell into the reading of a long prompt must not hide a version
+	// that
+	// is eight times slower.
+	@Test
+	void aFewVeryLongTimesHardlyMoveTheUsual() {
+		UsualPace pace = new UsualPace();
+		for (int i = 0; i < 60; i++) {
+			pace.observe("k", (i % 8 != 0) ? 25 : 400);
+		}
+		assertThat(pace.slow("k", 200)).isTrue();
+	}
+
 	@Test
 	void readingSpeedsAreLearntByModelFromLongPrompts() {
 		ReadingSpeed speed = new ReadingSpeed();
