Name types by imports, take the clients' limits from one place

Cause: qualified names within code and two copies of the initial limits. Change: imports; FrontServer.limits(). No behaviour changed. Ruled out: nothing.

--- a/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
+++ b/decision/src/main/java/io/sequoialink/decision/cascade/ConfidenceCascade.java
@@ -1,5 +1,6 @@
 package io.sequoialink.decision.cascade;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -185,7 +186,7 @@
 		 * @return the timing
 		 */
 		public static Timing prompt(int models) {
-			return new Timing(java.util.Collections.nCopies(models, 0.0), 0);
+			return new Timing(Collections.nCopies(models, 0.0), 0);
 		}
 
 		private double worth(int model) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -209,7 +210,7 @@
 	private final class Decoder extends HttpResponseDecoder {
 
 		@Override
-		protected boolean isContentAlwaysEmpty(io.netty.handler.codec.http.HttpMessage message) {
+		protected boolean isContentAlwaysEmpty(HttpMessage message) {
 			return (BackendConnection.this.headRequest
 					&& !(message instanceof HttpResponse response && response.status().code() / 100 == INFORMATIONAL))
 					|| super.isContentAlwaysEmpty(message);
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -12,9 +12,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -31,6 +33,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.sequoialink.gateway.fleet.ClientLimits;
 
 /**
  * A connection from a client: reads requests one after the other and writes their
@@ -150,7 +153,7 @@
 	}
 
 	private int bodyLimit() {
-		return this.gateway.view().configuration().map((known) -> known.limits().bodyBytes()).orElse(4194304);
+		return this.server.limits().bodyBytes();
 	}
 
 	private void bodyTooLarge() {
@@ -248,7 +251,7 @@
 	 * @param id identifier of the request, or {@code null} if it is not known
 	 */
 	void answerOwn(OwnAnswer answer, String id) {
-		HttpHeaders headers = new io.netty.handler.codec.http.DefaultHttpHeaders();
+		HttpHeaders headers = new DefaultHttpHeaders();
 		headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
 		answer.retryAfterSeconds().ifPresent((seconds) -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds));
 		if (id != null) {
@@ -299,7 +302,7 @@
 	void cut() {
 		this.ending = true;
 		this.exchange = null;
-		this.channel.config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0);
+		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 		this.channel.close();
 	}
 
@@ -311,10 +314,7 @@
 		if (this.exchange != null || this.ending) {
 			return;
 		}
-		var limits = this.gateway.view()
-			.configuration()
-			.map(io.sequoialink.gateway.fleet.Configuration::limits)
-			.orElse(io.sequoialink.gateway.fleet.ClientLimits.INITIAL);
+		ClientLimits limits = this.server.limits();
 		if (this.partialSince != 0) {
 			sweepPartial(now, limits.headerTimeoutMillis(), limits.idleTimeoutMillis());
 			return;
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientRequest.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientRequest.java
@@ -1,5 +1,7 @@
 package io.sequoialink.gateway.http;
 
+import java.util.Locale;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -45,7 +47,7 @@
 		}
 		int colon = named.lastIndexOf(':');
 		String name = (colon >= 0) ? named.substring(0, colon) : named;
-		return name.toLowerCase(java.util.Locale.ROOT);
+		return name.toLowerCase(Locale.ROOT);
 	}
 
 	void release() {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ConnectionHeaders.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ConnectionHeaders.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.http;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -41,7 +42,7 @@
 	}
 
 	private static void removeNamed(HttpHeaders copy, String name) {
-		if (!name.isEmpty() && !KEPT.contains(name.toLowerCase(java.util.Locale.ROOT))) {
+		if (!name.isEmpty() && !KEPT.contains(name.toLowerCase(Locale.ROOT))) {
 			copy.remove(name);
 		}
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/FrontServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/FrontServer.java
@@ -80,7 +80,11 @@
 		};
 	}
 
-	private ClientLimits limits() {
+	/**
+	 * Returns what clients may send now.
+	 * @return the limits of the configuration, or initial ones
+	 */
+	ClientLimits limits() {
 		return this.gateway.view().configuration().map(Configuration::limits).orElse(ClientLimits.INITIAL);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -127,7 +128,7 @@
 		return List.of();
 	}
 
-	private static List<ServerState> keep(List<ServerState> states, java.util.function.Predicate<ServerState> test) {
+	private static List<ServerState> keep(List<ServerState> states, Predicate<ServerState> test) {
 		List<ServerState> kept = new ArrayList<>();
 		for (ServerState state : states) {
 			if (test.test(state)) {
