--- a/decision/src/main/java/io/sequoialink/decision/limits/Strain.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/Strain.java
@@ -10,7 +10,7 @@
 public final class Strain {
 
 	/** Share of the permitted time that beginnings take without any queue before them. */
-	private static final double CALM = 0.2;
+	private static final double CALM = 0.21;
 
 	/** Strain for each part of the permitted time beyond that. */
 	private static final double STEEPNESS = 12;
@@ -19,7 +19,7 @@
 	private static final double MIN_WEIGHT = 0.05;
 
 	/** Most weight of one observation, however rare they are. */
-	private static final double MAX_WEIGHT = 0.2;
+	private static final double MAX_WEIGHT = 0.1;
 
 	/** Time over which the mean is taken, in nanoseconds. */
 	private static final double MEAN_NANOS = 1.5e9;
