Never complete a version that has answered nothing; tests of a whole host before a stand-in of the store

Cause: a version whose servers never came up would be completed at 0.9 of the duration, which stops the old servers; noticed while writing the test of a whole host, whose stand-in had no server of the new version. Change: completion needs an answer of the new version. A host over loopback with a store that is busy, refuses by rate, is silent, or forgets its history; bad entries; drain of a server; an order to roll out. Ruled out: a bound by the list of servers, since listed servers may not answer either.

--- /dev/null
+++ b/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
@@ -0,0 +1,214 @@
+package io.sequoialink.entry;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.util.function.BooleanSupplier;
+
+import com.sun.net.httpserver.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A whole entry host over loopback, before a stand-in of the store and a backend server.
+ * Bounds of time are those that the platform states, doubled for a busy machine.
+ */
+class EntryHostTests {
+
+	private static final long APPLY_MILLIS = 4000;
+
+	private StandinStore store;
+
+	private HttpServer backend;
+
+	private EntryHost host;
+
+	private int clients;
+
+	private int readiness;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.store = new StandinStore();
+		this.backend = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+		this.backend.createContext("/", (exchange) -> {
+			exchange.getResponseHeaders().set("X-Sequoialink-Server-Seal", "s");
+			String id = exchange.getRequestHeaders().getFirst("X-Sequoialink-Request-Id");
+			exchange.getResponseHeaders().set("X-Sequoialink-Request-Id", id);
+			byte[] body = exchange.getRequestHeaders()
+				.getFirst("X-Sequoialink-Expect-Instance")
+				.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+			exchange.sendResponseHeaders(200, body.length);
+			exchange.getResponseBody().write(body);
+			exchange.close();
+		});
+		this.backend.start();
+		this.clients = freePort();
+		this.readiness = freePort();
+		InetAddress loopback = InetAddress.getLoopbackAddress();
+		this.host = new EntryHost(new EntrySettings("h1", "a", new InetSocketAddress(loopback, this.clients),
+				new InetSocketAddress(loopback, this.readiness), this.store.address(),
+				new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
+		this.host.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.host.stop();
+		this.backend.stop(0);
+		this.store.close();
+	}
+
+	@Test
+	void theHostIsReadyOnceItKnowsConfigurationAndServersAndServesThen() throws Exception {
+		assertThat(ready()).isFalse();
+		configure(1, "/a/");
+		server("i-1", "ready");
+		within(APPLY_MILLIS, this::ready);
+		assertThat(get("/a/x")).isEqualTo(200);
+		assertThat(get("/b/x")).isEqualTo(404);
+	}
+
+	@Test
+	void aNewVersionIsInForceAndALeavingServerUnusedInTime() throws Exception {
+		configure(1, "/a/");
+		server("i-1", "ready");
+		within(APPLY_MILLIS, this::ready);
+		configure(2, "/b/");
+		within(APPLY_MILLIS, () -> get("/b/x") == 200);
+		assertThat(get("/a/x")).isEqualTo(404);
+		server("i-1", "draining");
+		within(APPLY_MILLIS, () -> get("/b/x") == 503);
+	}
+
+	@ParameterizedTest
+	@EnumSource(value = StandinStore.Fault.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
+	void whileTheStoreFailsTheLastViewHoldsAndAfterItWhatWasMissedFollows(StandinStore.Fault fault) throws Exception {
+		configure(1, "/a/");
+		server("i-1", "ready");
+		within(APPLY_MILLIS, this::ready);
+		this.store.fault(fault);
+		sleep(1500);
+		assertThat(get("/a/x")).isEqualTo(200);
+		configure(2, "/b/");
+		this.store.fault(StandinStore.Fault.NONE);
+		within(2 * APPLY_MILLIS, () -> get("/b/x") == 200);
+	}
+
+	@Test
+	void aHistoryThatIsForgottenIsReadAnew() throws Exception {
+		configure(1, "/a/");
+		server("i-1", "ready");
+		within(APPLY_MILLIS, this::ready);
+		this.store.fault(StandinStore.Fault.BUSY);
+		sleep(400);
+		configure(2, "/b/");
+		configure(3, "/c/");
+		this.store.forgetHistory("op");
+		this.store.fault(StandinStore.Fault.NONE);
+		within(2 * APPLY_MILLIS, () -> get("/c/x") == 200);
+	}
+
+	@Test
+	void anEntryThatCannotBeReadIsSkippedAndTheOthersHold() throws Exception {
+		configure(1, "/a/");
+		server("i-1", "ready");
+		this.store.put("servers", "i-2", "{\"service\":7}");
+		this.store.put("servers", "i-3", "not json");
+		within(APPLY_MILLIS, this::ready);
+		this.store.put("op", "config", "{\"version\":\"x\"}");
+		sleep(200);
+		assertThat(get("/a/x")).isEqualTo(200);
+		configure(2, "/b/");
+		within(APPLY_MILLIS, () -> get("/b/x") == 200);
+	}
+
+	@Test
+	void anOrderToRollOutIsTakenUpInTheStore() throws Exception {
+		configure(1, "/a/");
+		server("i-1", "ready");
+		within(APPLY_MILLIS, this::ready);
+		this.store.put("op", "rollout/svc", "{\"service\":\"svc\",\"target\":\"v2\",\"duration_s\":2}");
+		within(APPLY_MILLIS, () -> states().contains("active"));
+		server("i-2", "v2", "ready");
+		within(2 * APPLY_MILLIS, () -> get("/a/x") == 200 && states().contains("completed"));
+	}
+
+	private String states() {
+		return String.join(" ", this.store.values("status", "rollout/svc"));
+	}
+
+	private void configure(int version, String prefix) {
+		this.store.put("op", "config",
+				"{\"version\":" + version + ",\"routes\":[{\"name\":\"r\",\"host\":\"localhost\","
+						+ "\"path_prefix\":\"" + prefix
+						+ "\",\"kind\":\"idempotent\",\"timeout_ms\":2000,\"max_attempts\":1,"
+						+ "\"service\":\"svc\"}],\"services\":[{\"name\":\"svc\",\"health_path\":\"/h\"}]}");
+	}
+
+	private void server(String id, String state) {
+		server(id, "v1", state);
+	}
+
+	private void server(String id, String version, String state) {
+		this.store.put("servers", id,
+				"{\"service\":\"svc\",\"address\":\"127.0.0.1:" + this.backend.getAddress().getPort()
+						+ "\",\"zone\":\"a\",\"version\":\"" + version + "\",\"slots\":8,\"state\":\"" + state + "\"}");
+	}
+
+	private boolean ready() {
+		return status("http://localhost:" + this.readiness + "/-/readiness") == 200;
+	}
+
+	private int get(String path) {
+		return status("http://localhost:" + this.clients + path);
+	}
+
+	private static int status(String address) {
+		try {
+			HttpURLConnection connection = (HttpURLConnection) URI.create(address).toURL().openConnection();
+			connection.setRequestProperty("X-Sequoialink-Request-Id", "r" + System.nanoTime());
+			connection.setConnectTimeout(2000);
+			connection.setReadTimeout(5000);
+			int status = connection.getResponseCode();
+			connection.disconnect();
+			return status;
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static void within(long millis, BooleanSupplier holds) {
+		long until = System.nanoTime() + millis * 1_000_000L;
+		while (!holds.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("time allowed: %s ms", millis).isLessThan(until);
+			sleep(50);
+		}
+	}
+
+	private static void sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -277,10 +277,12 @@
 	/**
 	 * Returns whether the old versions may be stopped.
 	 * @param nowNanos monotonic time
-	 * @return whether it is time and nothing speaks against it
+	 * @return whether it is time, nothing speaks against it and the new version has
+	 * answered at all
 	 */
 	public boolean mayComplete(long nowNanos) {
-		return !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
+		boolean answered = total(sums()).target().answers() > 0;
+		return answered && !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
 	}
 
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -77,6 +77,15 @@
 		assertThat((double) fleet.exposed()).isLessThan(0.15 * fleet.requests() + 30);
 	}
 
+	// Servers of the new version that never come up must not cost the old ones.
+	@Test
+	void aVersionThatHasAnsweredNothingIsNeverCompleted() {
+		RolloutFleet fleet = new RolloutFleet(5, 4, 0.004, 0);
+		fleet.order(DURATION);
+		fleet.run(2 * DURATION);
+		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE);
+	}
+
 	@Test
 	void oneVerdictStandsThoughSeveralHostsTryAtOnce() {
 		RolloutFleet fleet = new RolloutFleet(4, 30, 0.6, 400);
