--- a/cli/src/main/java/io/sequoialink/cli/LogStory.java
+++ b/cli/src/main/java/io/sequoialink/cli/LogStory.java
@@ -154,7 +154,7 @@
 					&& line.time().isAfter(last.time().minusMillis(BEFORE_MILLIS));
 			boolean ofServer = line.event().matches("SL-3103|SL-3205")
 					&& servers.stream().anyMatch((server) -> line.text().startsWith("server " + server + " "));
-			boolean ofHost = line.event().matches("SL-300[1-4]|SL-3203|SL-3204|SL-330[25]");
+			boolean ofHost = line.event().matches("SL-300[1-3]|SL-3203|SL-3204|SL-330[25]");
 			if (near && line.host().equals(last.host()) && (ofServer || ofHost)) {
 				told.add(line.time() + " " + line.host() + ", shortly before: " + line.text() + ".");
 			}
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -53,9 +53,6 @@
 	/** A changed setting needs a restart. */
 	public static final String SETTINGS_NEED_RESTART = "SL-3007 a changed address of this host takes effect at its next start";
 
-	/** Readiness changed. */
-	public static final String READINESS = "SL-3004 host {} is {}: {}";
-
 	/** An operator ordered a roll-out. */
 	public static final String ROLLOUT_ORDERED = "SL-3301 roll-out of {} to {} within {} ms was ordered at offset {}";
 
