--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -92,7 +92,7 @@
 	 */
 	private static final double MAX_HOST_SLACK = 1;
 
-	private EntrySettings settings;
+	private volatile EntrySettings settings;
 
 	private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
 
@@ -125,7 +125,7 @@
 		HeaderDialect dialect = new HeaderDialect();
 		EntrySettings.Bounds bounds = settings.bounds();
 		this.store = new StoreConnections(settings.store(), this.loop);
-		this.statuses = new StatusRecords(new StoreTopic(this.store, "status"));
+		this.statuses = new StatusRecords(StoreTopic.statuses(this.store));
 		SplittableRandom random = new SplittableRandom();
 		this.rollouts = new RolloutWatch(settings.host(),
 				new RolloutWatch.Options(bounds.exposureShare(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis())),
@@ -161,20 +161,21 @@
 	private void follow() {
 		EntrySettings.Bounds bounds = this.settings.bounds();
 		int wait = (int) (APPLY_PART * bounds.applyMillis());
-		follow("op", new OperatorRecords(this.updates), new FollowPace(wait, wait, 0, RETRY_MILLIS));
+		follow(StoreTopic.operator(this.store), new OperatorRecords(this.updates),
+				new FollowPace(wait, wait, 0, RETRY_MILLIS));
 		int pause = (int) (LEAVING_PART * bounds.leavingMillis());
-		follow("servers", new ServerRecords(this.updates),
+		follow(StoreTopic.servers(this.store), new ServerRecords(this.updates),
 				new FollowPace(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause, RETRY_MILLIS));
 		this.loop.scheduleAtFixedRate(this::tick, POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void followStatuses() {
-		follow("status", this.statuses, STATUS_PACE);
+		follow(StoreTopic.statuses(this.store), this.statuses, STATUS_PACE);
 	}
 
-	private void follow(String topic, RecordSink sink, FollowPace pace) {
+	private void follow(StoreTopic topic, RecordSink sink, FollowPace pace) {
 		LoopTimer timer = (work, millis) -> this.loop.schedule(work, millis, TimeUnit.MILLISECONDS);
-		new TopicFollower(new StoreTopic(this.store, topic), sink, pace, timer, System::nanoTime).start();
+		new TopicFollower(topic, sink, pace, timer, System::nanoTime).start();
 	}
 
 	private void tick() {
--- a/entry/src/main/java/io/sequoialink/entry/EntryMain.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryMain.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 
+import io.sequoialink.platform.ProcessEnvironment;
 import sun.misc.Signal;
 
 /**
@@ -10,8 +11,6 @@
  */
 public final class EntryMain {
 
-	private static final String SETTINGS_VARIABLE = "SEQUOIALINK_NODE_FILE";
-
 	/** Loads the classes of a start and ends, for the build's archive of classes. */
 	private static final String LOAD_CLASSES = "--load-classes";
 
@@ -33,10 +32,10 @@
 			System.out.println(StartupClasses.load() + " classes loaded");
 			return;
 		}
-		String named = System.getenv(SETTINGS_VARIABLE);
+		String named = System.getenv(ProcessEnvironment.SETTINGS_FILE);
 		String file = (arguments.length > 0) ? arguments[0] : named;
 		if (file == null) {
-			System.err.println("no settings file: name it as argument or in " + SETTINGS_VARIABLE);
+			System.err.println("no settings file: name it as argument or in " + ProcessEnvironment.SETTINGS_FILE);
 			System.exit(INVALID_SETTINGS);
 			return;
 		}
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -33,7 +33,7 @@
 	public static final String SERVER_CHANGED = "SL-3205 server {} of {}: {}";
 
 	/** The history was shortened or replaced, and all is read anew. */
-	public static final String HISTORY_LOST = "SL-3206 history of {} before offset {} is gone, expected {}: read anew";
+	public static final String HISTORY_LOST = "SL-3206 history of {} is gone: it ends at {}, this host would read on at {}; read anew";
 
 	/** The process began to serve. */
 	public static final String STARTED = "SL-3001 host {} in {} serves clients at {} and answers readiness at {}";
@@ -65,6 +65,9 @@
 	/** This host could not write a state. */
 	public static final String ROLLOUT_NOT_WRITTEN = "SL-3304 roll-out of {} to {}: could not write {}: {}, {}";
 
+	/** This host could not write what it saw. */
+	public static final String EVIDENCE_NOT_WRITTEN = "SL-3306 roll-out of {}: could not write what this host saw, tries again: {}, {}";
+
 	/** A roll-out ended. */
 	public static final String ROLLOUT_ENDED = "SL-3305 roll-out of {} to {} is {}, read at offset {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -276,7 +276,11 @@
 		work.publishedBad = own.targetBad();
 		work.publishedAnswers = own.targetAnswers();
 		this.records.evidence(canary.publish(), (reply) -> reply.match((offset) -> {
-		}, (failure) -> work.publishedBad = -1));
+		}, (failure) -> {
+			work.publishedBad = -1;
+			logger.info(GatewayEvents.EVIDENCE_NOT_WRITTEN, canary.order().value().service(), failure.kind(),
+					failure.detail());
+		}));
 	}
 
 	private void write(Canary canary, Pending work, RolloutState wanted, long now) {
