Hold back requests that crash the servers which run them

Now a server that ends its connection before the answer is asked for a new one; if that is refused, the content is blamed, after three crashes over all hosts it is refused as not run. Reports travel in the store.

Ruled out: the guard of fingerprints with trials at an owner (each crash makes up to 64 innocent streams suspect); counting at each host alone (every host would lose three servers); counting resets without the question whether the server still takes connections (resets of connections would block contents that many clients share).

Also: a request under way when its client leaves is logged as 'may have run', not as not run; an unused constant goes.

Before: CrashingRequestTests fail without the wiring (every server is crashed). After: they pass. Calls to the store: one read of 20 s and one more at the start for each host.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -3,6 +3,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -11,9 +12,9 @@
 import io.sequoialink.decision.limits.WorkDensity;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.feed.FleetUpdates;
 import io.sequoialink.gateway.feed.FollowPace;
-import io.sequoialink.gateway.feed.LoopTimer;
 import io.sequoialink.gateway.feed.RecordSink;
 import io.sequoialink.gateway.feed.TopicFollower;
 import io.sequoialink.gateway.fleet.FleetView;
@@ -47,12 +48,6 @@
 	/** Pause after a call to the store that failed, in milliseconds. */
 	private static final int RETRY_MILLIS = 300;
 
-	/**
-	 * Configurations are rare, so the store is asked to wait long for one, in
-	 * milliseconds.
-	 */
-	private static final int OPERATOR_WAIT_MILLIS = 12_000;
-
 	/**
 	 * Part of the time in which a configuration must be in force that the store may wait
 	 * for one: a call that was made while the store was slow may bring nothing.
@@ -71,7 +66,12 @@
 	private static final double LEAVING_PART = 0.7;
 
 	/** Hosts publish in bursts while a roll-out is under way. */
-	private static final FollowPace STATUS_PACE = new FollowPace(2500, 1000, 100, RETRY_MILLIS);
+	private static final FollowPace ROLLOUT_PACE = new FollowPace(2500, 1000, 100, RETRY_MILLIS);
+
+	/**
+	 * At other times hosts publish only crashes: rare, and to be known within seconds.
+	 */
+	private static final FollowPace CRASH_PACE = new FollowPace(20_000, 2000, 300, RETRY_MILLIS);
 
 	/**
 	 * Time from the request to stop until the platform sends no more connections, in
@@ -102,6 +102,8 @@
 
 	private final StoreConnections store;
 
+	private final StoreTopic statusTopic;
+
 	private final StatusRecords statuses;
 
 	private final RolloutWatch rollouts;
@@ -125,14 +127,16 @@
 		HeaderDialect dialect = new HeaderDialect();
 		EntrySettings.Bounds bounds = settings.bounds();
 		this.store = new StoreConnections(settings.store(), this.loop);
-		this.statuses = new StatusRecords(StoreTopic.statuses(this.store));
+		this.statusTopic = StoreTopic.statuses(this.store);
+		this.statuses = new StatusRecords(this.statusTopic);
 		SplittableRandom random = new SplittableRandom();
 		this.rollouts = new RolloutWatch(settings.host(),
 				new RolloutWatch.Options(bounds.exposureShare(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis())),
 				this.statuses, System::nanoTime, random);
 		StartGate gate = new StartGate();
-		this.updates = new FleetUpdates(this.view, this.rollouts, this::followStatuses, gate::open, System::nanoTime);
-		this.statuses.readInto(this.updates);
+		this.updates = new FleetUpdates(this.view, this.rollouts, this::renewStatuses, gate::open, System::nanoTime);
+		CrashWatch crashes = new CrashWatch(settings.host(), this.statuses, this::later, System::nanoTime);
+		this.statuses.readInto(this.updates, crashes::take);
 		ServerTable servers = new ServerTable(this.view);
 		ReadingSpeed speed = new ReadingSpeed();
 		this.budget = new RepeatBudget(bounds.repeatRatio(), hostSlack(bounds),
@@ -141,7 +145,7 @@
 				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(),
 				this.rollouts, speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget,
-				System::nanoTime);
+				crashes, System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
 
@@ -162,20 +166,25 @@
 		EntrySettings.Bounds bounds = this.settings.bounds();
 		int wait = (int) (APPLY_PART * bounds.applyMillis());
 		follow(StoreTopic.operator(this.store), new OperatorRecords(this.updates),
-				new FollowPace(wait, wait, 0, RETRY_MILLIS));
+				() -> new FollowPace(wait, wait, 0, RETRY_MILLIS));
 		int pause = (int) (LEAVING_PART * bounds.leavingMillis());
 		follow(StoreTopic.servers(this.store), new ServerRecords(this.updates),
-				new FollowPace(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause, RETRY_MILLIS));
+				() -> new FollowPace(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause, RETRY_MILLIS));
+		follow(this.statusTopic, this.statuses, () -> this.rollouts.underWay() ? ROLLOUT_PACE : CRASH_PACE);
 		this.loop.scheduleAtFixedRate(this::tick, POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	private void followStatuses() {
-		follow(StoreTopic.statuses(this.store), this.statuses, STATUS_PACE);
+	// A call that waits for crashes would wait too long while a roll-out is under way.
+	private void renewStatuses() {
+		this.statusTopic.renewWaiting();
+	}
+
+	private void follow(StoreTopic topic, RecordSink sink, Supplier<FollowPace> pace) {
+		new TopicFollower(topic, sink, pace, this::later, System::nanoTime).start();
 	}
 
-	private void follow(StoreTopic topic, RecordSink sink, FollowPace pace) {
-		LoopTimer timer = (work, millis) -> this.loop.schedule(work, millis, TimeUnit.MILLISECONDS);
-		new TopicFollower(topic, sink, pace, timer, System::nanoTime).start();
+	private void later(Runnable work, long millis) {
+		this.loop.schedule(work, millis, TimeUnit.MILLISECONDS);
 	}
 
 	private void tick() {
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -71,6 +71,15 @@
 	/** A roll-out ended. */
 	public static final String ROLLOUT_ENDED = "SL-3305 roll-out of {} to {} is {}, read at offset {}";
 
+	/** A server crashed while it ran a request. */
+	public static final String CONTENT_SUSPECT = "SL-3401 content {} is suspect: server {} crashed while it ran it, {} crashes known";
+
+	/** Requests of a content are not run any more. */
+	public static final String CONTENT_BLOCKED = "SL-3402 content {} is not run any more: {} crashes known, last report by {}";
+
+	/** This host could not write what it saw of crashes. */
+	public static final String CRASHES_NOT_WRITTEN = "SL-3403 could not write which contents are suspect, tries again: {}, {}";
+
 	private GatewayEvents() {
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetUpdates.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetUpdates.java
@@ -36,7 +36,7 @@
 
 	private final RolloutWatch rollouts;
 
-	private final Runnable firstOrder;
+	private final Runnable newOrder;
 
 	private final Runnable firstComplete;
 
@@ -60,16 +60,16 @@
 	 * Creates the updates of a view.
 	 * @param view the view
 	 * @param rollouts carries out roll-outs
-	 * @param firstOrder run when the first order to roll out is read, to follow what
-	 * hosts publish
+	 * @param newOrder run when an order to roll out is read, to follow closely what hosts
+	 * publish
 	 * @param firstComplete run once the view rests on what the store holds
 	 * @param clock monotonic time in nanoseconds
 	 */
-	public FleetUpdates(FleetView view, RolloutWatch rollouts, Runnable firstOrder, Runnable firstComplete,
+	public FleetUpdates(FleetView view, RolloutWatch rollouts, Runnable newOrder, Runnable firstComplete,
 			LongSupplier clock) {
 		this.view = view;
 		this.rollouts = rollouts;
-		this.firstOrder = firstOrder;
+		this.newOrder = newOrder;
 		this.firstComplete = firstComplete;
 		this.clock = clock;
 	}
@@ -91,10 +91,8 @@
 	 */
 	public void order(Found<RolloutOrder> order) {
 		this.rollouts.order(order);
-		if (!this.ordered) {
-			this.ordered = true;
-			this.firstOrder.run();
-		}
+		this.ordered = true;
+		this.newOrder.run();
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.sequoialink.gateway.GatewayEvents;
 import org.slf4j.Logger;
@@ -37,7 +38,7 @@
 
 	private final RecordSink sink;
 
-	private final FollowPace pace;
+	private final Supplier<FollowPace> pace;
 
 	private final LoopTimer timer;
 
@@ -63,11 +64,12 @@
 	 * Creates a follower that does not read yet.
 	 * @param topic the topic
 	 * @param sink takes its records
-	 * @param pace how often to read
+	 * @param pace how often to read; asked before each call
 	 * @param timer runs work later
 	 * @param clock monotonic time in nanoseconds
 	 */
-	public TopicFollower(KeyedTopic topic, RecordSink sink, FollowPace pace, LoopTimer timer, LongSupplier clock) {
+	public TopicFollower(KeyedTopic topic, RecordSink sink, Supplier<FollowPace> pace, LoopTimer timer,
+			LongSupplier clock) {
 		this.topic = topic;
 		this.sink = sink;
 		this.pace = pace;
@@ -178,7 +180,7 @@
 
 	private int waitMillis() {
 		boolean cautious = this.cautiousUntil != 0 && this.clock.getAsLong() - this.cautiousUntil < 0;
-		return cautious ? this.pace.cautiousMillis() : this.pace.waitMillis();
+		return cautious ? this.pace.get().cautiousMillis() : this.pace.get().waitMillis();
 	}
 
 	private void takeTail(Tail tail) {
@@ -195,7 +197,7 @@
 		if (!more) {
 			this.sink.caughtUp(this.next);
 		}
-		this.timer.later(this::readTail, more ? 0 : this.pace.pauseMillis());
+		this.timer.later(this::readTail, more ? 0 : this.pace.get().pauseMillis());
 	}
 
 	private void succeeded() {
@@ -216,7 +218,7 @@
 	}
 
 	private long retryMillis(StoreFailure failure) {
-		return (failure.kind() == StoreFailure.Kind.RENEWED) ? 0 : this.pace.retryMillis();
+		return (failure.kind() == StoreFailure.Kind.RENEWED) ? 0 : this.pace.get().retryMillis();
 	}
 
 	private void failed(StoreFailure failure) {
--- a/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
@@ -178,6 +178,9 @@
 		if (this.phase == Phase.DONE) {
 			return Next.NOTHING;
 		}
+		if (this.phase == Phase.SENT && this.ran == Ran.NO) {
+			this.ran = Ran.UNKNOWN;
+		}
 		this.phase = Phase.DONE;
 		return Next.ABANDON;
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -35,6 +35,9 @@
 	 */
 	private static final int EARLY_PACED_EVENTS = 16;
 
+	/** Events after which a stream's request is not what would crash its server. */
+	private static final int MIN_HARMLESS_EVENTS = 5;
+
 	private enum Verdict {
 
 		NONE, NOT_RUN, FAILURE, SUCCESS
@@ -330,6 +333,9 @@
 		dropBuffers();
 		note(loss.toString());
 		markFailed(loss.toString());
+		if (loss == SendLoss.DISCONNECTED && this.verdict != Verdict.NOT_RUN && !wellUnderWay()) {
+			this.exchange.disconnected(this.server, this.begun);
+		}
 		if (loss == SendLoss.NOT_CONNECTED || statedNotRun) {
 			this.exchange.notRun("server " + serverId() + ": " + loss);
 		}
@@ -338,6 +344,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the server has shown that the request itself does not crash it.
+	 * @return whether a stream has gone beyond its beginning
+	 */
+	boolean wellUnderWay() {
+		return this.events != null && this.events.events() >= MIN_HARMLESS_EVENTS;
+	}
+
 	private void breakOff(String why) {
 		finish();
 		dropBuffers();
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -1,5 +1,7 @@
 package io.sequoialink.gateway.http;
 
+import java.io.IOException;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -182,25 +184,29 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		this.reset = true;
-		close();
+		end((cause instanceof IOException) ? SendLoss.DISCONNECTED : SendLoss.BROKEN);
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.owner.ended(this);
-		fail();
+		fail(SendLoss.DISCONNECTED);
 	}
 
 	void close() {
+		end(SendLoss.BROKEN);
+	}
+
+	private void end(SendLoss loss) {
 		this.channel.close();
-		fail();
+		fail(loss);
 	}
 
-	private void fail() {
+	private void fail(SendLoss loss) {
 		BackendSend lost = this.current;
 		this.current = null;
 		if (lost != null) {
-			lost.fail(SendLoss.BROKEN);
+			lost.fail(loss);
 		}
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
@@ -61,9 +61,22 @@
 	 * @param onlyNew whether only a new connection will do
 	 */
 	void send(ServerEntry server, BackendSend send, boolean onlyNew) {
+		connections(server).send(send, onlyNew);
+	}
+
+	/**
+	 * Finds out whether a server takes no connections at all, as after a crash.
+	 * @param server the server
+	 * @param refused run if a new connection is refused
+	 */
+	void probe(ServerEntry server, Runnable refused) {
+		connections(server).probe(refused);
+	}
+
+	private ServerConnections connections(ServerEntry server) {
 		String key = server.id() + '@' + server.bornMillis();
-		this.servers.computeIfAbsent(key, (id) -> new ServerConnections(server.address(), this.bootstrap, this.dialect))
-			.send(send, onlyNew);
+		return this.servers.computeIfAbsent(key,
+				(id) -> new ServerConnections(server.address(), this.bootstrap, this.dialect));
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
 import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.flow.Next;
@@ -82,6 +84,10 @@
 
 	private String reason = "";
 
+	private long content;
+
+	private long comeBackMillis = OwnAnswer.RETRY_MILLIS;
+
 	Exchange(Gateway gateway, ClientConnection client, ClientRequest request) {
 		this.gateway = gateway;
 		this.client = client;
@@ -150,6 +156,14 @@
 			perform(this.flow.noRoom());
 			return;
 		}
+		CrashWatch crashes = this.gateway.crashes();
+		if (crashes.any() && crashes.blocked(content())) {
+			this.reason = "requests of content " + Long.toHexString(content()) + " crashed "
+					+ crashes.crashes(content()) + " servers";
+			this.comeBackMillis = OwnAnswer.BLOCKED_MILLIS;
+			perform(this.flow.noRoom());
+			return;
+		}
 		PlaceRequest wanted = wanted();
 		Optional<Placed> placed = this.gateway.choice().choose(wanted);
 		if (placed.isEmpty()) {
@@ -160,6 +174,39 @@
 		send(placed.get(), wanted.work());
 	}
 
+	// Hash of what a client would send again: account, method, target and body.
+	private long content() {
+		if (this.content == 0) {
+			HashStream64 hash = Hashing.wyhashFinal4().hashStream();
+			hash.putString(accountName().orElse("")).putString(this.request.method().name());
+			hash.putString(this.request.host()).putString(this.request.target());
+			ByteBuf body = this.request.body();
+			byte[] bytes = new byte[body.readableBytes()];
+			body.getBytes(body.readerIndex(), bytes);
+			this.content = hash.putBytes(bytes).getAsLong();
+		}
+		return this.content;
+	}
+
+	/**
+	 * A server ended its connection without a whole answer: finds out whether it crashed.
+	 * @param server the server
+	 * @param sentNanos monotonic time at which the request was sent there
+	 */
+	void disconnected(ServerState server, long sentNanos) {
+		long suspect = content();
+		long lostNanos = now();
+		this.gateway.pool()
+			.probe(server.entry(),
+					() -> this.gateway.crashes().crashed(suspect, server.entry().id(), sentNanos, lostNanos));
+	}
+
+	private void noteAnswered() {
+		if (this.gateway.crashes().any()) {
+			this.gateway.crashes().answered(content());
+		}
+	}
+
 	private PlaceRequest wanted() {
 		VersionGroup versions = this.gateway.rollouts()
 			.choose(service(), this.pinKey, this.facts.session().isPresent());
@@ -299,6 +346,7 @@
 	void passWhole(int status, HttpHeaders headers, ByteBuf body) {
 		this.flow.answering();
 		this.flow.answered();
+		noteAnswered();
 		this.client.answerWhole(status, ConnectionHeaders.without(headers), body);
 		finish(status, "answered");
 	}
@@ -317,6 +365,9 @@
 			this.client.answerHead(status, ConnectionHeaders.without(headers));
 		}
 		lastId.ifPresent((id) -> this.lastEvent = id);
+		if (this.attempt.wellUnderWay()) {
+			noteAnswered();
+		}
 		boolean writable = this.client.answerPart(events);
 		if (!writable && this.attempt != null) {
 			this.attempt.read(false);
@@ -328,6 +379,7 @@
 	 */
 	void passEnd() {
 		this.flow.answered();
+		noteAnswered();
 		this.client.answerEnd();
 		finish(200, "answered");
 	}
@@ -345,7 +397,7 @@
 	private void perform(Next next) {
 		switch (next) {
 			case SEND -> send();
-			case REFUSE -> finishOwn(OwnAnswer.notRun("not run", OwnAnswer.RETRY_MILLIS));
+			case REFUSE -> finishOwn(OwnAnswer.notRun("not run", this.comeBackMillis));
 			case REPORT_UNKNOWN -> finishOwn(OwnAnswer.of(502, "outcome unknown"));
 			case REPORT_TIMEOUT -> finishOwn(OwnAnswer.of(504, "time over, outcome unknown"));
 			case PASS_FAILURE -> passFailure();
--- a/gateway/src/main/java/io/sequoialink/gateway/http/OwnAnswer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/OwnAnswer.java
@@ -18,6 +18,12 @@
 	 */
 	static final long RETRY_MILLIS = 300;
 
+	/**
+	 * When a client may come again with a content that crashes servers, in milliseconds:
+	 * long, since it will be refused again.
+	 */
+	static final long BLOCKED_MILLIS = 60_000;
+
 	static OwnAnswer of(int status, String reason) {
 		return new OwnAnswer(status, reason, OptionalLong.empty());
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/SendLoss.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/SendLoss.java
@@ -9,7 +9,12 @@
 	NOT_CONNECTED,
 
 	/**
-	 * The connection ended or the answer could not be read after the request was sent.
+	 * The server ended the connection before its answer was complete.
+	 */
+	DISCONNECTED,
+
+	/**
+	 * The answer could not be read, or the connection was given up here.
 	 */
 	BROKEN
 
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -231,6 +231,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether a roll-out is under way.
+	 * @return whether what hosts publish matters now
+	 */
+	public boolean underWay() {
+		return this.canaries.values().stream().anyMatch((canary) -> !canary.ended());
+	}
+
 	/**
 	 * Publishes and decides what is due. Called a few times a second.
 	 */
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -23,7 +23,7 @@
 	private long now = 1;
 
 	private final TopicFollower follower = new TopicFollower(this.topic, new Sink(),
-			new FollowPace(1000, 200, 100, 100), (work, millis) -> this.later.add(work), () -> this.now);
+			() -> new FollowPace(1000, 200, 100, 100), (work, millis) -> this.later.add(work), () -> this.now);
 
 	@Test
 	void whatIsThereAndWhatFollowsIsHandedOn() {
@@ -102,8 +102,8 @@
 		this.follower.start();
 		FakeTopic paced = new FakeTopic();
 		paced.renews(this.topic);
-		new TopicFollower(paced, new Sink(), new FollowPace(100, 100, 100, 100), (work, millis) -> this.later.add(work),
-				() -> 1L)
+		new TopicFollower(paced, new Sink(), () -> new FollowPace(100, 100, 100, 100),
+				(work, millis) -> this.later.add(work), () -> 1L)
 			.start();
 		this.topic.forgetWaiting();
 		paced.down(true);
--- a/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
@@ -67,6 +67,17 @@
 		assertThat(flow.broken(true)).isEqualTo(Next.NOTHING);
 	}
 
+	@Test
+	void workThatWasUnderWayWhenItsClientLeftMayHaveRun() {
+		RequestFlow sent = new RequestFlow(false, 2);
+		sent.sent();
+		assertThat(sent.clientGone()).isEqualTo(Next.ABANDON);
+		assertThat(sent.ran()).isEqualTo(Ran.UNKNOWN);
+		RequestFlow waiting = new RequestFlow(false, 2);
+		assertThat(waiting.clientGone()).isEqualTo(Next.ABANDON);
+		assertThat(waiting.ran()).isEqualTo(Ran.NO);
+	}
+
 	@Test
 	void aKeptFailureIsHandedOnRatherThanAnUnknownOutcome() {
 		RequestFlow flow = new RequestFlow(true, 2);
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CrashingRequestTests.java
@@ -0,0 +1,123 @@
+package io.sequoialink.gateway.http;
+
+import java.util.List;
+
+import io.sequoialink.gateway.crash.ContentCrashes;
+import io.sequoialink.gateway.crash.HostCrashes;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Requests that crash each server which begins to run them, over loopback.
+ */
+class CrashingRequestTests {
+
+	private static final ScriptedServer.Script CRASHES_ON_BAD = (call) -> {
+		if (call.path().endsWith("/bad")) {
+			call.crash();
+		}
+		else {
+			call.whole(200, "seal: s\r\n", "hello");
+		}
+	};
+
+	private static GatewayFixture fleet() throws Exception {
+		return GatewayFixture.before(CRASHES_ON_BAD, CRASHES_ON_BAD, CRASHES_ON_BAD, CRASHES_ON_BAD, CRASHES_ON_BAD,
+				CRASHES_ON_BAD);
+	}
+
+	@Test
+	void aRepeatableRequestReachesNoServerAfterItCrashedThree() throws Exception {
+		try (GatewayFixture fixture = fleet()) {
+			// some of these only meet servers that are down
+			for (int i = 0; i < 8; i++) {
+				fixture.exchange("/safe/bad", "");
+				settle();
+			}
+			String answer = fixture.exchange("/safe/bad", "");
+			assertThat(RawHttp.status(answer)).isEqualTo(503);
+			assertThat(RawHttp.header(answer, "retry-after")).isEqualTo("60.0");
+			assertThat(fixture.runs()).isBetween(3, 4);
+		}
+	}
+
+	@Test
+	void aRequestThatMayNotBeRepeatedIsRefusedAfterThreeCrashes() throws Exception {
+		try (GatewayFixture fixture = fleet()) {
+			for (int i = 0; i < 3; i++) {
+				assertThat(RawHttp.status(fixture.exchange("/once/bad", ""))).isEqualTo(502);
+				settle();
+			}
+			assertThat(RawHttp.status(fixture.exchange("/once/bad", ""))).isEqualTo(503);
+			assertThat(fixture.runs()).isEqualTo(3);
+		}
+	}
+
+	@Test
+	void otherRequestsAreServedBesideIt() throws Exception {
+		try (GatewayFixture fixture = fleet()) {
+			for (int i = 0; i < 4; i++) {
+				fixture.exchange("/once/bad", "");
+				settle();
+			}
+			assertThat(RawHttp.status(fixture.exchange("/once/good", ""))).isEqualTo(200);
+			assertThat(RawHttp.status(fixture.exchange("/safe/bad2", ""))).isEqualTo(200);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "/safe/bad", "/once/bad" })
+	void connectionsThatAreResetByLivingServersCountForNothing(String path) throws Exception {
+		ScriptedServer.Script resets = ScriptedServer.Call::reset;
+		try (GatewayFixture fixture = GatewayFixture.before(resets, resets)) {
+			for (int i = 0; i < 5; i++) {
+				assertThat(RawHttp.status(fixture.exchange(path, ""))).isEqualTo(502);
+				settle();
+			}
+			fixture.onLoop(() -> assertThat(fixture.crashes().any()).isFalse());
+		}
+	}
+
+	@Test
+	void whatOtherHostsReportedIsRefusedAtOnce() throws Exception {
+		try (GatewayFixture fixture = fleet()) {
+			fixture.exchange("/once/bad", "");
+			within(() -> !fixture.published().isEmpty());
+			ContentCrashes own = fixture.published().get(0).contents().get(0);
+			assertThat(own.crashes()).isEqualTo(1);
+			fixture.onLoop(() -> {
+				fixture.crashes().take(new HostCrashes("h2", List.of(new ContentCrashes(own.content(), 1, 20_000))));
+				fixture.crashes().take(new HostCrashes("h3", List.of(new ContentCrashes(own.content(), 1, 10_000))));
+			});
+			assertThat(RawHttp.status(fixture.exchange("/once/bad", ""))).isEqualTo(503);
+			assertThat(fixture.runs()).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void aServersOwnCrashIsNotPublishedOnceItsRequestIsAnsweredElsewhere() throws Exception {
+		ScriptedServer.Script first = GatewayTests.firstOnly(ScriptedServer.Call::crash);
+		try (GatewayFixture fixture = GatewayFixture.before(first, first)) {
+			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(200);
+			Thread.sleep(1200);
+			assertThat(fixture.published()).isEmpty();
+		}
+	}
+
+	// The question whether a server still takes connections is answered after the client.
+	private static void settle() throws InterruptedException {
+		Thread.sleep(60);
+	}
+
+	private static void within(java.util.function.BooleanSupplier holds) throws InterruptedException {
+		long until = System.nanoTime() + 5_000_000_000L;
+		while (!holds.getAsBoolean()) {
+			assertThat(System.nanoTime()).isLessThan(until);
+			Thread.sleep(20);
+		}
+	}
+
+}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -18,6 +19,8 @@
 import io.sequoialink.decision.limits.Strain;
 import io.sequoialink.decision.limits.WorkDensity;
 import io.sequoialink.decision.retry.RepeatBudget;
+import io.sequoialink.gateway.crash.CrashWatch;
+import io.sequoialink.gateway.crash.HostCrashes;
 import io.sequoialink.gateway.fleet.BackendService;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.ClientLimits;
@@ -50,8 +53,13 @@
 
 	private final FleetView view = new FleetView();
 
+	private final List<HostCrashes> published = new CopyOnWriteArrayList<>();
+
 	private final StartGate gate = new StartGate();
 
+	private final CrashWatch crashes = new CrashWatch("h", (seen, reply) -> this.published.add(seen),
+			(work, millis) -> this.loops.schedule(work, millis, TimeUnit.MILLISECONDS), System::nanoTime);
+
 	private final FrontServer front;
 
 	private GatewayFixture() {
@@ -64,7 +72,7 @@
 				new LeastWorkChoice(table, speed, "z", System::nanoTime, new SplittableRandom(1)),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(), rollouts,
 				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect,
-				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), System::nanoTime);
+				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashes, System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
 
@@ -138,6 +146,14 @@
 		}
 	}
 
+	CrashWatch crashes() {
+		return this.crashes;
+	}
+
+	List<HostCrashes> published() {
+		return this.published;
+	}
+
 	FrontServer front() {
 		return this.front;
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
@@ -90,7 +90,7 @@
 	}
 
 	// The first request over both servers is spoiled, all others are answered well.
-	private static ScriptedServer.Script firstOnly(ScriptedServer.Script first) {
+	static ScriptedServer.Script firstOnly(ScriptedServer.Script first) {
 		java.util.concurrent.atomic.AtomicBoolean used = new java.util.concurrent.atomic.AtomicBoolean();
 		return (call) -> {
 			if (used.compareAndSet(false, true)) {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
@@ -101,7 +101,7 @@
 	/**
 	 * One request and the means to answer it.
 	 */
-	static final class Call {
+	final class Call {
 
 		private final String request;
 
@@ -123,6 +123,10 @@
 			this.callerLeft = callerLeft;
 		}
 
+		String path() {
+			return this.request.split(" ", 3)[1];
+		}
+
 		int number() {
 			return this.number;
 		}
@@ -166,6 +170,14 @@
 			this.socket.close();
 		}
 
+		/**
+		 * Resets the connection and takes no more of them, as a process that died.
+		 */
+		void crash() throws IOException {
+			ScriptedServer.this.listening.close();
+			reset();
+		}
+
 		void waitUntilCallerLeaves() throws IOException {
 			this.ended = true;
 			try {
