Skip a record whose taker fails instead of ending the reading of its topic

Cause: an exception while a record was taken in ended the follower's chain of reads, and the host would have kept its view for ever. Found by reading; no run showed it. Ruled out: catching it at the connection, since the reading would still not go on. Test: a taker that fails for one key; the records after it arrive (fails first without the change).

--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -21,7 +21,7 @@
  * Invariants: a key's records are handed on in the order of their offsets, none twice; a
  * key that is gone when the history was lost is handed on as dropped; while the store
  * can't be read, what was handed on stays as it is, and the age of the last successful
- * read is known.
+ * read is known; a record whose taker fails is skipped, and the following is not held up.
  */
 public final class TopicFollower {
 
@@ -168,7 +168,12 @@
 		else {
 			this.offsets.put(record.key(), record.offset());
 		}
-		this.sink.take(record);
+		try {
+			this.sink.take(record);
+		}
+		catch (RuntimeException ex) {
+			logger.warn(GatewayEvents.RECORD_SKIPPED, record.key(), record.offset(), this.topic.name(), ex.toString());
+		}
 	}
 
 	private void readTail() {
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -36,6 +36,20 @@
 		assertThat(this.seen).containsEntry("b", "3");
 	}
 
+	@Test
+	void aRecordWhoseTakerFailsIsSkippedAndTheNextOnesFollow() {
+		this.topic.put("broken", "1");
+		this.topic.put("a", "2");
+		this.follower.start();
+		assertThat(this.seen).containsExactly(Map.entry("a", "2"));
+		this.topic.put("broken", "3");
+		this.topic.put("b", "4");
+		for (int i = 0; i < 5 && !this.later.isEmpty(); i++) {
+			this.later.poll().run();
+		}
+		assertThat(this.seen).containsEntry("b", "4");
+	}
+
 	@Test
 	void allPagesAreRead() {
 		this.topic.pageSize(2);
@@ -145,6 +159,9 @@
 
 		@Override
 		public void take(KeyedRecord record) {
+			if (record.key().equals("broken")) {
+				throw new IllegalStateException("can't be taken");
+			}
 			if (record.dropped()) {
 				TopicFollowerTests.this.seen.remove(record.key());
 				return;
