--- /dev/null
+++ b/cli/src/main/java/io/sequoialink/cli/SoakCommand.java
@@ -0,0 +1,78 @@
+package io.sequoialink.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+import io.sequoialink.soak.Soak;
+import io.sequoialink.soak.SoakOptions;
+import io.sequoialink.soak.SoakReport;
+import picocli.CommandLine;
+
+/**
+ * Runs entry hosts under disturbances and checks the promises. Confined to the main
+ * thread. Exits with 1 when a promise was broken.
+ */
+@CommandLine.Command(name = "soak", mixinStandardHelpOptions = true,
+		description = { "Runs entry hosts as processes under disturbances and checks the promises meanwhile.",
+				"Ends only processes that it started. The seed fixes the draws; times depend on the machine." },
+		footer = { "", "Examples:", "  sequoialink soak --seed 7 --minutes 2", "  sequoialink soak --processes 8" })
+final class SoakCommand implements Callable<Integer> {
+
+	private static final int MAX_PROCESSES = 100;
+
+	private static final double MILLIS_OF_A_MINUTE = 60_000;
+
+	@CommandLine.Spec
+	private CommandLine.Model.CommandSpec spec;
+
+	@CommandLine.Option(names = "--seed", defaultValue = "1", description = "seed (default: ${DEFAULT-VALUE})")
+	private long seed;
+
+	@CommandLine.Option(names = "--minutes", defaultValue = "1", description = "time with disturbances, 0.1 or more")
+	private double minutes;
+
+	@CommandLine.Option(names = "--processes", defaultValue = "4",
+			description = "entry hosts, 2 to 100 (default: ${DEFAULT-VALUE})")
+	private int processes;
+
+	@CommandLine.Option(names = "--program", paramLabel = "JAR", defaultValue = "target/sequoialink-entry.jar",
+			description = "program of an entry host (default: ${DEFAULT-VALUE})")
+	private Path program;
+
+	@CommandLine.Option(names = "--output", paramLabel = "DIR", description = "keep settings and logs of the hosts")
+	private Path output;
+
+	@Override
+	public Integer call() throws IOException {
+		checkOptions();
+		Path directory = (this.output != null) ? Files.createDirectories(this.output)
+				: Files.createTempDirectory("sequoialink-soak");
+		SoakOptions options = new SoakOptions(this.seed, (long) (this.minutes * MILLIS_OF_A_MINUTE), this.processes,
+				this.program.toAbsolutePath(), directory.toAbsolutePath());
+		try (Soak soak = new Soak(options)) {
+			return report(soak.run());
+		}
+	}
+
+	private void checkOptions() {
+		boolean sizes = this.minutes >= 0.1 && this.processes >= 2 && this.processes <= MAX_PROCESSES;
+		if (!sizes || !Files.isReadable(this.program)) {
+			throw new CommandLine.ParameterException(this.spec.commandLine(),
+					"needs 0.1 minutes or more, 2 to 100 processes, and a program that can be read: " + this.program);
+		}
+	}
+
+	private int report(SoakReport report) {
+		PrintWriter out = this.spec.commandLine().getOut();
+		report.counts().forEach((name, count) -> out.println("  " + name + ": " + count));
+		report.violations().forEach((broken) -> out.println("  broken " + broken.rule() + ": " + broken.detail()));
+		out.println("seed " + report.seed() + ": "
+				+ (report.violations().isEmpty() ? "all promises held" : "promises were broken"));
+		out.flush();
+		return report.violations().isEmpty() ? ExitCodes.OK : ExitCodes.FAILED;
+	}
+
+}
--- a/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 
 import com.sun.net.httpserver.HttpServer;
+import io.sequoialink.soak.StandinStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- /dev/null
+++ b/soak/src/main/java/io/sequoialink/soak/Ledger.java
@@ -0,0 +1,221 @@
+package io.sequoialink.soak;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps what callers sent and got and what servers ran, and checks each fact against the
+ * promises as it arrives. Safe for threads.
+ */
+final class Ledger {
+
+	private static final Logger logger = LoggerFactory.getLogger(Ledger.class);
+
+	private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+	/** Broken connections of a sound host that are no fault yet. */
+	private static final int MANY_LOST = 3;
+
+	/** Late answers and late arrivals that are no fault yet. */
+	private static final int MANY_LATE = 8;
+
+	private final Calm calm;
+
+	private final Map<String, Asked> asked = new HashMap<>();
+
+	private final Map<String, List<Long>> crashes = new HashMap<>();
+
+	private final Map<String, Integer> counts = new TreeMap<>();
+
+	private final List<Violation> violations = new ArrayList<>();
+
+	Ledger(Calm calm) {
+		this.calm = calm;
+	}
+
+	synchronized Asked sent(Asked request) {
+		this.asked.put(request.id, request);
+		count("sent");
+		return request;
+	}
+
+	/**
+	 * A server begins to run a request.
+	 * @param id identifier of the request
+	 * @param server name of the server
+	 * @param service service of the server
+	 * @param head the request as it arrived
+	 */
+	synchronized void begun(String id, String server, String service, HttpWire.Head head) {
+		Asked request = this.asked.get(id);
+		if (request == null) {
+			broken("UNASKED", id, "no client sent it");
+			return;
+		}
+		if (!request.kind.repeatable && request.runs > 0) {
+			broken("TWICE", id, "runs at " + server + " after " + request.servers);
+		}
+		if (!request.kind.repeatable && PROMISES.contains(request.status)) {
+			broken("REFUSED", id, "runs at " + server + " after status " + request.status);
+		}
+		request.runs++;
+		request.servers.add(server);
+		if (!request.kind.service.equals(service) || !head.path().equals(request.path)) {
+			broken("ROUTE", id, head.path() + " runs at service " + service);
+		}
+		checkHeaders(request, head);
+		if (request.kind.repeatable && request.runs > Bounds.MAX_ATTEMPTS) {
+			broken("BUDGET", id, "ran " + request.runs + " times");
+		}
+		if (left(request, Bounds.LEFT_MILLIS) && hostCalm(request.host, request.sentNanos)) {
+			many("GONE", id, "reached " + server + " after its client had left");
+		}
+	}
+
+	/**
+	 * A request's content has crashed the server that ran it.
+	 * @param content body of the request
+	 * @param id identifier of the request
+	 */
+	synchronized void crashed(String id, String content) {
+		count("crashed by content");
+		Asked request = this.asked.get(id);
+		List<Long> before = this.crashes.computeIfAbsent(content, (key) -> new ArrayList<>());
+		boolean late = before.size() >= 3 && System.nanoTime() - before.get(2) > Bounds.nanos(Bounds.STABLE_MILLIS);
+		if (late && hostCalm(request.host, before.get(2)) && this.calm.since("store", before.get(2))) {
+			many("BUDGET", id, "'" + content + "' ran again after " + before.size() + " crashes");
+		}
+		before.add(System.nanoTime());
+	}
+
+	private void checkHeaders(Asked request, HttpWire.Head head) {
+		if (head.header("x-sequoialink-credential").isPresent() || head.header("x-sequoialink-hold").isPresent()) {
+			broken("UNASKED", request.id, "a key or a hold was passed on");
+		}
+		if (!head.header("x-sequoialink-tenant").equals(Optional.of(request.account))) {
+			broken("UNASKED", request.id, "account " + head.header("x-sequoialink-tenant"));
+		}
+	}
+
+	/**
+	 * A server still works on a request.
+	 * @param id identifier of the request
+	 * @param server the server
+	 */
+	synchronized void working(String id, String server) {
+		Asked request = this.asked.get(id);
+		if (request != null && left(request, Bounds.LEFT_MILLIS) && hostCalm(request.host, request.sentNanos)
+				&& this.calm.since(server, request.sentNanos)) {
+			many("GONE", id, server + " still works after its client has left");
+			request.leftNanos = 0;
+		}
+	}
+
+	private static boolean left(Asked request, long millis) {
+		return request.leftNanos != 0 && System.nanoTime() - request.leftNanos > Bounds.nanos(millis);
+	}
+
+	private boolean hostCalm(String host, long sinceNanos) {
+		return this.calm.since(host, sinceNanos - Bounds.nanos(Bounds.STABLE_MILLIS));
+	}
+
+	synchronized void left(Asked request) {
+		request.leftNanos = System.nanoTime();
+		count("left early");
+	}
+
+	/**
+	 * A client has a whole answer.
+	 * @param request the request
+	 * @param status status code
+	 */
+	synchronized void answered(Asked request, int status) {
+		request.status = status;
+		count("status " + status);
+		if (!request.kind.repeatable && PROMISES.contains(status) && request.runs > 0) {
+			broken("REFUSED", request.id, "status " + status + " after it ran at " + request.servers);
+		}
+		checkTime(request);
+	}
+
+	/**
+	 * A client has no whole answer: its connection ended.
+	 * @param request the request
+	 * @param stopping whether the host had been asked to stop and not yet ended
+	 */
+	synchronized void cut(Asked request, boolean stopping) {
+		count(stopping ? "cut while stopping" : "cut");
+		boolean serversCalm = request.servers.stream().allMatch((server) -> this.calm.since(server, request.sentNanos));
+		long waited = System.nanoTime() - request.sentNanos;
+		boolean inTime = waited < Bounds.nanos(Bounds.TIMEOUT_MILLIS);
+		if (!serversCalm || !inTime || !hostCalm(request.host, request.sentNanos)) {
+			return;
+		}
+		if (stopping && (request.runs > 0 || waited > Bounds.nanos(200))) {
+			broken("LOST", request.id, "cut by " + request.host + " while it was stopping, run at " + request.servers);
+		}
+		else if (request.runs > 0) {
+			many("LOST", request.id, "cut by " + request.host + ", run at " + request.servers);
+		}
+	}
+
+	private void checkTime(Asked request) {
+		long late = System.nanoTime() - request.sentNanos - Bounds.nanos(Bounds.TIMEOUT_MILLIS + Bounds.ANSWER_MILLIS);
+		if (late > 0 && hostCalm(request.host, request.sentNanos)) {
+			many("CONFIG", request.id, "answered " + late / 1_000_000 + " ms too late");
+		}
+	}
+
+	/**
+	 * No answer came within the client's time.
+	 * @param request the request
+	 */
+	synchronized void unanswered(Asked request) {
+		count("unanswered");
+		checkTime(request);
+	}
+
+	// Some rules allow a few cases.
+	private void many(String rule, String id, String detail) {
+		int seen = count(rule + " cases");
+		logger.warn("{} case {}: request {}: {}", rule, seen, id, detail);
+		int allowed = (rule.equals("LOST") || rule.equals("BUDGET")) ? MANY_LOST : MANY_LATE;
+		if (seen == allowed + 1) {
+			broken(rule, id, "more than " + allowed + " cases, the last: " + detail);
+		}
+	}
+
+	synchronized void broken(String rule, String id, String detail) {
+		logger.error("{} broken: request {}: {}", rule, id, detail);
+		this.violations.add(new Violation(rule, id + ": " + detail));
+	}
+
+	synchronized int count(String what) {
+		return this.counts.merge(what, 1, Integer::sum);
+	}
+
+	synchronized int counted(String what) {
+		return this.counts.getOrDefault(what, 0);
+	}
+
+	synchronized Optional<Asked> find(String id) {
+		return Optional.ofNullable(this.asked.get(id));
+	}
+
+	synchronized List<Violation> violations() {
+		return List.copyOf(this.violations);
+	}
+
+	synchronized Map<String, Integer> counts() {
+		return new TreeMap<>(this.counts);
+	}
+
+}
--- /dev/null
+++ b/soak/src/main/java/io/sequoialink/soak/SoakOptions.java
@@ -0,0 +1,15 @@
+package io.sequoialink.soak;
+
+import java.nio.file.Path;
+
+/**
+ * Settings of one run. Immutable.
+ *
+ * @param seed seed of all draws; times still depend on the machine
+ * @param millis time with disturbances, in milliseconds
+ * @param hosts number of host processes
+ * @param program the program of an entry host
+ * @param directory where settings and logs of the hosts go
+ */
+public record SoakOptions(long seed, long millis, int hosts, Path program, Path directory) {
+}
--- a/entry/src/test/java/io/sequoialink/entry/StandinStore.java
+++ b/soak/src/main/java/io/sequoialink/soak/StandinStore.java
@@ -1,4 +1,4 @@
-package io.sequoialink.entry;
+package io.sequoialink.soak;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
@@ -24,7 +24,7 @@
  * A small stand-in of the platform's store over loopback: keyed topics with one
  * partition. It can refuse, hang, forget its history and lose answers. Safe for threads.
  */
-final class StandinStore implements AutoCloseable {
+public final class StandinStore implements AutoCloseable {
 
 	private final Map<String, List<Entry>> topics = new HashMap<>();
 
@@ -36,30 +36,58 @@
 
 	private volatile Fault fault = Fault.NONE;
 
-	StandinStore() throws IOException {
+	/**
+	 * Creates a store without records that listens on a free port.
+	 * @throws IOException if it can't listen
+	 */
+	public StandinStore() throws IOException {
 		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
 		this.server.setExecutor(this.threads);
 		this.server.createContext("/", this::serve);
 		this.server.start();
 	}
 
-	InetSocketAddress address() {
+	/**
+	 * Returns where the store listens.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
 		return this.server.getAddress();
 	}
 
-	void fault(Fault now) {
+	/**
+	 * Changes how the store misbehaves, for calls that arrive from now on.
+	 * @param now how it misbehaves
+	 */
+	public void fault(Fault now) {
 		this.fault = now;
 	}
 
-	synchronized void put(String topic, String key, String value) {
+	/**
+	 * Writes a record as the operator or a server does.
+	 * @param topic topic without its prefix
+	 * @param key key of the record
+	 * @param value its value; empty to drop the key
+	 */
+	public synchronized void put(String topic, String key, String value) {
 		append("keyed." + topic, key, value.getBytes(StandardCharsets.UTF_8));
 	}
 
-	synchronized void forgetHistory(String topic) {
+	/**
+	 * Forgets all records of a topic but the newest of each key.
+	 * @param topic topic without its prefix
+	 */
+	public synchronized void forgetHistory(String topic) {
 		this.firsts.put("keyed." + topic, log("keyed." + topic).size());
 	}
 
-	synchronized List<String> values(String topic, String key) {
+	/**
+	 * Returns all values that were written under a key.
+	 * @param topic topic without its prefix
+	 * @param key the key
+	 * @return the values in their order
+	 */
+	public synchronized List<String> values(String topic, String key) {
 		return log("keyed." + topic).stream()
 			.filter((entry) -> entry.key().equals(key))
 			.map((entry) -> new String(entry.value(), StandardCharsets.UTF_8))
@@ -206,9 +234,22 @@
 	}
 
 	/** How the store misbehaves. */
-	enum Fault {
+	public enum Fault {
 
-		NONE, BUSY, TOO_MANY, SILENT, DEAF
+		/** Answers as it should. */
+		NONE,
+
+		/** Answers 503. */
+		BUSY,
+
+		/** Answers 429. */
+		TOO_MANY,
+
+		/** Answers nothing. */
+		SILENT,
+
+		/** Reads bring no new record. */
+		DEAF
 
 	}
 
