Metrics page of the entry host

Counts by route, account, service, version, topic and outcome, bounded; rendered with the Prometheus library only when asked, since each class loaded at a start delays a restart.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -1,5 +1,7 @@
 package io.sequoialink.entry;
 
+import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -12,12 +14,14 @@
 import io.sequoialink.decision.limits.WorkDensity;
 import io.sequoialink.decision.retry.RepeatBudget;
 import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.count.GatewayCounts;
 import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.feed.FleetUpdates;
 import io.sequoialink.gateway.feed.FollowPace;
 import io.sequoialink.gateway.feed.RecordSink;
 import io.sequoialink.gateway.feed.StoreWatch;
 import io.sequoialink.gateway.feed.TopicFollower;
+import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.http.BackendPool;
 import io.sequoialink.gateway.http.FrontServer;
@@ -98,6 +102,11 @@
 
 	private static final long POLL_MILLIS = 100;
 
+	/**
+	 * Where the metrics stand, beside the platform's question whether the host is ready.
+	 */
+	private static final String METRICS_PATH = "/metrics";
+
 	/**
 	 * Repeats of one host beyond its share, small enough that the common slack holds for
 	 * hundreds of hosts.
@@ -114,7 +123,9 @@
 
 	private final StoreConnections store;
 
-	private final StoreWatch storeWatch = new StoreWatch();
+	private final GatewayCounts counts = new GatewayCounts();
+
+	private final StoreWatch storeWatch = new StoreWatch(this.counts.storeCalls());
 
 	private final StoreTopic statusTopic;
 
@@ -126,6 +137,8 @@
 
 	private final RepeatBudget budget;
 
+	private final Strain strain = new Strain();
+
 	private final FrontServer front;
 
 	private final CountDownLatch idle = new CountDownLatch(1);
@@ -157,9 +170,9 @@
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
 		Gateway gateway = new Gateway(gate, this.view, servers,
 				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
-				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(),
-				this.rollouts, speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget,
-				crashes, System::nanoTime);
+				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.strain, new WorkDensity(), this.rollouts,
+				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget, crashes,
+				this.counts, System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
 
@@ -169,13 +182,29 @@
 	 */
 	public void start() throws InterruptedException {
 		this.front.start(this.loops, this.settings.clients());
-		new ReadinessServer(new HeaderDialect().readinessPath(), this::ready).start(this.loops,
-				this.settings.readiness());
+		new ReadinessServer(new HeaderDialect().readinessPath(), this::ready, Map.of(METRICS_PATH, metrics()::text))
+			.start(this.loops, this.settings.readiness());
 		this.loop.execute(this::follow);
 		logger.info(GatewayEvents.STARTED, this.settings.host(), this.settings.zone(), this.settings.clients(),
 				this.settings.readiness());
 	}
 
+	private MetricsPage metrics() {
+		return new MetricsPage(this.counts, List.of(
+				new MetricsPage.Gauge("sequoialink_ready", "1 while the host takes new connections",
+						() -> ready() ? 1 : 0),
+				new MetricsPage.Gauge("sequoialink_configuration_version", "Version of the configuration in force",
+						() -> this.view.configuration().map(Configuration::version).orElse(0L)),
+				new MetricsPage.Gauge("sequoialink_backend_servers", "Known backend servers",
+						() -> this.view.servers().size()),
+				new MetricsPage.Gauge("sequoialink_client_connections", "Open connections of clients",
+						this.front::connections),
+				new MetricsPage.Gauge("sequoialink_requests_under_way", "Requests that wait for their answer",
+						this.front::underWay),
+				new MetricsPage.Gauge("sequoialink_strain", "How hard pressed the engines are, from 0 to 1",
+						() -> this.strain.value())));
+	}
+
 	private void follow() {
 		EntrySettings.Bounds bounds = this.settings.bounds();
 		int wait = (int) (APPLY_PART * bounds.applyMillis());
--- /dev/null
+++ b/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
@@ -0,0 +1,120 @@
+package io.sequoialink.entry;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.snapshots.ClassicHistogramBuckets;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
+import io.prometheus.metrics.model.snapshots.Labels;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
+import io.sequoialink.gateway.count.GatewayCounts;
+import io.sequoialink.gateway.count.LabelledCounts;
+import io.sequoialink.gateway.count.Times;
+
+/**
+ * The host's metrics as text. Confined to the event loop. Nothing of the library is
+ * loaded before the page is first asked for, so that it costs a restart nothing.
+ */
+final class MetricsPage {
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private final GatewayCounts counts;
+
+	private final List<Gauge> gauges;
+
+	/**
+	 * Creates a page.
+	 * @param counts what the host has done
+	 * @param gauges what it is like now
+	 */
+	MetricsPage(GatewayCounts counts, List<Gauge> gauges) {
+		this.counts = counts;
+		this.gauges = List.copyOf(gauges);
+	}
+
+	/**
+	 * Renders the page.
+	 * @return the metrics in the text format of Prometheus
+	 */
+	String text() {
+		List<MetricSnapshot> metrics = new ArrayList<>();
+		metrics.add(counter("sequoialink_requests", "Ended requests", this.counts.requests()));
+		metrics.add(counter("sequoialink_sends", "Ended sends to backend servers", this.counts.sends()));
+		metrics.add(counter("sequoialink_store_calls", "Calls to the platform's store", this.counts.storeCalls()));
+		metrics.add(firstParts());
+		this.gauges.forEach((gauge) -> metrics.add(gauge.snapshot()));
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		try {
+			PrometheusTextFormatWriter.create().write(bytes, new MetricSnapshots(metrics));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return bytes.toString(StandardCharsets.UTF_8);
+	}
+
+	private static CounterSnapshot counter(String name, String help, LabelledCounts counts) {
+		CounterSnapshot.Builder metric = CounterSnapshot.builder().name(name).help(help);
+		counts.counts()
+			.forEach((values,
+					count) -> metric.dataPoint(CounterSnapshot.CounterDataPointSnapshot.builder()
+						.labels(Labels.of(counts.names().toArray(new String[0]), values.toArray(new String[0])))
+						.value(count)
+						.build()));
+		return metric.build();
+	}
+
+	private HistogramSnapshot firstParts() {
+		HistogramSnapshot.Builder metric = HistogramSnapshot.builder()
+			.name("sequoialink_first_part_seconds")
+			.help("Time from the receipt of a request to the first part of its answer");
+		for (Map.Entry<String, Times.Buckets> route : this.counts.first().buckets().entrySet()) {
+			metric.dataPoint(HistogramSnapshot.HistogramDataPointSnapshot.builder()
+				.labels(Labels.of("route", route.getKey()))
+				.sum(route.getValue().sum() / MILLIS_PER_SECOND)
+				.classicHistogramBuckets(buckets(route.getValue().counts()))
+				.build());
+		}
+		return metric.build();
+	}
+
+	private static ClassicHistogramBuckets buckets(long[] counts) {
+		ClassicHistogramBuckets.Builder buckets = ClassicHistogramBuckets.builder();
+		double[] bounds = Times.bounds();
+		for (int i = 0; i < counts.length; i++) {
+			buckets.bucket((i < bounds.length) ? bounds[i] / MILLIS_PER_SECOND : Double.POSITIVE_INFINITY, counts[i]);
+		}
+		return buckets.build();
+	}
+
+	/**
+	 * A value that goes up and down. Immutable.
+	 *
+	 * @param name name of the metric
+	 * @param help what it says
+	 * @param value the value now
+	 */
+	record Gauge(String name, String help, DoubleSupplier value) {
+
+		private GaugeSnapshot snapshot() {
+			return GaugeSnapshot.builder()
+				.name(this.name)
+				.help(this.help)
+				.dataPoint(GaugeSnapshot.GaugeDataPointSnapshot.builder().value(this.value.getAsDouble()).build())
+				.build();
+		}
+
+	}
+
+}
--- a/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
@@ -78,6 +78,26 @@
 		assertThat(get("/b/x")).isEqualTo(404);
 	}
 
+	@Test
+	void whatTheHostDidStandsOnItsMetricsPage() throws Exception {
+		configure(7, "/a/");
+		server("i-1", "ready");
+		within(APPLY_MILLIS, this::ready);
+		get("/a/x");
+		get("/b/x");
+		String page;
+		try (var in = URI.create("http://localhost:" + this.readiness + "/metrics").toURL().openStream()) {
+			page = new String(in.readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+		}
+		assertThat(page).contains(
+				"sequoialink_requests_total{account=\"none\",outcome=\"answered\",ran=\"yes\",route=\"r\"} 1.0",
+				"sequoialink_requests_total{account=\"none\",outcome=\"no route\",ran=\"no\",route=\"none\"} 1.0",
+				"sequoialink_sends_total{outcome=\"answered\",service=\"svc\",version=\"v1\"} 1.0",
+				"sequoialink_first_part_seconds_count{route=\"r\"} 1", "sequoialink_configuration_version 7.0",
+				"sequoialink_backend_servers 1.0", "sequoialink_ready 1.0",
+				"sequoialink_store_calls_total{outcome=\"answered\",topic=\"op\"}");
+	}
+
 	@Test
 	void aNewVersionIsInForceAndALeavingServerUnusedInTime() throws Exception {
 		configure(1, "/a/");
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/StoreWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/StoreWatch.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.sequoialink.gateway.count.LabelledCounts;
+
 /**
  * Lets the followers of one store know of its return, so that only one of them needs to
  * ask often while it is away. Confined to the event loop.
@@ -11,6 +13,20 @@
 
 	private final List<TopicFollower> followers = new ArrayList<>();
 
+	private final LabelledCounts calls;
+
+	/**
+	 * Creates a watch without followers.
+	 * @param calls counts calls by topic and outcome
+	 */
+	public StoreWatch(LabelledCounts calls) {
+		this.calls = calls;
+	}
+
+	void called(String topic, String outcome) {
+		this.calls.add(topic, outcome);
+	}
+
 	void join(TopicFollower follower) {
 		this.followers.add(follower);
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -218,6 +219,7 @@
 
 	private void succeeded() {
 		this.failuresInRow = 0;
+		this.watch.called(this.topic.name(), "answered");
 		long now = this.clock.getAsLong();
 		if (this.lostSince != 0) {
 			logger.info(GatewayEvents.STORE_BACK, this.topic.name(), (now - this.lostSince) / NANOS_PER_MILLI,
@@ -261,6 +263,7 @@
 	}
 
 	private void failed(StoreFailure failure) {
+		this.watch.called(this.topic.name(), failure.kind().name().toLowerCase(Locale.ROOT));
 		if (failure.kind() != StoreFailure.Kind.RENEWED) {
 			this.failuresInRow++;
 		}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -263,6 +263,7 @@
 	}
 
 	private void succeed() {
+		count("answered");
 		this.server.succeeded();
 		judgeEnd();
 		if (this.events == null) {
@@ -367,7 +368,23 @@
 		}
 	}
 
+	private void count(String outcome) {
+		this.exchange.gateway()
+			.counts()
+			.sends()
+			.add(this.exchange.serviceName(), this.server.entry().version(), outcome);
+	}
+
+	private String outcome() {
+		return switch (this.verdict) {
+			case NOT_RUN -> "not run";
+			case FAILURE -> "failed";
+			case NONE, SUCCESS -> "broken";
+		};
+	}
+
 	private void note(String how) {
+		count(outcome());
 		logger.info(GatewayEvents.SEND_ENDED, this.exchange.id(), this.exchange.attempts(), serverId(), how,
 				Exchange.millis(this.exchange.now() - this.begun));
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.http;
 
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -201,6 +202,11 @@
 					() -> this.gateway.crashes().crashed(suspect, server.entry().id(), sentNanos, lostNanos));
 	}
 
+	private void noteFirst() {
+		double millis = (now() - this.request.receivedNanos()) / (double) NANOS_PER_MILLI;
+		this.gateway.counts().first().add(routeLabel(), millis);
+	}
+
 	private void noteAnswered() {
 		if (this.gateway.crashes().any()) {
 			this.gateway.crashes().answered(content());
@@ -347,6 +353,7 @@
 		this.flow.answering();
 		this.flow.answered();
 		noteAnswered();
+		noteFirst();
 		this.client.answerWhole(status, ConnectionHeaders.without(headers), body);
 		finish(status, "answered");
 	}
@@ -362,6 +369,7 @@
 		if (!this.flow.answerBegun()) {
 			this.flow.answering();
 			this.models.began();
+			noteFirst();
 			this.client.answerHead(status, ConnectionHeaders.without(headers));
 		}
 		lastId.ifPresent((id) -> this.lastEvent = id);
@@ -454,19 +462,24 @@
 		}
 		dropFailure();
 		this.request.release();
+		String ran = ((this.flow != null) ? this.flow.ran() : Ran.NO).name().toLowerCase(Locale.ROOT);
+		this.gateway.counts().requests().add(routeLabel(), accountLabel(), outcome, ran);
 		logEnd(status, outcome, server);
 	}
 
+	private String accountLabel() {
+		return (this.admission != null) ? accountName().orElse("none") : "none";
+	}
+
 	private void logEnd(int status, String outcome, String server) {
 		String detail = this.reason.isEmpty() ? outcome : outcome + " (" + this.reason + ")";
 		Object ran = (this.flow != null) ? this.flow.ran() : Ran.NO;
 		int sends = (this.flow != null) ? this.flow.attempts() : 0;
-		String account = (this.admission != null) ? accountName().orElse("none") : "none";
 		long millis = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
 		Level level = (status >= 200 && status < 300) ? Level.INFO : Level.WARN;
 		logger.atLevel(level)
-			.log(GatewayEvents.REQUEST_ENDED, this.facts.id().orElse("unnamed"), account, routeLabel(), status, ran,
-					sends, server, millis, detail);
+			.log(GatewayEvents.REQUEST_ENDED, this.facts.id().orElse("unnamed"), accountLabel(), routeLabel(), status,
+					ran, sends, server, millis, detail);
 	}
 
 	private String routeLabel() {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
@@ -6,6 +6,7 @@
 import io.sequoialink.decision.limits.Strain;
 import io.sequoialink.decision.limits.WorkDensity;
 import io.sequoialink.decision.retry.RepeatBudget;
+import io.sequoialink.gateway.count.GatewayCounts;
 import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.place.ReadingSpeed;
@@ -31,10 +32,11 @@
  * @param dialect names of headers
  * @param budget budget of repeats
  * @param crashes keeps requests that crash servers from more of them
+ * @param counts what the host has done
  * @param clock monotonic time in nanoseconds
  */
 public record Gateway(StartGate gate, FleetView view, ServerTable servers, ServerChoice choice,
 		ConfidenceCascade cascade, Strain strain, WorkDensity density, RolloutWatch rollouts, ReadingSpeed speed,
 		UsualPace pace, BackendPool pool, WireDialect dialect, RepeatBudget budget, CrashWatch crashes,
-		LongSupplier clock) {
+		GatewayCounts counts, LongSupplier clock) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ReadinessServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ReadinessServer.java
@@ -1,9 +1,13 @@
 package io.sequoialink.gateway.http;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -24,7 +28,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /**
- * Answers the platform's question whether this host is ready. Confined to the event loop.
+ * Answers the platform's question whether this host is ready, and shows pages of text.
+ * Confined to the event loop.
  */
 public final class ReadinessServer {
 
@@ -32,14 +37,18 @@
 
 	private final BooleanSupplier ready;
 
+	private final Map<String, Supplier<String>> pages;
+
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param path path of the question
 	 * @param ready whether the host is ready, asked on the event loop
+	 * @param pages texts of other paths, made on the event loop
 	 */
-	public ReadinessServer(String path, BooleanSupplier ready) {
+	public ReadinessServer(String path, BooleanSupplier ready, Map<String, Supplier<String>> pages) {
 		this.path = path;
 		this.ready = ready;
+		this.pages = Map.copyOf(pages);
 	}
 
 	/**
@@ -72,9 +81,9 @@
 			if (!(message instanceof HttpRequest request)) {
 				return;
 			}
-			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status(request.uri()),
-					Unpooled.EMPTY_BUFFER);
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+			ByteBuf body = body(request.uri());
+			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status(request.uri()), body);
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 			boolean keep = HttpUtil.isKeepAlive(request);
 			if (!keep) {
 				response.headers().set(HttpHeaderNames.CONNECTION, "close");
@@ -85,7 +94,15 @@
 			}
 		}
 
+		private ByteBuf body(String uri) {
+			Supplier<String> page = ReadinessServer.this.pages.get(uri);
+			return (page != null) ? Unpooled.copiedBuffer(page.get(), StandardCharsets.UTF_8) : Unpooled.EMPTY_BUFFER;
+		}
+
 		private HttpResponseStatus status(String uri) {
+			if (ReadinessServer.this.pages.containsKey(uri)) {
+				return HttpResponseStatus.OK;
+			}
 			if (!uri.equals(ReadinessServer.this.path)) {
 				return HttpResponseStatus.NOT_FOUND;
 			}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 
+import io.sequoialink.gateway.count.LabelledCounts;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -24,7 +25,7 @@
 
 	private long now = 1;
 
-	private final StoreWatch watch = new StoreWatch();
+	private final StoreWatch watch = new StoreWatch(new LabelledCounts("topic", "outcome"));
 
 	private final List<Long> delays = new ArrayList<>();
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -19,6 +19,7 @@
 import io.sequoialink.decision.limits.Strain;
 import io.sequoialink.decision.limits.WorkDensity;
 import io.sequoialink.decision.retry.RepeatBudget;
+import io.sequoialink.gateway.count.GatewayCounts;
 import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.crash.HostCrashes;
 import io.sequoialink.gateway.fleet.BackendService;
@@ -60,6 +61,8 @@
 	private final CrashWatch crashes = new CrashWatch("h", (seen, reply) -> this.published.add(seen),
 			(work, millis) -> this.loops.schedule(work, millis, TimeUnit.MILLISECONDS), System::nanoTime);
 
+	private final GatewayCounts counts = new GatewayCounts();
+
 	private final FrontServer front;
 
 	private GatewayFixture() {
@@ -72,7 +75,7 @@
 				new LeastWorkChoice(table, speed, "z", System::nanoTime, new SplittableRandom(1)),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(), rollouts,
 				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect,
-				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashes, System::nanoTime);
+				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashes, this.counts, System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
 
@@ -146,6 +149,10 @@
 		}
 	}
 
+	GatewayCounts counts() {
+		return this.counts;
+	}
+
 	CrashWatch crashes() {
 		return this.crashes;
 	}
