Only lines of JSON on standard output, also before the settings are read

Cause: reading the settings used an address parser of a library that logs at debug level before the log was set up; a run with all logs showed some 20 plain lines a start. EntryMainTests (the program as a process) fails without the change. Settings errors name the whole path of a field (store.address).

--- a/entry/src/main/java/io/sequoialink/entry/EntryMain.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryMain.java
@@ -32,6 +32,7 @@
 			System.out.println(StartupClasses.load() + " classes loaded");
 			return;
 		}
+		LogSetup.quiet();
 		String named = System.getenv(ProcessEnvironment.SETTINGS_FILE);
 		String file = (arguments.length > 0) ? arguments[0] : named;
 		if (file == null) {
--- a/entry/src/main/java/io/sequoialink/entry/LogSetup.java
+++ b/entry/src/main/java/io/sequoialink/entry/LogSetup.java
@@ -9,14 +9,23 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Sets up the log: lines of JSON on standard output, from a bounded queue. Called once,
- * before anything is logged.
+ * Sets up the log: lines of JSON on standard output, from a bounded queue.
+ * {@link #quiet()} is called before anything else, {@link #configure(String)} once the
+ * settings are read.
  */
 final class LogSetup {
 
 	private LogSetup() {
 	}
 
+	/**
+	 * Keeps libraries from logging before the form of the lines is set.
+	 */
+	static void quiet() {
+		((LoggerContext) LoggerFactory.getILoggerFactory()).getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)
+			.setLevel(Level.ERROR);
+	}
+
 	static LogQueue configure(String host) {
 		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
 		context.reset();
--- a/entry/src/main/java/io/sequoialink/entry/SettingsReader.java
+++ b/entry/src/main/java/io/sequoialink/entry/SettingsReader.java
@@ -43,14 +43,13 @@
 
 	private EntrySettings read() throws SettingsException {
 		JsonNode root = parse();
-		JsonNode bounds = root.path("bounds");
 		EntrySettings settings = new EntrySettings(text(root, "host"), text(root, "zone"), address(root, "clients"),
-				address(root, "readiness"), address(root.path("store"), "address"),
-				new EntrySettings.Bounds(millis(bounds, "stop_seconds"), (long) number(bounds, "leaving_millis"),
-						(long) number(bounds, "apply_millis"), number(bounds, "repeat_ratio"),
-						number(bounds, "repeat_slack"), millis(bounds, "repeat_window_seconds"),
-						number(bounds, "exposure_share"), number(bounds, "exposure_slack"),
-						millis(bounds, "session_seconds")));
+				address(root, "readiness"), address(root, "store.address"),
+				new EntrySettings.Bounds(millis(root, "bounds.stop_seconds"),
+						(long) number(root, "bounds.leaving_millis"), (long) number(root, "bounds.apply_millis"),
+						number(root, "bounds.repeat_ratio"), number(root, "bounds.repeat_slack"),
+						millis(root, "bounds.repeat_window_seconds"), number(root, "bounds.exposure_share"),
+						number(root, "bounds.exposure_slack"), millis(root, "bounds.session_seconds")));
 		if (!this.errors.isEmpty()) {
 			throw new SettingsException(this.errors);
 		}
@@ -70,8 +69,12 @@
 		}
 	}
 
-	private String text(JsonNode node, String field) {
-		JsonNode value = node.path(field);
+	private static JsonNode at(JsonNode root, String field) {
+		return root.at('/' + field.replace('.', '/'));
+	}
+
+	private String text(JsonNode root, String field) {
+		JsonNode value = at(root, field);
 		if (!value.isTextual() || value.asText().isEmpty()) {
 			error(field, value, "a text");
 			return "";
@@ -79,8 +82,8 @@
 		return value.asText();
 	}
 
-	private double number(JsonNode node, String field) {
-		JsonNode value = node.path(field);
+	private double number(JsonNode root, String field) {
+		JsonNode value = at(root, field);
 		if (!value.isNumber() || value.asDouble() < 0) {
 			error(field, value, "a number, 0 or more");
 			return 0;
@@ -88,17 +91,17 @@
 		return value.asDouble();
 	}
 
-	private long millis(JsonNode node, String field) {
-		return (long) (number(node, field) * MILLIS_PER_SECOND);
+	private long millis(JsonNode root, String field) {
+		return (long) (number(root, field) * MILLIS_PER_SECOND);
 	}
 
-	private InetSocketAddress address(JsonNode node, String field) {
-		String text = node.path(field).asText();
+	private InetSocketAddress address(JsonNode root, String field) {
+		String text = at(root, field).asText();
 		int colon = text.lastIndexOf(':');
 		var host = (colon > 0) ? NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon)) : null;
 		int port = (colon > 0) ? port(text.substring(colon + 1)) : -1;
 		if (host == null || port < 0) {
-			error(field, node.path(field), "an IP address and a port, as 10.0.0.1:8080");
+			error(field, at(root, field), "an IP address and a port, as 10.0.0.1:8080");
 			return InetSocketAddress.createUnresolved("unknown", 0);
 		}
 		return new InetSocketAddress(host, port);
