--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -9,7 +9,6 @@
 import io.sequoialink.gateway.place.EngineWork;
 import io.sequoialink.gateway.place.Placed;
 import io.sequoialink.gateway.place.ServerState;
-import io.sequoialink.gateway.place.UsualPace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,15 +25,6 @@
 
 	private static final int MISDIRECTED = 421;
 
-	/** Streams with fewer events say little of their pace. */
-	private static final int MIN_PACED_EVENTS = 12;
-
-	/**
-	 * Events after which a stream's pace is judged before its end; fewer may all fall
-	 * into the reading of one long prompt.
-	 */
-	private static final int EARLY_PACED_EVENTS = 16;
-
 	/** Events after which a stream's request is not what would crash its server. */
 	private static final int MIN_HARMLESS_EVENTS = 5;
 
@@ -60,9 +50,7 @@
 
 	private double expectedMillis;
 
-	private boolean judged;
-
-	private boolean paced;
+	private final PaceJudgement pace;
 
 	private long headAt;
 
@@ -86,6 +74,7 @@
 		this.workMillis = placed.workMillis();
 		this.work = work;
 		this.begun = exchange.now();
+		this.pace = new PaceJudgement(exchange, this.server, work);
 	}
 
 	void begin(BackendSend sending) {
@@ -118,7 +107,7 @@
 		if (this.exchange.streaming()) {
 			return Patience.stream(expectedMillis, remaining);
 		}
-		return Patience.plain(pace().usual(paceKind()), remaining);
+		return Patience.plain(this.exchange.gateway().pace().usual(this.pace.kind()), remaining);
 	}
 
 	// A server that sends nothing at all while others are waited for is avoided; work
@@ -135,10 +124,6 @@
 		}
 	}
 
-	private String paceKind() {
-		return this.work.engine() ? this.exchange.serviceName() + '/' + this.work.model() : this.exchange.routeName();
-	}
-
 	@Override
 	public void written() {
 		// the answer's deadline runs from the request's receipt, not from here
@@ -225,7 +210,7 @@
 		}
 		this.server.heard(this.exchange.now());
 		ByteBuf ready = this.events.take(data);
-		judgePace();
+		this.pace.events(this.events.events(), millisSince(this.headAt));
 		if (this.events.overflown()) {
 			ready.release();
 			breakOff("event too long");
@@ -254,7 +239,7 @@
 			}
 			case FAILURE -> {
 				note("failed with status " + this.status);
-				judge(true);
+				this.pace.failed();
 				this.exchange.failed(new KeptFailure(this.status, this.headers, this.whole));
 			}
 			case SUCCESS -> succeed();
@@ -273,57 +258,15 @@
 		this.exchange.passEnd();
 	}
 
-	// Judges an answer once: as bad as soon as that is clear, which for a stream may be
-	// long before its end, else at its end.
-	private void judge(boolean bad) {
-		if (!this.judged) {
-			this.judged = true;
-			this.exchange.judged(this.server, bad);
-		}
-	}
-
-	private void judgePace() {
-		if (this.paced || this.events.events() < EARLY_PACED_EVENTS) {
-			return;
-		}
-		this.paced = true;
-		learnPace();
-	}
-
-	// A stream says nothing of its version while the usual pace of its model is not
-	// known,
-	// which would count as good otherwise.
-	private void learnPace() {
-		if (pace().usual(paceKind()).isPresent()) {
-			judge(pace().slow(paceKind(), eventMillis()));
-		}
-		if (!this.exchange.onTrial(this.server)) {
-			pace().observe(paceKind(), eventMillis());
-		}
-	}
-
 	private void judgeEnd() {
 		if (this.events == null) {
-			double millis = millisSince(this.begun);
-			judge(pace().slow(paceKind(), millis));
-			if (!this.exchange.onTrial(this.server)) {
-				pace().observe(paceKind(), millis);
-			}
+			this.pace.ended(millisSince(this.begun));
 		}
-		else if (!this.paced && this.events.events() >= MIN_PACED_EVENTS) {
-			this.paced = true;
-			learnPace();
+		else {
+			this.pace.streamEnded(this.events.events(), millisSince(this.headAt));
 		}
 	}
 
-	private double eventMillis() {
-		return millisSince(this.headAt) / this.events.events();
-	}
-
-	private UsualPace pace() {
-		return this.exchange.gateway().pace();
-	}
-
 	@Override
 	public void lost(SendLoss loss) {
 		if (this.over) {
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ContentSuspicion.java
@@ -0,0 +1,94 @@
+package io.sequoialink.gateway.http;
+
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.netty.buffer.ByteBuf;
+import io.sequoialink.gateway.crash.CrashWatch;
+import io.sequoialink.gateway.place.ServerState;
+
+/**
+ * Tells whether requests of one content crash the servers that run them. Confined to the
+ * event loop. The content is what a client would send again: account, method, host,
+ * target and body; its hash is made only once it is needed.
+ */
+final class ContentSuspicion {
+
+	private final Gateway gateway;
+
+	private final ClientRequest request;
+
+	private final String account;
+
+	private boolean hashed;
+
+	private long content;
+
+	ContentSuspicion(Gateway gateway, ClientRequest request, String account) {
+		this.gateway = gateway;
+		this.request = request;
+		this.account = account;
+	}
+
+	/**
+	 * Returns whether the request must not reach another server.
+	 * @return whether its content crashed too many
+	 */
+	boolean blocked() {
+		return crashes().any() && crashes().blocked(content());
+	}
+
+	/**
+	 * Tells why a request is blocked.
+	 * @return the reason, for the log
+	 */
+	String reason() {
+		return "requests of content " + Long.toHexString(content()) + " crashed " + crashes().crashes(content())
+				+ " servers";
+	}
+
+	/**
+	 * A server ended its connection without a whole answer: finds out whether it crashed.
+	 * @param server the server
+	 * @param sentNanos monotonic time at which the request was sent there
+	 */
+	void disconnected(ServerState server, long sentNanos) {
+		long suspect = content();
+		long lostNanos = this.gateway.clock().getAsLong();
+		this.gateway.pool()
+			.probe(server.entry(), () -> crashes().crashed(suspect, server.entry().id(), sentNanos, lostNanos));
+	}
+
+	/**
+	 * A server has shown that the content does not crash it.
+	 */
+	void harmless() {
+		if (crashes().any()) {
+			crashes().answered(content());
+		}
+	}
+
+	private CrashWatch crashes() {
+		return this.gateway.crashes();
+	}
+
+	private long content() {
+		if (!this.hashed) {
+			this.hashed = true;
+			this.content = hash();
+		}
+		return this.content;
+	}
+
+	private long hash() {
+		HashStream64 hash = Hashing.wyhashFinal4().hashStream();
+		hash.putString(this.account);
+		hash.putString(this.request.method().name());
+		hash.putString(this.request.host());
+		hash.putString(this.request.target());
+		ByteBuf body = this.request.body();
+		byte[] bytes = new byte[body.readableBytes()];
+		body.getBytes(body.readerIndex(), bytes);
+		return hash.putBytes(bytes).getAsLong();
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
-import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -18,7 +17,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
 import io.sequoialink.gateway.GatewayEvents;
-import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.flow.Next;
@@ -85,7 +83,7 @@
 
 	private String reason = "";
 
-	private long content;
+	private ContentSuspicion suspicion;
 
 	private long comeBackMillis = OwnAnswer.RETRY_MILLIS;
 
@@ -136,6 +134,7 @@
 		this.gateway.budget().request(service(), now());
 		this.pinKey = Hashing.wyhashFinal4().hashStream().putString(pinName()).getAsLong();
 		this.prompt = PromptShape.of(this.facts);
+		this.suspicion = new ContentSuspicion(this.gateway, this.request, accountLabel());
 		this.models = new ModelChoice(this.gateway, this.admission, this.facts, this.request.receivedNanos());
 	}
 
@@ -157,10 +156,8 @@
 			perform(this.flow.noRoom());
 			return;
 		}
-		CrashWatch crashes = this.gateway.crashes();
-		if (crashes.any() && crashes.blocked(content())) {
-			this.reason = "requests of content " + Long.toHexString(content()) + " crashed "
-					+ crashes.crashes(content()) + " servers";
+		if (this.suspicion.blocked()) {
+			this.reason = this.suspicion.reason();
 			this.comeBackMillis = OwnAnswer.BLOCKED_MILLIS;
 			perform(this.flow.noRoom());
 			return;
@@ -175,31 +172,13 @@
 		send(placed.get(), wanted.work());
 	}
 
-	// Hash of what a client would send again: account, method, target and body.
-	private long content() {
-		if (this.content == 0) {
-			HashStream64 hash = Hashing.wyhashFinal4().hashStream();
-			hash.putString(accountName().orElse("")).putString(this.request.method().name());
-			hash.putString(this.request.host()).putString(this.request.target());
-			ByteBuf body = this.request.body();
-			byte[] bytes = new byte[body.readableBytes()];
-			body.getBytes(body.readerIndex(), bytes);
-			this.content = hash.putBytes(bytes).getAsLong();
-		}
-		return this.content;
-	}
-
 	/**
 	 * A server ended its connection without a whole answer: finds out whether it crashed.
 	 * @param server the server
 	 * @param sentNanos monotonic time at which the request was sent there
 	 */
 	void disconnected(ServerState server, long sentNanos) {
-		long suspect = content();
-		long lostNanos = now();
-		this.gateway.pool()
-			.probe(server.entry(),
-					() -> this.gateway.crashes().crashed(suspect, server.entry().id(), sentNanos, lostNanos));
+		this.suspicion.disconnected(server, sentNanos);
 	}
 
 	private void noteFirst() {
@@ -207,12 +186,6 @@
 		this.gateway.counts().first().add(routeLabel(), millis);
 	}
 
-	private void noteAnswered() {
-		if (this.gateway.crashes().any()) {
-			this.gateway.crashes().answered(content());
-		}
-	}
-
 	private PlaceRequest wanted() {
 		VersionGroup versions = this.gateway.rollouts()
 			.choose(service(), this.pinKey, this.facts.session().isPresent());
@@ -352,7 +325,7 @@
 	void passWhole(int status, HttpHeaders headers, ByteBuf body) {
 		this.flow.answering();
 		this.flow.answered();
-		noteAnswered();
+		this.suspicion.harmless();
 		noteFirst();
 		this.client.answerWhole(status, ConnectionHeaders.without(headers), body);
 		finish(status, "answered");
@@ -374,7 +347,7 @@
 		}
 		lastId.ifPresent((id) -> this.lastEvent = id);
 		if (this.attempt.wellUnderWay()) {
-			noteAnswered();
+			this.suspicion.harmless();
 		}
 		boolean writable = this.client.answerPart(events);
 		if (!writable && this.attempt != null) {
@@ -387,7 +360,7 @@
 	 */
 	void passEnd() {
 		this.flow.answered();
-		noteAnswered();
+		this.suspicion.harmless();
 		this.client.answerEnd();
 		finish(200, "answered");
 	}
