--- a/gateway/src/main/java/io/sequoialink/gateway/feed/StoreWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/StoreWatch.java
@@ -15,6 +15,10 @@
 
 	private final LabelledCounts calls;
 
+	private long answeredAt;
+
+	private boolean answeredOnce;
+
 	/**
 	 * Creates a watch without followers.
 	 * @param calls counts calls by topic and outcome
@@ -27,6 +31,20 @@
 		this.calls.add(topic, outcome);
 	}
 
+	void answered(long nowNanos) {
+		this.answeredAt = nowNanos;
+		this.answeredOnce = true;
+	}
+
+	/**
+	 * Returns whether the store has answered any follower since a moment.
+	 * @param sinceNanos monotonic time
+	 * @return whether it can be reached by now
+	 */
+	boolean answeredSince(long sinceNanos) {
+		return this.answeredOnce && this.answeredAt - sinceNanos > 0;
+	}
+
 	void join(TopicFollower follower) {
 		this.followers.add(follower);
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -55,6 +55,8 @@
 
 	private long next = -1;
 
+	private long askedAt;
+
 	private long lastRead;
 
 	private long lostSince;
@@ -134,6 +136,7 @@
 	}
 
 	private void readPage(Optional<String> after, long firstEnd) {
+		this.askedAt = this.clock.getAsLong();
 		this.topic.newest(after, (reply) -> reply.match((page) -> takePage(page, firstEnd), (failure) -> {
 			failed(failure);
 			retryLater(this::readNewest, failure);
@@ -189,6 +192,7 @@
 	}
 
 	private void readTail() {
+		this.askedAt = this.clock.getAsLong();
 		this.topic.read(this.next, waitMillis(), (reply) -> reply.match(this::takeTail, (failure) -> {
 			failed(failure);
 			retryLater(this::readTail, failure);
@@ -221,6 +225,7 @@
 		this.failuresInRow = 0;
 		this.watch.called(this.topic.name(), "answered");
 		long now = this.clock.getAsLong();
+		this.watch.answered(now);
 		if (this.lostSince != 0) {
 			logger.info(GatewayEvents.STORE_BACK, this.topic.name(), (now - this.lostSince) / NANOS_PER_MILLI,
 					this.next);
@@ -249,6 +254,9 @@
 
 	private long retryMillis() {
 		FollowPace now = this.pace.get();
+		if (this.watch.answeredSince(this.askedAt)) {
+			this.failuresInRow = 1;
+		}
 		int doublings = Math.min(MAX_DOUBLINGS, this.failuresInRow - 1);
 		return Math.min(now.longestRetryMillis(), (long) now.retryMillis() << doublings);
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -182,6 +182,28 @@
 		assertThat(this.returns).isEqualTo(2);
 	}
 
+	// A host that had been cut off: one topic was read again while the call to another,
+	// made
+	// before, still hung, and that topic was then not asked for again for 2 s.
+	@Test
+	void aCallThatFailsAfterTheStoreAnsweredAnotherTopicIsMadeAgainSoon() {
+		FakeTopic other = new FakeTopic();
+		new TopicFollower(other, new Sink(), () -> new FollowPace(100, 100, 0, 100, 100), this::later, () -> this.now,
+				this.watch)
+			.start();
+		this.follower.start();
+		this.topic.down(true);
+		runLater();
+		runLater();
+		assertThat(this.delays).endsWith(350L);
+		this.topic.down(false);
+		runLater();
+		this.now += 5;
+		other.put("x", "1");
+		this.topic.down(true);
+		assertThat(this.delays).endsWith(100L);
+	}
+
 	private void later(Runnable work, long millis) {
 		this.later.add(work);
 		this.delays.add(millis);
