--- a/cli/src/main/java/io/sequoialink/cli/ExplainCommand.java
+++ b/cli/src/main/java/io/sequoialink/cli/ExplainCommand.java
@@ -47,7 +47,8 @@
 		List<String> told = story.tell();
 		told.forEach(out()::println);
 		if (told.isEmpty()) {
-			out().println("no line names request " + this.request);
+			out().println("no line names request " + this.request
+					+ ": it reached no host, or its host ended before its final line");
 		}
 		out().flush();
 		return told.isEmpty() ? ExitCodes.FAILED : ExitCodes.OK;
--- a/cli/src/main/java/io/sequoialink/cli/LogStory.java
+++ b/cli/src/main/java/io/sequoialink/cli/LogStory.java
@@ -89,11 +89,26 @@
 			story.add(line.time() + " " + line.host() + ": " + sentence(line));
 		}
 		if (!own.isEmpty()) {
+			noEnd(own).ifPresent(story::add);
 			story.addAll(around(own.get(own.size() - 1), servers(own)));
 		}
 		return story;
 	}
 
+	// A request without a final line was cut off with its host, which tells of its start.
+	private Optional<String> noEnd(List<Line> own) {
+		if (own.stream().anyMatch((line) -> END.matcher(line.text()).matches())) {
+			return Optional.empty();
+		}
+		Line last = own.get(own.size() - 1);
+		return this.lines.stream()
+			.filter((line) -> line.event().equals("SL-3001") && line.host().equals(last.host()))
+			.filter((line) -> line.time().isAfter(last.time()))
+			.findFirst()
+			.map((line) -> line.time() + " " + line.host() + ": there is no final line, and the host started again now:"
+					+ " its process had ended while the request was under way.");
+	}
+
 	private boolean isOwn(Line line) {
 		return line.text().startsWith("request " + this.request + " ")
 				|| line.text().startsWith("request " + this.request + ":");
--- a/cli/src/test/java/io/sequoialink/cli/LogStoryTests.java
+++ b/cli/src/test/java/io/sequoialink/cli/LogStoryTests.java
@@ -21,6 +21,8 @@
 			0.47 host-b {"time":"2026-02-23T13:48:09.502Z","level":"WARN","host":"b","event":"SL-3101","text":"request r1 of account acme on route r-a ended with 502: run UNKNOWN, sends 2, server i-2/v1, 120 ms: outcome unknown (server i-2: BROKEN)"}
 			0.30 host-a {"time":"2026-02-23T13:48:09.300Z","level":"WARN","host":"a","event":"SL-3101","text":"request r10 of account acme on route r-a ended with 503: run NO, sends 0, server none, 1 ms: not run (no server of s for versions ANY)"}
 			0.20 host-a {"time":"2026-02-23T13:48:09.200Z","level":"WARN","host":"a","event":"SL-3203","text":"servers can't be read since 900 ms: status 503"}
+			0.61 host-a {"time":"2026-02-23T13:48:50.300Z","level":"INFO","host":"a","event":"SL-3104","text":"request r7: answer of m0 with opinion 9 dropped for m2"}
+			0.71 host-a {"time":"2026-02-23T13:49:00.300Z","level":"INFO","host":"a","event":"SL-3001","text":"host a in z serves clients at /10.3.0.4:8660 and answers readiness at /10.3.0.4:8667"}
 			0.31 host-a {"time":"2026-02-23T13:48:08.300Z","level":"INFO","host":"a","event":"SL-3104","text":"request r10: answer of m0 with opinion 7 dropped for m2"}
 			""";
 
@@ -43,6 +45,12 @@
 		assertThat(story.get(2)).contains("servers can't be read");
 	}
 
+	@Test
+	void aRequestThatWasCutOffWithItsHostIsToldByTheHostsNextStart() throws IOException {
+		List<String> story = story("r7");
+		assertThat(story.get(1)).contains("13:49:00").contains("there is no final line").contains("started again");
+	}
+
 	@Test
 	void anUnknownRequestHasNoStory() throws IOException {
 		assertThat(story("r")).isEmpty();
