--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -5,7 +5,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -17,10 +16,7 @@
 import io.sequoialink.gateway.count.GatewayCounts;
 import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.feed.FleetUpdates;
-import io.sequoialink.gateway.feed.FollowPace;
-import io.sequoialink.gateway.feed.RecordSink;
 import io.sequoialink.gateway.feed.StoreWatch;
-import io.sequoialink.gateway.feed.TopicFollower;
 import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.http.BackendPool;
@@ -34,8 +30,6 @@
 import io.sequoialink.gateway.place.UsualPace;
 import io.sequoialink.gateway.rollout.RolloutWatch;
 import io.sequoialink.platform.HeaderDialect;
-import io.sequoialink.platform.OperatorRecords;
-import io.sequoialink.platform.ServerRecords;
 import io.sequoialink.platform.StatusRecords;
 import io.sequoialink.platform.StoreConnections;
 import io.sequoialink.platform.StoreTopic;
@@ -50,45 +44,6 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(EntryHost.class);
 
-	/** Pause after a call to the store that failed, in milliseconds. */
-	private static final int RETRY_MILLIS = 300;
-
-	/**
-	 * Part of the time in which a configuration must be in force that the store may wait
-	 * for one: a call that was made while the store was slow may bring nothing.
-	 */
-	private static final double APPLY_PART = 0.7;
-
-	/**
-	 * How long the store may wait for servers, which write all the time, in milliseconds.
-	 */
-	private static final int SERVERS_WAIT_MILLIS = 500;
-
-	/**
-	 * Part of the time in which a leaving server must be noticed that may pass between
-	 * two reads.
-	 */
-	private static final double LEAVING_PART = 0.7;
-
-	/**
-	 * Longest such pause of the topic that is read most often; the others hear of the
-	 * store's return from it.
-	 */
-	private static final int SERVERS_RETRY_MILLIS = 600;
-
-	private static final int LONGEST_RETRY_MILLIS = 2400;
-
-	/**
-	 * All hosts publish while a roll-out is under way, so each reads what came together
-	 * in a while instead of one record after the other.
-	 */
-	private static final FollowPace ROLLOUT_PACE = new FollowPace(1000, 1000, 1500, RETRY_MILLIS, LONGEST_RETRY_MILLIS);
-
-	/**
-	 * At other times hosts publish only crashes: rare, and to be known within seconds.
-	 */
-	private static final FollowPace CRASH_PACE = new FollowPace(20_000, 2000, 300, RETRY_MILLIS, LONGEST_RETRY_MILLIS);
-
 	/**
 	 * Time from the request to stop until the platform sends no more connections, in
 	 * milliseconds.
@@ -125,11 +80,7 @@
 
 	private final GatewayCounts counts = new GatewayCounts();
 
-	private final StoreWatch storeWatch = new StoreWatch(this.counts.storeCalls());
-
-	private final StoreTopic statusTopic;
-
-	private final StatusRecords statuses;
+	private final StoreReading reading;
 
 	private final RolloutWatch rollouts;
 
@@ -154,16 +105,18 @@
 		HeaderDialect dialect = new HeaderDialect();
 		EntrySettings.Bounds bounds = settings.bounds();
 		this.store = new StoreConnections(settings.store(), this.loop);
-		this.statusTopic = StoreTopic.statuses(this.store);
-		this.statuses = new StatusRecords(this.statusTopic);
+		StatusRecords statuses = new StatusRecords(StoreTopic.statuses(this.store));
 		SplittableRandom random = new SplittableRandom();
 		this.rollouts = new RolloutWatch(settings.host(),
 				new RolloutWatch.Options(bounds.exposureShare(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis())),
-				this.statuses, System::nanoTime, random);
+				statuses, System::nanoTime, random);
 		StartGate gate = new StartGate();
-		this.updates = new FleetUpdates(this.view, this.rollouts, this::renewStatuses, gate::open, System::nanoTime);
-		CrashWatch crashes = new CrashWatch(settings.host(), this.statuses, this::later, System::nanoTime);
-		this.statuses.readInto(this.updates, crashes::take);
+		// on an order, calls that wait for crashes only are made again with shorter waits
+		this.updates = new FleetUpdates(this.view, this.rollouts, this.store::renewReads, gate::open, System::nanoTime);
+		CrashWatch crashes = new CrashWatch(settings.host(), statuses, this::later, System::nanoTime);
+		statuses.readInto(this.updates, crashes::take);
+		this.reading = new StoreReading(this.store, this.updates, statuses, this.rollouts::underWay, this::later,
+				new StoreWatch(this.counts.storeCalls()));
 		ServerTable servers = new ServerTable(this.view);
 		ReadingSpeed speed = new ReadingSpeed();
 		this.budget = new RepeatBudget(bounds.repeatRatio(), hostSlack(bounds),
@@ -184,7 +137,7 @@
 		this.front.start(this.loops, this.settings.clients());
 		new ReadinessServer(new HeaderDialect().readinessPath(), this::ready, Map.of(METRICS_PATH, metrics()::text))
 			.start(this.loops, this.settings.readiness());
-		this.loop.execute(this::follow);
+		this.loop.execute(this::work);
 		logger.info(GatewayEvents.STARTED, this.settings.host(), this.settings.zone(), this.settings.clients(),
 				this.settings.readiness());
 	}
@@ -205,32 +158,11 @@
 						() -> this.strain.value())));
 	}
 
-	private void follow() {
-		EntrySettings.Bounds bounds = this.settings.bounds();
-		int wait = (int) (APPLY_PART * bounds.applyMillis());
-		follow(StoreTopic.operator(this.store), new OperatorRecords(this.updates),
-				() -> new FollowPace(wait, wait, 0, RETRY_MILLIS, LONGEST_RETRY_MILLIS));
-		int pause = (int) (LEAVING_PART * bounds.leavingMillis());
-		follow(StoreTopic.servers(this.store), new ServerRecords(this.updates),
-				() -> new FollowPace(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause, RETRY_MILLIS,
-						SERVERS_RETRY_MILLIS));
-		TopicFollower published = follow(this.statusTopic, this.statuses,
-				() -> this.rollouts.underWay() ? ROLLOUT_PACE : CRASH_PACE);
-		this.statuses.readNowWith(published::readNow);
+	private void work() {
+		this.reading.start(this.settings.bounds());
 		this.loop.scheduleAtFixedRate(this::tick, POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	// A call that waits for crashes would wait too long while a roll-out is under way.
-	private void renewStatuses() {
-		this.statusTopic.renewWaiting();
-	}
-
-	private TopicFollower follow(StoreTopic topic, RecordSink sink, Supplier<FollowPace> pace) {
-		TopicFollower follower = new TopicFollower(topic, sink, pace, this::later, System::nanoTime, this.storeWatch);
-		follower.start();
-		return follower;
-	}
-
 	private void later(Runnable work, long millis) {
 		this.loop.schedule(work, millis, TimeUnit.MILLISECONDS);
 	}
--- /dev/null
+++ b/entry/src/main/java/io/sequoialink/entry/StoreReading.java
@@ -0,0 +1,117 @@
+package io.sequoialink.entry;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.sequoialink.gateway.feed.FleetUpdates;
+import io.sequoialink.gateway.feed.FollowPace;
+import io.sequoialink.gateway.feed.LoopTimer;
+import io.sequoialink.gateway.feed.RecordSink;
+import io.sequoialink.gateway.feed.StoreWatch;
+import io.sequoialink.gateway.feed.TopicFollower;
+import io.sequoialink.platform.OperatorRecords;
+import io.sequoialink.platform.ServerRecords;
+import io.sequoialink.platform.StatusRecords;
+import io.sequoialink.platform.StoreConnections;
+import io.sequoialink.platform.StoreTopic;
+
+/**
+ * What a host reads of the platform's store, and how often: each call is paid for, and
+ * times to notice a change are bounds. Confined to the event loop.
+ */
+final class StoreReading {
+
+	/** Pause after a call to the store that failed, in milliseconds. */
+	private static final int RETRY_MILLIS = 300;
+
+	/**
+	 * Part of the time in which a configuration must be in force that the store may wait
+	 * for one: a call that was made while the store was slow may bring nothing.
+	 */
+	private static final double APPLY_PART = 0.7;
+
+	/**
+	 * How long the store may wait for servers, which write all the time, in milliseconds.
+	 */
+	private static final int SERVERS_WAIT_MILLIS = 500;
+
+	/**
+	 * Part of the time in which a leaving server must be noticed that may pass between
+	 * two reads.
+	 */
+	private static final double LEAVING_PART = 0.7;
+
+	/**
+	 * Longest such pause of the topic that is read most often; the others hear of the
+	 * store's return from it.
+	 */
+	private static final int SERVERS_RETRY_MILLIS = 600;
+
+	private static final int LONGEST_RETRY_MILLIS = 2400;
+
+	/**
+	 * All hosts publish while a roll-out is under way, so each reads what came together
+	 * in a while instead of one record after the other.
+	 */
+	private static final FollowPace ROLLOUT_PACE = new FollowPace(1000, 1000, 1500, RETRY_MILLIS, LONGEST_RETRY_MILLIS);
+
+	/**
+	 * At other times hosts publish only crashes: rare, and to be known within seconds.
+	 */
+	private static final FollowPace CRASH_PACE = new FollowPace(20_000, 2000, 300, RETRY_MILLIS, LONGEST_RETRY_MILLIS);
+
+	private final StoreConnections store;
+
+	private final FleetUpdates updates;
+
+	private final StatusRecords statuses;
+
+	private final BooleanSupplier rolloutUnderWay;
+
+	private final LoopTimer timer;
+
+	private final StoreWatch watch;
+
+	/**
+	 * Creates a reading that has not begun.
+	 * @param store connections to the store
+	 * @param updates takes what operator and servers wrote
+	 * @param statuses takes what hosts published
+	 * @param rolloutUnderWay whether what hosts publish matters now
+	 * @param timer runs work later
+	 * @param watch lets the followers know of the store's return
+	 */
+	StoreReading(StoreConnections store, FleetUpdates updates, StatusRecords statuses, BooleanSupplier rolloutUnderWay,
+			LoopTimer timer, StoreWatch watch) {
+		this.store = store;
+		this.updates = updates;
+		this.statuses = statuses;
+		this.rolloutUnderWay = rolloutUnderWay;
+		this.timer = timer;
+		this.watch = watch;
+	}
+
+	/**
+	 * Begins to read.
+	 * @param bounds times within which changes must be noticed
+	 */
+	void start(EntrySettings.Bounds bounds) {
+		int wait = (int) (APPLY_PART * bounds.applyMillis());
+		FollowPace operator = new FollowPace(wait, wait, 0, RETRY_MILLIS, LONGEST_RETRY_MILLIS);
+		follow(StoreTopic.operator(this.store), new OperatorRecords(this.updates), () -> operator);
+		int pause = (int) (LEAVING_PART * bounds.leavingMillis());
+		FollowPace servers = new FollowPace(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause, RETRY_MILLIS,
+				SERVERS_RETRY_MILLIS);
+		follow(StoreTopic.servers(this.store), new ServerRecords(this.updates), () -> servers);
+		TopicFollower published = follow(StoreTopic.statuses(this.store), this.statuses,
+				() -> this.rolloutUnderWay.getAsBoolean() ? ROLLOUT_PACE : CRASH_PACE);
+		this.statuses.readNowWith(published::readNow);
+	}
+
+	private TopicFollower follow(StoreTopic topic, RecordSink sink, Supplier<FollowPace> pace) {
+		TopicFollower follower = new TopicFollower(topic, sink, pace, this.timer, System::nanoTime, this.watch);
+		follower.start();
+		return follower;
+	}
+
+}
