Keep a session on its version from the end of its last request on

The rule counts a session's pause from the end of the request before; the host counted from its sending, so after a stream of 6 s a session of 8.5 s was taken for new and could move to the new version in the first half. Now events and the end of a request renew the session, unless a later request went to another version.

Ruled out: too few sessions remembered (20,000). Left: a session whose retry reaches another host is not known there.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -85,6 +85,10 @@
 		this.exchange.schedule(this::checkSilence, patience(this.expectedMillis));
 	}
 
+	ServerState server() {
+		return this.server;
+	}
+
 	String serverId() {
 		return this.server.entry().id();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -194,6 +194,13 @@
 				this.gateway.rollouts().share(service()), work, this.tried);
 	}
 
+	// A session lasts from the end of its last request on, not from its beginning.
+	private void sessionGoesOn() {
+		if (this.facts.session().isPresent()) {
+			this.gateway.rollouts().active(this.attempt.server().entry().version(), this.pinKey);
+		}
+	}
+
 	private boolean anotherServer() {
 		return this.gateway.choice()
 			.choose(wanted())
@@ -346,6 +353,7 @@
 			this.client.answerHead(status, ConnectionHeaders.without(headers));
 		}
 		lastId.ifPresent((id) -> this.lastEvent = id);
+		sessionGoesOn();
 		if (this.attempt.wellUnderWay()) {
 			this.suspicion.harmless();
 		}
@@ -432,6 +440,7 @@
 		String server = (this.attempt != null) ? this.attempt.serverLabel() : "none";
 		if (this.attempt != null) {
 			this.attempt.cancel();
+			sessionGoesOn();
 		}
 		dropFailure();
 		this.request.release();
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RecentSessions.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RecentSessions.java
@@ -31,6 +31,20 @@
 		this.sessions.put(session, new Last(version, nowNanos));
 	}
 
+	/**
+	 * Notes that a request goes on or has ended; a later one that went to another version
+	 * stands.
+	 * @param session hash of the session
+	 * @param version version that answers it
+	 * @param nowNanos monotonic time
+	 */
+	void active(long session, String version, long nowNanos) {
+		Last last = this.sessions.get(session);
+		if (last == null || last.version().equals(version)) {
+			sent(session, version, nowNanos);
+		}
+	}
+
 	/**
 	 * Finds the version of a session's last request.
 	 * @param session hash of the session
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -241,6 +241,16 @@
 		this.sessions.sent(pinKey, version, this.clock.getAsLong());
 	}
 
+	/**
+	 * Notes that a session's request goes on or has ended: the session lasts from then
+	 * on.
+	 * @param version version of the backend server
+	 * @param pinKey hash of the session
+	 */
+	public void active(String version, long pinKey) {
+		this.sessions.active(pinKey, version, this.clock.getAsLong());
+	}
+
 	/**
 	 * Notes an answer.
 	 * @param service service that answered
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
@@ -62,6 +62,10 @@
 
 	private int conflicts;
 
+	private long lastingNanos;
+
+	private final Deque<Ending> endings = new ArrayDeque<>();
+
 	RolloutFleet(long seed, int size, double badShare, double requestsPerSecond) {
 		this.random = new Random(seed);
 		this.badShare = badShare;
@@ -79,6 +83,14 @@
 		return this;
 	}
 
+	/**
+	 * Lets each request last for a while.
+	 */
+	RolloutFleet lasting(long millis) {
+		this.lastingNanos = millis * 1_000_000L;
+		return this;
+	}
+
 	int conflicts() {
 		return this.conflicts;
 	}
@@ -106,10 +118,18 @@
 			for (Host host : this.hosts) {
 				host.step();
 			}
+			this.endingsDue();
 			this.requestsDue();
 		}
 	}
 
+	private void endingsDue() {
+		while (!this.endings.isEmpty() && this.endings.peekFirst().at() <= this.now) {
+			Ending ending = this.endings.pollFirst();
+			ending.host().watch.active(ending.version(), ending.key());
+		}
+	}
+
 	private void requestsDue() {
 		double due = this.requestsPerStep;
 		while (due > this.random.nextDouble()) {
@@ -128,7 +148,8 @@
 		boolean target = group == VersionGroup.TARGET;
 		String version = target ? "v2" : "v1";
 		String before = this.sessionVersions.put(session, version);
-		Long last = this.sessionLast.put(session, this.now);
+		Long last = this.sessionLast.put(session, this.now + this.lastingNanos);
+		this.endings.addLast(new Ending(this.now + this.lastingNanos, host, version, key));
 		if (last != null && this.now - last < SESSION_NANOS) {
 			countMoves(before, version);
 		}
@@ -179,6 +200,10 @@
 		return this.hosts.get(index);
 	}
 
+	/** The end of a request. */
+	private record Ending(long at, Host host, String version, long key) {
+	}
+
 	/**
 	 * One host.
 	 */
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -29,6 +29,19 @@
 		assertThat(fleet.writes()).as("records in the store").isLessThan(120);
 	}
 
+	// A session goes on as long as its next request comes soon after the end of the one
+	// before, however long that took.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
+	void sessionsOfLongAnswersMoveOnceAndLate(long seed) {
+		RolloutFleet fleet = new RolloutFleet(seed, 8, 0.004, 45).lasting(7_000);
+		fleet.prepare(14_000);
+		fleet.order(DURATION);
+		fleet.run(23_500);
+		assertThat(fleet.movedBack()).isZero();
+		assertThat(fleet.movedEarly()).isLessThanOrEqualTo(3);
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "1, 0.33", "2, 0.33", "3, 0.5", "4, 0.5", "5, 0.37", "6, 0.52" })
 	void aBadVersionIsRolledBackWithinTheExposure(long seed, double badShare) {
