--- a/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LeastWorkChoice.java
@@ -16,9 +16,8 @@
  *
  * <p>
  * A few servers are drawn, so that hosts which read the same stale reports do not all
- * choose the same one; the owner of the prompt's shared part by rendezvous hashing, in
- * the own zone if it has servers, is always among them, so that the hosts of a zone agree
- * on where a part is kept without a message.
+ * choose the same one; the owner of the prompt's shared part by rendezvous hashing is
+ * always among them, so that hosts agree on where a part is kept without a message.
  */
 public final class LeastWorkChoice implements ServerChoice {
 
@@ -47,12 +46,6 @@
 	 */
 	private static final double OTHER_ZONE_MILLIS = 50;
 
-	/**
-	 * The same for engines, whose answers are long: a request that another zone would
-	 * begin somewhat sooner stays.
-	 */
-	private static final double OTHER_ZONE_ENGINE_MILLIS = 250;
-
 	/**
 	 * Share of a part's reading time that its owner is credited before it is known to
 	 * hold it.
@@ -93,8 +86,7 @@
 		if (candidates.isEmpty()) {
 			return Optional.empty();
 		}
-		List<ServerState> near = firstNonEmpty(keep(candidates, this::inZone), candidates);
-		ServerState owner = (request.work().sharedPart() != 0) ? owner(near, request.work().sharedPart()) : null;
+		ServerState owner = (request.work().sharedPart() != 0) ? owner(candidates, request.work().sharedPart()) : null;
 		ServerState best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (ServerState state : drawn(candidates, owner)) {
@@ -188,8 +180,7 @@
 		double load = state.load(now, REPORT_FADE_NANOS);
 		int slots = Math.max(1, state.entry().slots());
 		double full = Math.max(0, load + 1 - slots) / slots * FULL_MILLIS;
-		double elsewhere = work.engine() ? OTHER_ZONE_ENGINE_MILLIS : OTHER_ZONE_MILLIS;
-		double away = inZone(state) ? 0 : elsewhere;
+		double away = inZone(state) ? 0 : OTHER_ZONE_MILLIS;
 		double cost = full + away + state.entry().coldMillis() / 10.0;
 		if (!work.engine()) {
 			return cost + load / slots * FULL_MILLIS / 4;
