Soak: servers start again also in the calm at the end; innocent contents may not be blocked

The hosts' logs show NOT_CONNECTED to servers that never came back; no fault of the hosts. New check INNOCENT: only contents that crash servers may be told to stay away.

--- a/soak/src/main/java/io/sequoialink/soak/Client.java
+++ b/soak/src/main/java/io/sequoialink/soak/Client.java
@@ -25,6 +25,9 @@
 	/** Time beyond the route's own after which the client gives up, in milliseconds. */
 	private static final int PATIENCE_MILLIS = 1500;
 
+	/** A longer time is told only to contents that crash servers. */
+	private static final double LONGEST_RETRY_SECONDS = 10;
+
 	private final Ledger ledger;
 
 	private final Random random;
@@ -147,6 +150,9 @@
 			close();
 		}
 		double seconds = Double.parseDouble(head.header("retry-after").orElse("0"));
+		if (seconds > LONGEST_RETRY_SECONDS && !body.startsWith("poison")) {
+			this.ledger.broken("INNOCENT", asked.id, "told to stay away for " + seconds + " s");
+		}
 		return new Result(head.status(), true, (long) (1000 * seconds));
 	}
 
--- a/soak/src/main/java/io/sequoialink/soak/Soak.java
+++ b/soak/src/main/java/io/sequoialink/soak/Soak.java
@@ -27,6 +27,8 @@
 	 */
 	private static final int CALM_MILLIS = 7000;
 
+	private static final int TEND_MILLIS = 200;
+
 	/** Share of the last requests that must be served; servers fail and hang a few. */
 	private static final double SERVED_SHARE = 0.85;
 
@@ -71,12 +73,12 @@
 		startWorld();
 		Rotation rotation = new Rotation(this.hosts);
 		startClients(rotation);
+		Daemons.start("tend", this::tendServers);
 		Faults faults = new Faults(this.random.nextLong(), this.calm, this.store, this.hosts, this.servers);
 		long until = System.nanoTime() + Bounds.nanos(this.options.millis());
 		while (System.nanoTime() - until < 0) {
 			faults.next();
 			changeNowAndThen(rotation);
-			this.servers.tend();
 			Daemons.sleep(300 + this.random.nextInt(1200));
 		}
 		while (!faults.idle()) {
@@ -109,6 +111,14 @@
 		}
 	}
 
+	// Also in the calm at the end: what crashed starts again, as on the platform.
+	private void tendServers() {
+		while (this.running) {
+			this.servers.tend();
+			Daemons.sleep(TEND_MILLIS);
+		}
+	}
+
 	private void startClients(Rotation rotation) {
 		for (int i = 0; i < CLIENTS_OF_A_HOST * this.options.hosts(); i++) {
 			Client client = new Client(this.ledger, (i % 2 == 0) ? "acme" : "bolt", this.random.nextLong());
