Forget crashes after ten minutes also when no report arrives; split the roll-out watch

Cause: read anew, docs/EVENTS.md says that a content is refused until ten minutes after the last crash, but contents were only forgotten when another host's report was read; without one they were refused for ever.

Ruled out: a timer for each content.

Result: CrashWatchTests (new; the case at 601 s could not pass before, no call forgot anything) and all tests of gateway, platform and entry pass.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -84,6 +84,8 @@
 
 	private final RolloutWatch rollouts;
 
+	private final CrashWatch crashes;
+
 	private final FleetUpdates updates;
 
 	private final RepeatBudget budget;
@@ -113,8 +115,8 @@
 		StartGate gate = new StartGate();
 		// on an order, calls that wait for crashes only are made again with shorter waits
 		this.updates = new FleetUpdates(this.view, this.rollouts, this.store::renewReads, gate::open, System::nanoTime);
-		CrashWatch crashes = new CrashWatch(settings.host(), statuses, this::later, System::nanoTime);
-		statuses.readInto(this.updates, crashes::take);
+		this.crashes = new CrashWatch(settings.host(), statuses, this::later, System::nanoTime);
+		statuses.readInto(this.updates, this.crashes::take);
 		this.reading = new StoreReading(this.store, this.updates, statuses, this.rollouts::underWay, this::later,
 				new StoreWatch(this.counts.storeCalls()));
 		ServerTable servers = new ServerTable(this.view);
@@ -124,7 +126,7 @@
 		Gateway gateway = new Gateway(gate, this.view, servers,
 				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.strain, new WorkDensity(), this.rollouts,
-				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget, crashes,
+				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget, this.crashes,
 				this.counts, System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
@@ -170,6 +172,7 @@
 	private void tick() {
 		this.updates.sweep();
 		this.rollouts.tick();
+		this.crashes.tick();
 	}
 
 	private boolean ready() {
--- a/gateway/src/main/java/io/sequoialink/gateway/crash/CrashWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/CrashWatch.java
@@ -100,13 +100,21 @@
 	 * @param crashedNanos monotonic time of the crash
 	 */
 	public void crashed(long content, String server, long sentNanos, long crashedNanos) {
+		boolean before = blocked(content);
 		if (!this.reports.crashed(content, sentNanos, crashedNanos)) {
 			return;
 		}
 		logger.info(GatewayEvents.CONTENT_SUSPECT, Long.toHexString(content), server, crashes(content));
+		noteBlocked(content, before, this.host);
 		publishLater(PUBLISH_MILLIS);
 	}
 
+	private void noteBlocked(long content, boolean before, String reporter) {
+		if (!before && blocked(content)) {
+			logger.warn(GatewayEvents.CONTENT_BLOCKED, Long.toHexString(content), crashes(content), reporter);
+		}
+	}
+
 	/**
 	 * Takes a whole answer, which ends the suspicion against its content.
 	 * @param content hash of the request's content
@@ -125,12 +133,17 @@
 			boolean before = blocked(seen.content());
 			this.reports.reported(published.host(), seen.content(), seen.crashes(),
 					now - Math.max(0, seen.ageMillis()) * NANOS_PER_MILLI);
-			if (!before && blocked(seen.content())) {
-				logger.warn(GatewayEvents.CONTENT_BLOCKED, Long.toHexString(seen.content()), crashes(seen.content()),
-						published.host());
-			}
+			noteBlocked(seen.content(), before, published.host());
+		}
+	}
+
+	/**
+	 * Forgets contents that have long caused no crash. Called a few times a second.
+	 */
+	public void tick() {
+		if (any()) {
+			this.reports.expire(this.clock.getAsLong());
 		}
-		this.reports.expire(now);
 	}
 
 	private void publishLater(long millis) {
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -11,10 +10,8 @@
 import io.sequoialink.decision.rollout.CanarySchedule;
 import io.sequoialink.decision.rollout.RolloutSettings;
 import io.sequoialink.gateway.GatewayEvents;
-import io.sequoialink.gateway.feed.StoreFailure;
 import io.sequoialink.gateway.fleet.Found;
 import io.sequoialink.gateway.fleet.RolloutOrder;
-import io.sequoialink.gateway.fleet.RolloutState;
 import io.sequoialink.gateway.fleet.RolloutStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,31 +34,6 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
-	/**
-	 * Longest random delay before a state is written, so that of many hosts few write at
-	 * once.
-	 */
-	private static final long MAX_DELAY_NANOS = 1_500_000_000L;
-
-	/**
-	 * Time for a read before a state is written: other hosts write all the time, and a
-	 * state is written only if nothing was since the last read.
-	 */
-	private static final long REFRESH_NANOS = 60_000_000L;
-
-	private static final long EVIDENCE_PAUSE_NANOS = 400_000_000L;
-
-	/** Longest pause between two publications of answers of which none was bad. */
-	private static final long LONGEST_PAUSE_NANOS = 4_000_000_000L;
-
-	/** Hosts that may publish at the shortest pause without straining the store. */
-	private static final int SMALL_FLEET = 8;
-
-	/**
-	 * Answers of the new version after which a host publishes again though none was bad.
-	 */
-	private static final int EVIDENCE_STEP = 4;
-
 	private final String host;
 
 	private Options options;
@@ -76,7 +48,7 @@
 
 	private final RecentSessions sessions = new RecentSessions();
 
-	private final Map<String, Pending> pending = new HashMap<>();
+	private final Map<String, RolloutPublisher> publishers = new HashMap<>();
 
 	private final Map<String, Found<RolloutStatus>> statuses = new HashMap<>();
 
@@ -118,10 +90,11 @@
 		if (known != null && known.order().offset() >= order.offset()) {
 			return;
 		}
-		BadAnswerTest test = new BadAnswerTest(RolloutSettings.defaults());
-		this.canaries.put(order.value().service(), new Canary(this.host, order,
-				new CanarySchedule(this.options.permittedShare()), test, this.clock.getAsLong()));
-		this.pending.put(order.value().service(), new Pending());
+		Canary canary = new Canary(this.host, order, new CanarySchedule(this.options.permittedShare()),
+				new BadAnswerTest(RolloutSettings.defaults()), this.clock.getAsLong());
+		this.canaries.put(order.value().service(), canary);
+		this.publishers.put(order.value().service(),
+				new RolloutPublisher(canary, this.records, this.clock, this.random));
 		keepSessions(order.value());
 		logger.info(GatewayEvents.ROLLOUT_ORDERED, order.value().service(), order.value().target(),
 				order.value().durationMillis(), order.offset());
@@ -179,18 +152,7 @@
 		this.knownEnd = end;
 		long now = this.clock.getAsLong();
 		this.canaries.values().forEach((canary) -> canary.confirmed(now));
-		writeRefreshed(now);
-	}
-
-	// What waited for this read is written before the other hosts write more.
-	private void writeRefreshed(long now) {
-		this.canaries.forEach((service, canary) -> {
-			Pending work = this.pending.get(service);
-			if (work.refreshed && !canary.ended()) {
-				work.notBefore = now;
-				decide(canary, work, now);
-			}
-		});
+		this.publishers.values().forEach((publisher) -> publisher.wasRead(end));
 	}
 
 	/**
@@ -295,121 +257,20 @@
 	public void tick() {
 		for (Map.Entry<String, Canary> entry : this.canaries.entrySet()) {
 			if (!entry.getValue().ended()) {
-				tick(entry.getValue(), this.pending.get(entry.getKey()));
+				tick(entry.getValue(), this.publishers.get(entry.getKey()));
 			}
 		}
 	}
 
-	private void tick(Canary canary, Pending work) {
-		long now = this.clock.getAsLong();
+	private void tick(Canary canary, RolloutPublisher publisher) {
 		if (!canary.stopped() && canary.worse()) {
 			canary.stop();
 			logger.warn(GatewayEvents.ROLLOUT_STOPPED, canary.order().value().service(),
 					canary.order().value().target(), canary.ownEvidence().targetBad(),
 					canary.ownEvidence().targetAnswers());
 		}
-		publishEvidence(canary, work, now);
-		decide(canary, work, now);
-	}
-
-	private void decide(Canary canary, Pending work, long now) {
-		if (work.writing) {
-			return;
-		}
-		if (canary.stopped()) {
-			write(canary, work, RolloutState.ROLLED_BACK, now);
-		}
-		else if (canary.mayComplete(now)) {
-			write(canary, work, RolloutState.COMPLETED, now);
-		}
-		else if (!canary.published()) {
-			write(canary, work, RolloutState.ACTIVE, now);
-		}
-	}
-
-	private void publishEvidence(Canary canary, Pending work, long now) {
-		HostEvidence own = canary.ownEvidence();
-		boolean bad = own.targetBad() > work.publishedBad;
-		boolean kept = canary.ownKept() > work.publishedKept;
-		boolean news = bad || kept || own.targetAnswers() >= work.publishedAnswers + EVIDENCE_STEP;
-		if (!news || now - work.evidenceAt < evidencePause(bad || kept)) {
-			return;
-		}
-		work.publishedKept = canary.ownKept();
-		work.evidenceAt = now;
-		work.publishedBad = own.targetBad();
-		work.publishedAnswers = own.targetAnswers();
-		this.records.evidence(canary.publish(), (reply) -> reply.match((offset) -> {
-		}, (failure) -> {
-			work.publishedBad = -1;
-			work.publishedKept = 0;
-			logger.info(GatewayEvents.EVIDENCE_NOT_WRITTEN, canary.order().value().service(), failure.kind(),
-					failure.detail());
-		}));
-	}
-
-	// Many hosts see enough together though each says less often what went well.
-	private long evidencePause(boolean urgent) {
-		if (urgent) {
-			return EVIDENCE_PAUSE_NANOS;
-		}
-		return Math.min(LONGEST_PAUSE_NANOS, EVIDENCE_PAUSE_NANOS * Math.max(1, this.evidences.size() / SMALL_FLEET));
-	}
-
-	private void write(Canary canary, Pending work, RolloutState wanted, long now) {
-		if (work.wanted != wanted) {
-			work.wanted = wanted;
-			work.refreshed = false;
-			work.notBefore = now + this.random.nextLong(MAX_DELAY_NANOS);
-		}
-		if (now - work.notBefore < 0) {
-			return;
-		}
-		if (!work.refreshed) {
-			work.refreshed = true;
-			work.notBefore = now + REFRESH_NANOS;
-			this.records.readNow();
-			return;
-		}
-		work.refreshed = false;
-		work.writing = true;
-		RolloutOrder order = canary.order().value();
-		RolloutStatus status = new RolloutStatus(order.service(), order.target(), wanted, canary.order().offset(),
-				canary.ageNanos(now) / NANOS_PER_MILLI);
-		this.records.status(status, OptionalLong.of(this.knownEnd), (reply) -> {
-			work.writing = false;
-			work.notBefore = this.clock.getAsLong() + this.random.nextLong(MAX_DELAY_NANOS);
-			reply.match((offset) -> logger.info(GatewayEvents.ROLLOUT_WRITTEN, order.service(), order.target(), wanted,
-					offset), (failure) -> noteFailure(order, wanted, failure));
-		});
-	}
-
-	private static void noteFailure(RolloutOrder order, RolloutState wanted, StoreFailure failure) {
-		logger.info(GatewayEvents.ROLLOUT_NOT_WRITTEN, order.service(), order.target(), wanted, failure.kind(),
-				failure.detail());
-	}
-
-	/**
-	 * What this host is about to publish of one roll-out. Confined to its watch.
-	 */
-	private static final class Pending {
-
-		private RolloutState wanted;
-
-		private long notBefore;
-
-		private boolean writing;
-
-		private boolean refreshed;
-
-		private long evidenceAt;
-
-		private long publishedBad;
-
-		private int publishedKept;
-
-		private long publishedAnswers;
-
+		publisher.publishEvidence(this.evidences.size());
+		publisher.decide(this.knownEnd);
 	}
 
 	/**
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/crash/CrashWatchTests.java
@@ -0,0 +1,101 @@
+package io.sequoialink.gateway.crash;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.sequoialink.gateway.feed.StoreFailure;
+import io.sequoialink.gateway.feed.StoreReply;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashWatchTests {
+
+	private static final long CONTENT = 7;
+
+	private final List<HostCrashes> written = new ArrayList<>();
+
+	private final List<Consumer<StoreReply<Long>>> replies = new ArrayList<>();
+
+	private final Deque<Runnable> later = new ArrayDeque<>();
+
+	private long now = 1;
+
+	private final CrashWatch watch = new CrashWatch("h1", this::write, (work, millis) -> this.later.add(work),
+			() -> this.now);
+
+	private void write(HostCrashes crashes, Consumer<StoreReply<Long>> reply) {
+		this.written.add(crashes);
+		this.replies.add(reply);
+	}
+
+	private void crash(long atMillis) {
+		this.now = TimeUnit.MILLISECONDS.toNanos(atMillis);
+		this.watch.crashed(CONTENT, "i-1", this.now, this.now);
+	}
+
+	private void runLater() {
+		List<Runnable> due = List.copyOf(this.later);
+		this.later.clear();
+		due.forEach(Runnable::run);
+	}
+
+	@Test
+	void oneRecordTellsOfAllThatCrashedInAWhile() {
+		this.watch.crashed(1, "i-1", 0, 10);
+		this.watch.crashed(2, "i-1", 0, 10);
+		runLater();
+		assertThat(this.written).hasSize(1);
+		assertThat(this.written.get(0).contents()).extracting(ContentCrashes::content)
+			.containsExactlyInAnyOrder(1L, 2L);
+	}
+
+	@Test
+	void whatIsAnsweredMeanwhileIsNotPublished() {
+		crash(10);
+		this.watch.answered(CONTENT);
+		runLater();
+		assertThat(this.written).isEmpty();
+		assertThat(this.watch.any()).isFalse();
+	}
+
+	@Test
+	void aRecordThatCouldNotBeWrittenIsWrittenAgain() {
+		crash(10);
+		runLater();
+		this.replies.get(0).accept(StoreReply.failed(new StoreFailure(StoreFailure.Kind.REFUSED, "down")));
+		runLater();
+		assertThat(this.written).hasSize(2);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "599, true", "601, false" })
+	void aContentIsBlockedUntilTenMinutesAfterItsLastCrashWithoutAnyNewReport(long seconds, boolean blocked) {
+		crash(10);
+		crash(20);
+		crash(30);
+		assertThat(this.watch.blocked(CONTENT)).isTrue();
+		this.now += TimeUnit.SECONDS.toNanos(seconds);
+		this.watch.tick();
+		assertThat(this.watch.blocked(CONTENT)).isEqualTo(blocked);
+		assertThat(this.watch.any()).isEqualTo(blocked);
+	}
+
+	@Test
+	void manySuspicionsStayWithinOneSmallRecordAndTheWorstAreTold() {
+		for (int content = 100; content < 400; content++) {
+			this.watch.crashed(content, "i-1", 0, 10);
+		}
+		this.watch.crashed(250, "i-2", 20, 30);
+		runLater();
+		assertThat(this.written.get(0).contents()).hasSize(64);
+		assertThat(this.written.get(0).contents().get(0).content()).isEqualTo(250);
+	}
+
+}
