Let the tests of a whole host write its first records before it can read any

Cause: the host is ready once it has read configuration and servers; the test wrote the configuration first, so a host that read the empty topic of servers between the two writes was rightly ready without servers, and learnt of the server up to 1.9 s later. The test's order was wrong, not the host. Now the store turns the host away until both records stand; that a host without a configuration is not ready has a test of its own, so nothing is checked less.

--- a/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
@@ -39,6 +39,7 @@
 	@BeforeEach
 	void start() throws Exception {
 		this.store = new StandinStore();
+		this.store.fault(StandinStore.Fault.BUSY);
 		this.backend = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
 		this.backend.createContext("/", (exchange) -> {
 			exchange.getResponseHeaders().set("X-Sequoialink-Server-Seal", "s");
@@ -71,18 +72,25 @@
 	@Test
 	void theHostIsReadyOnceItKnowsConfigurationAndServersAndServesThen() throws Exception {
 		assertThat(ready()).isFalse();
-		configure(1, "/a/");
-		server("i-1", "ready");
-		within(APPLY_MILLIS, this::ready);
+		begin(1);
 		assertThat(get("/a/x")).isEqualTo(200);
 		assertThat(get("/b/x")).isEqualTo(404);
 	}
 
 	@Test
-	void whatTheHostDidStandsOnItsMetricsPage() throws Exception {
-		configure(7, "/a/");
+	void aHostThatKnowsNoConfigurationIsNotReady() {
 		server("i-1", "ready");
+		this.store.fault(StandinStore.Fault.NONE);
+		sleep(1500);
+		assertThat(ready()).isFalse();
+		configure(1, "/a/");
 		within(APPLY_MILLIS, this::ready);
+		assertThat(get("/a/x")).isEqualTo(200);
+	}
+
+	@Test
+	void whatTheHostDidStandsOnItsMetricsPage() throws Exception {
+		begin(7);
 		get("/a/x");
 		get("/b/x");
 		String page;
@@ -100,9 +108,7 @@
 
 	@Test
 	void aNewVersionIsInForceAndALeavingServerUnusedInTime() throws Exception {
-		configure(1, "/a/");
-		server("i-1", "ready");
-		within(APPLY_MILLIS, this::ready);
+		begin(1);
 		configure(2, "/b/");
 		within(APPLY_MILLIS, () -> get("/b/x") == 200);
 		assertThat(get("/a/x")).isEqualTo(404);
@@ -113,9 +119,7 @@
 	@ParameterizedTest
 	@EnumSource(value = StandinStore.Fault.class, names = { "NONE", "DEAF" }, mode = EnumSource.Mode.EXCLUDE)
 	void whileTheStoreFailsTheLastViewHoldsAndAfterItWhatWasMissedFollows(StandinStore.Fault fault) throws Exception {
-		configure(1, "/a/");
-		server("i-1", "ready");
-		within(APPLY_MILLIS, this::ready);
+		begin(1);
 		this.store.fault(fault);
 		sleep(1500);
 		assertThat(get("/a/x")).isEqualTo(200);
@@ -129,9 +133,7 @@
 	// whole time and brought no record that was written meanwhile.
 	@Test
 	void aCallThatBringsNothingDoesNotHoldUpAConfiguration() throws Exception {
-		configure(1, "/a/");
-		server("i-1", "ready");
-		within(APPLY_MILLIS, this::ready);
+		begin(1);
 		this.store.fault(StandinStore.Fault.DEAF);
 		configure(2, "/b/");
 		within(APPLY_MILLIS, () -> get("/b/x") == 200);
@@ -143,9 +145,7 @@
 
 	@Test
 	void aHistoryThatIsForgottenIsReadAnew() throws Exception {
-		configure(1, "/a/");
-		server("i-1", "ready");
-		within(APPLY_MILLIS, this::ready);
+		begin(1);
 		this.store.fault(StandinStore.Fault.BUSY);
 		sleep(400);
 		configure(2, "/b/");
@@ -157,11 +157,9 @@
 
 	@Test
 	void anEntryThatCannotBeReadIsSkippedAndTheOthersHold() throws Exception {
-		configure(1, "/a/");
-		server("i-1", "ready");
 		this.store.put("servers", "i-2", "{\"service\":7}");
 		this.store.put("servers", "i-3", "not json");
-		within(APPLY_MILLIS, this::ready);
+		begin(1);
 		this.store.put("op", "config", "{\"version\":\"x\"}");
 		sleep(200);
 		assertThat(get("/a/x")).isEqualTo(200);
@@ -171,15 +169,23 @@
 
 	@Test
 	void anOrderToRollOutIsTakenUpInTheStore() throws Exception {
-		configure(1, "/a/");
-		server("i-1", "ready");
-		within(APPLY_MILLIS, this::ready);
+		begin(1);
 		this.store.put("op", "rollout/svc", "{\"service\":\"svc\",\"target\":\"v2\",\"duration_s\":2}");
 		within(APPLY_MILLIS, () -> states().contains("active"));
 		server("i-2", "v2", "ready");
 		within(2 * APPLY_MILLIS, () -> get("/a/x") == 200 && states().contains("completed"));
 	}
 
+	// Writes a first configuration and a server before the host can read either, and
+	// waits
+	// until the host is ready.
+	private void begin(int version) {
+		configure(version, "/a/");
+		server("i-1", "ready");
+		this.store.fault(StandinStore.Fault.NONE);
+		within(APPLY_MILLIS, this::ready);
+	}
+
 	private String states() {
 		return String.join(" ", this.store.values("status", "rollout/svc"));
 	}
