Blame a request for crashes only with more evidence if others were always lost with it

Cause: in a soak a request was refused that had only been beside one which crashes servers, on three servers in a row. A content that never was the only loss of its host needs five crashes instead of three; a client attempt ends after two crashes, so what was beside it is answered at the client's next attempt and cleared.

--- a/decision/src/main/java/io/sequoialink/decision/crash/CrashReports.java
+++ b/decision/src/main/java/io/sequoialink/decision/crash/CrashReports.java
@@ -16,13 +16,23 @@
  * Invariants: a crash adds to this host's count only if its request was sent after the
  * crash that was counted before, so servers that crash together count once; reports of
  * several hosts count once if their crashes lie within {@link #TOGETHER_NANOS}; a whole
- * answer on this host ends every suspicion that is older.
+ * answer on this host ends every suspicion that is older; a content that is always lost
+ * together with others needs more crashes to be blocked, since the others may cause them.
  */
 public final class CrashReports {
 
-	/** Crashes after which a content is not run again. */
+	/**
+	 * Crashes after which a content is not run again, if it was the only request that its
+	 * host lost in one of them.
+	 */
 	public static final int LIMIT = 3;
 
+	/**
+	 * Crashes after which a content is not run again though others were always lost with
+	 * it.
+	 */
+	static final int LIMIT_IN_COMPANY = 5;
+
 	/** Crashes that different hosts saw within this time may be the same event. */
 	static final long TOGETHER_NANOS = 1_000_000_000L;
 
@@ -67,15 +77,16 @@
 	 * @param content hash of the request's content
 	 * @param sentNanos monotonic time at which the request was sent to the server
 	 * @param crashedNanos monotonic time of the crash
+	 * @param alone whether this host lost no other request with it
 	 * @return whether it was counted
 	 */
-	public boolean crashed(long content, long sentNanos, long crashedNanos) {
+	public boolean crashed(long content, long sentNanos, long crashedNanos, boolean alone) {
 		Report before = of(content).get(this.self);
 		if (before != null && sentNanos - before.atNanos < 0) {
 			return false;
 		}
-		int crashes = (before != null) ? before.crashes + 1 : 1;
-		of(content).put(this.self, new Report(crashes, crashedNanos));
+		Report known = (before != null) ? before : new Report(0, 0, crashedNanos);
+		of(content).put(this.self, new Report(known.crashes + 1, known.alone + (alone ? 1 : 0), crashedNanos));
 		return true;
 	}
 
@@ -83,16 +94,14 @@
 	 * Takes what a host reported, this one in an earlier life included.
 	 * @param host name of the host
 	 * @param content hash of the request's content
-	 * @param crashes crashes that the host counted
-	 * @param atNanos monotonic time of the last of them
+	 * @param report what the host counted
 	 */
-	public void reported(String host, long content, int crashes, long atNanos) {
+	public void reported(String host, long content, Report report) {
 		Long whole = this.answered.get(content);
-		if (whole != null && atNanos - whole <= 0) {
+		if (whole != null && report.atNanos - whole <= 0) {
 			return;
 		}
-		of(content).merge(host, new Report(crashes, atNanos),
-				(known, told) -> (told.crashes > known.crashes) ? told : known);
+		of(content).merge(host, report, (known, told) -> (told.crashes > known.crashes) ? told : known);
 	}
 
 	private Map<String, Report> of(long content) {
@@ -142,7 +151,12 @@
 	 * @return whether it crashed too many servers
 	 */
 	public boolean blocked(long content) {
-		return crashes(content) >= LIMIT;
+		int crashes = crashes(content);
+		return crashes >= LIMIT_IN_COMPANY || (crashes >= LIMIT && everAlone(content));
+	}
+
+	private boolean everAlone(long content) {
+		return this.reports.get(content).values().stream().anyMatch((report) -> report.alone > 0);
 	}
 
 	/**
@@ -179,9 +193,10 @@
 	 * Crashes that one host counted. Immutable.
 	 *
 	 * @param crashes number of crashes
+	 * @param alone how many of them took no other request of that host
 	 * @param atNanos monotonic time of the last of them
 	 */
-	public record Report(int crashes, long atNanos) {
+	public record Report(int crashes, int alone, long atNanos) {
 	}
 
 }
--- a/decision/src/test/java/io/sequoialink/decision/crash/CrashReportsTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/crash/CrashReportsTests.java
@@ -20,10 +20,10 @@
 
 	@Test
 	void oneRequestThatCrashesOneServerAfterTheOtherIsBlocked() {
-		assertThat(this.reports.crashed(CONTENT, millis(0), millis(10))).isTrue();
-		assertThat(this.reports.crashed(CONTENT, millis(11), millis(20))).isTrue();
+		assertThat(this.reports.crashed(CONTENT, millis(0), millis(10), true)).isTrue();
+		assertThat(this.reports.crashed(CONTENT, millis(11), millis(20), true)).isTrue();
 		assertThat(this.reports.blocked(CONTENT)).isFalse();
-		assertThat(this.reports.crashed(CONTENT, millis(21), millis(30))).isTrue();
+		assertThat(this.reports.crashed(CONTENT, millis(21), millis(30), true)).isTrue();
 		assertThat(this.reports.blocked(CONTENT)).isTrue();
 		assertThat(this.reports.blocked(CONTENT + 1)).isFalse();
 	}
@@ -31,20 +31,31 @@
 	@Test
 	void contentThatManyClientsAskForIsNotBlamedForServersThatCrashTogether() {
 		for (int i = 0; i < 20; i++) {
-			this.reports.crashed(CONTENT, millis(i), millis(100));
+			this.reports.crashed(CONTENT, millis(i), millis(100), false);
 		}
 		for (int host = 2; host < 90; host++) {
-			this.reports.reported("h" + host, CONTENT, 1, millis(100 + 7 * host));
+			this.reports.reported("h" + host, CONTENT, new CrashReports.Report(1, 1, millis(100 + 7 * host)));
 		}
 		assertThat(this.reports.crashes(CONTENT)).isEqualTo(1);
 	}
 
+	// In a soak a request was told to stay away that had been lost beside one which
+	// crashes servers, each time on the server that both were sent to next.
+	@ParameterizedTest
+	@CsvSource({ "3, false, false", "4, false, false", "5, false, true", "2, true, false", "3, true, true" })
+	void whatIsAlwaysLostInCompanyNeedsMoreCrashes(int crashes, boolean onceAlone, boolean blocked) {
+		for (int i = 0; i < crashes; i++) {
+			this.reports.crashed(CONTENT, millis(20 * i), millis(20 * i + 10), onceAlone && i == 1);
+		}
+		assertThat(this.reports.blocked(CONTENT)).isEqualTo(blocked);
+	}
+
 	@Test
 	void contentThatIsAnsweredBetweenCrashesIsNeverBlocked() {
 		for (int i = 0; i < 10; i++) {
-			this.reports.crashed(CONTENT, millis(1000 * i), millis(1000 * i + 10));
+			this.reports.crashed(CONTENT, millis(1000 * i), millis(1000 * i + 10), true);
 			this.reports.answered(CONTENT, millis(1000 * i + 500));
-			this.reports.reported("h2", CONTENT, 5, millis(1000 * i + 20));
+			this.reports.reported("h2", CONTENT, new CrashReports.Report(5, 1, millis(1000 * i + 20)));
 		}
 		assertThat(this.reports.any()).isFalse();
 	}
@@ -54,30 +65,30 @@
 			"2,0,2,5000,0,0,4" })
 	void crashesOfSeveralHostsAddUpUnlessTheyMayBeOneEvent(int first, long firstAt, int second, long secondAt,
 			int third, long thirdAt, int expected) {
-		this.reports.reported("h2", CONTENT, first, millis(firstAt));
-		this.reports.reported("h3", CONTENT, second, millis(secondAt));
-		this.reports.reported("h4", CONTENT, third, millis(thirdAt));
+		this.reports.reported("h2", CONTENT, new CrashReports.Report(first, 1, millis(firstAt)));
+		this.reports.reported("h3", CONTENT, new CrashReports.Report(second, 1, millis(secondAt)));
+		this.reports.reported("h4", CONTENT, new CrashReports.Report(third, 1, millis(thirdAt)));
 		assertThat(this.reports.crashes(CONTENT)).isEqualTo(expected);
 	}
 
 	@Test
 	void aHostThatStartedAgainGoesOnFromWhatItWrote() {
-		this.reports.reported("h1", CONTENT, 2, millis(0));
-		assertThat(this.reports.crashed(CONTENT, millis(10), millis(20))).isTrue();
+		this.reports.reported("h1", CONTENT, new CrashReports.Report(2, 1, millis(0)));
+		assertThat(this.reports.crashed(CONTENT, millis(10), millis(20), true)).isTrue();
 		assertThat(this.reports.own().get(CONTENT).crashes()).isEqualTo(3);
 	}
 
 	@Test
 	void anOlderReportDoesNotReplaceANewerOne() {
-		this.reports.reported("h2", CONTENT, 3, millis(50));
-		this.reports.reported("h2", CONTENT, 1, millis(20));
+		this.reports.reported("h2", CONTENT, new CrashReports.Report(3, 1, millis(50)));
+		this.reports.reported("h2", CONTENT, new CrashReports.Report(1, 1, millis(20)));
 		assertThat(this.reports.blocked(CONTENT)).isTrue();
 	}
 
 	@Test
 	void whatLongCausedNoCrashIsForgottenAndTheNumberOfContentsIsBounded() {
 		for (int content = 0; content < 5000; content++) {
-			this.reports.crashed(content, millis(0), millis(1));
+			this.reports.crashed(content, millis(0), millis(1), true);
 		}
 		assertThat(this.reports.own()).hasSizeLessThanOrEqualTo(512);
 		this.reports.expire(CrashReports.KEPT_NANOS + millis(2));
--- a/gateway/src/main/java/io/sequoialink/gateway/crash/CrashWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/CrashWatch.java
@@ -98,10 +98,11 @@
 	 * @param server identifier of the server
 	 * @param sentNanos monotonic time at which the request was sent there
 	 * @param crashedNanos monotonic time of the crash
+	 * @param alone whether this host lost no other request with it
 	 */
-	public void crashed(long content, String server, long sentNanos, long crashedNanos) {
+	public void crashed(long content, String server, long sentNanos, long crashedNanos, boolean alone) {
 		boolean before = blocked(content);
-		if (!this.reports.crashed(content, sentNanos, crashedNanos)) {
+		if (!this.reports.crashed(content, sentNanos, crashedNanos, alone)) {
 			return;
 		}
 		logger.info(GatewayEvents.CONTENT_SUSPECT, Long.toHexString(content), server, crashes(content));
@@ -131,8 +132,9 @@
 		long now = this.clock.getAsLong();
 		for (ContentCrashes seen : published.contents()) {
 			boolean before = blocked(seen.content());
-			this.reports.reported(published.host(), seen.content(), seen.crashes(),
-					now - Math.max(0, seen.ageMillis()) * NANOS_PER_MILLI);
+			long at = now - Math.max(0, seen.ageMillis()) * NANOS_PER_MILLI;
+			this.reports.reported(published.host(), seen.content(),
+					new CrashReports.Report(seen.crashes(), seen.alone(), at));
 			noteBlocked(seen.content(), before, published.host());
 		}
 	}
@@ -168,8 +170,8 @@
 		List<ContentCrashes> contents = new ArrayList<>();
 		for (Map.Entry<Long, CrashReports.Report> own : this.reports.own().entrySet()) {
 			CrashReports.Report report = own.getValue();
-			contents
-				.add(new ContentCrashes(own.getKey(), report.crashes(), (now - report.atNanos()) / NANOS_PER_MILLI));
+			contents.add(new ContentCrashes(own.getKey(), report.crashes(), report.alone(),
+					(now - report.atNanos()) / NANOS_PER_MILLI));
 		}
 		contents.sort(Comparator.comparingInt(ContentCrashes::crashes)
 			.reversed()
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ContentSuspicion.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ContentSuspicion.java
@@ -13,12 +13,17 @@
  */
 final class ContentSuspicion {
 
+	/** Sends of one client attempt that may end with a crash. */
+	private static final int MAX_CRASHED_SENDS = 2;
+
 	private final Gateway gateway;
 
 	private final ClientRequest request;
 
 	private final String account;
 
+	private int disconnects;
+
 	private boolean hashed;
 
 	private long content;
@@ -52,10 +57,22 @@
 	 * @param sentNanos monotonic time at which the request was sent there
 	 */
 	void disconnected(ServerState server, long sentNanos) {
+		this.disconnects++;
 		long suspect = content();
 		long lostNanos = this.gateway.clock().getAsLong();
 		this.gateway.pool()
-			.probe(server.entry(), () -> crashes().crashed(suspect, server.entry().id(), sentNanos, lostNanos));
+			.probe(server.entry(),
+					(lost) -> crashes().crashed(suspect, server.entry().id(), sentNanos, lostNanos, lost == 1));
+	}
+
+	/**
+	 * Returns whether the request has met crashes enough for one client attempt. What
+	 * crashes servers takes fewer with it, and what was only lost beside it is not blamed
+	 * for its next ones too.
+	 * @return whether it lost two servers, of which at least the first has crashed
+	 */
+	boolean enough() {
+		return this.disconnects >= MAX_CRASHED_SENDS && crashes().any() && crashes().crashes(content()) > 0;
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -280,7 +280,7 @@
 	 */
 	void broken(String why) {
 		this.reason = why;
-		perform(this.flow.broken(route().repeatable() && mayRepeat()));
+		perform(this.flow.broken(route().repeatable() && !this.suspicion.enough() && mayRepeat()));
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/crash/CrashWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/crash/CrashWatchTests.java
@@ -37,7 +37,7 @@
 
 	private void crash(long atMillis) {
 		this.now = TimeUnit.MILLISECONDS.toNanos(atMillis);
-		this.watch.crashed(CONTENT, "i-1", this.now, this.now);
+		this.watch.crashed(CONTENT, "i-1", this.now, this.now, true);
 	}
 
 	private void runLater() {
@@ -48,8 +48,8 @@
 
 	@Test
 	void oneRecordTellsOfAllThatCrashedInAWhile() {
-		this.watch.crashed(1, "i-1", 0, 10);
-		this.watch.crashed(2, "i-1", 0, 10);
+		this.watch.crashed(1, "i-1", 0, 10, false);
+		this.watch.crashed(2, "i-1", 0, 10, false);
 		runLater();
 		assertThat(this.written).hasSize(1);
 		assertThat(this.written.get(0).contents()).extracting(ContentCrashes::content)
@@ -90,9 +90,9 @@
 	@Test
 	void manySuspicionsStayWithinOneSmallRecordAndTheWorstAreTold() {
 		for (int content = 100; content < 400; content++) {
-			this.watch.crashed(content, "i-1", 0, 10);
+			this.watch.crashed(content, "i-1", 0, 10, false);
 		}
-		this.watch.crashed(250, "i-2", 20, 30);
+		this.watch.crashed(250, "i-2", 20, 30, false);
 		runLater();
 		assertThat(this.written.get(0).contents()).hasSize(64);
 		assertThat(this.written.get(0).contents().get(0).content()).isEqualTo(250);
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CrashingRequestTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CrashingRequestTests.java
@@ -56,6 +56,14 @@
 		}
 	}
 
+	@Test
+	void oneClientAttemptCrashesTwoServersAtMost() throws Exception {
+		try (GatewayFixture fixture = fleet()) {
+			assertThat(RawHttp.status(fixture.exchange("/stream/bad", ""))).isEqualTo(502);
+			assertThat(fixture.runs()).isLessThanOrEqualTo(2);
+		}
+	}
+
 	@Test
 	void otherRequestsAreServedBesideIt() throws Exception {
 		try (GatewayFixture fixture = fleet()) {
@@ -89,8 +97,8 @@
 			ContentCrashes own = fixture.published().get(0).contents().get(0);
 			assertThat(own.crashes()).isEqualTo(1);
 			fixture.onLoop(() -> {
-				fixture.crashes().take(new HostCrashes("h2", List.of(new ContentCrashes(own.content(), 1, 20_000))));
-				fixture.crashes().take(new HostCrashes("h3", List.of(new ContentCrashes(own.content(), 1, 10_000))));
+				fixture.crashes().take(new HostCrashes("h2", List.of(new ContentCrashes(own.content(), 1, 1, 20_000))));
+				fixture.crashes().take(new HostCrashes("h3", List.of(new ContentCrashes(own.content(), 1, 1, 10_000))));
 			});
 			assertThat(RawHttp.status(fixture.exchange("/once/bad", ""))).isEqualTo(503);
 			assertThat(fixture.runs()).isEqualTo(1);
