Hold the engines back until the stop has begun in the test of a graceful stop

The message came from the wait for 500 requests in flight: on a busy machine the first answers ended before the last request was sent. Engines now hold all answers until the host stops, so that all 500 are in flight at that moment on any machine; the message no longer names another wait. The bound, 500 requests and none cut off, is as before.

--- a/bench/src/main/java/io/sequoialink/bench/live/LiveFleet.java
+++ b/bench/src/main/java/io/sequoialink/bench/live/LiveFleet.java
@@ -207,7 +207,7 @@
 		try {
 			while (!condition.getAsBoolean()) {
 				if (System.nanoTime() > end) {
-					throw new FleetException("the fleet was not ready within " + READY_TIMEOUT, null);
+					throw new FleetException("what was waited for did not happen within " + READY_TIMEOUT, null);
 				}
 				Thread.sleep(POLL_MILLIS);
 			}
--- a/cli/src/test/java/io/sequoialink/cli/GracefulStopTests.java
+++ b/cli/src/test/java/io/sequoialink/cli/GracefulStopTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -13,6 +14,7 @@
 import io.sequoialink.daemon.host.EntryHost;
 import io.sequoialink.daemon.host.HostPolicies;
 import io.sequoialink.standin.EngineFault;
+import io.sequoialink.standin.StandinEngine;
 import io.sequoialink.standin.Standins;
 import org.junit.jupiter.api.Test;
 
@@ -26,7 +28,8 @@
 	void aStopCutsOffNoneOfFiveHundredRequestsInFlight() throws Exception {
 		Standins standins = Standins.of("magnolia").speed(0.4).capacity(128).start();
 		standins.engines().values().forEach((engine) -> engine.fault(EngineFault.SLOW, 1));
-		ExecutorService executor = Executors.newFixedThreadPool(REQUESTS);
+		standins.engines().values().forEach(StandinEngine::hold);
+		ExecutorService executor = Executors.newFixedThreadPool(REQUESTS + 1);
 		try (LiveFleet fleet = LiveFleet.start("magnolia", standins, 2, HostPolicies.DEFAULT, 1);
 				Caller caller = new Caller(fleet.hosts().get(0).httpPort())) {
 			EntryHost host = fleet.hosts().get(0);
@@ -36,7 +39,14 @@
 				replies.add(executor.submit(() -> send(caller, number)));
 			}
 			LiveFleet.await(() -> host.inProgress() == REQUESTS);
-			assertThat(host.stop()).isZero();
+			CountDownLatch stopping = new CountDownLatch(1);
+			Future<Integer> stopped = executor.submit(() -> {
+				stopping.countDown();
+				return host.stop();
+			});
+			stopping.await();
+			standins.engines().values().forEach(StandinEngine::release);
+			assertThat(stopped.get()).isZero();
 			for (Future<Caller.Reply> reply : replies) {
 				assertThat(reply.get().answered()).as(reply.get().text()).isTrue();
 			}
--- a/standin/src/main/java/io/sequoialink/standin/StandinEngine.java
+++ b/standin/src/main/java/io/sequoialink/standin/StandinEngine.java
@@ -58,6 +58,8 @@
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
+	private volatile CountDownLatch held = new CountDownLatch(0);
+
 	private long lastFencing = -1;
 
 	private volatile String role = "serve";
@@ -90,6 +92,20 @@
 		this.shares.put(fault, share);
 	}
 
+	/**
+	 * Holds back all answers from now on, before their first token.
+	 */
+	public void hold() {
+		this.held = new CountDownLatch(1);
+	}
+
+	/**
+	 * Lets the answers go that were held back.
+	 */
+	public void release() {
+		this.held.countDown();
+	}
+
 	/**
 	 * Sets the share of one version's runs that fail.
 	 * @param version the version
@@ -166,6 +182,7 @@
 				exchange.fail(500, "the run failed");
 				return;
 			}
+			this.held.await();
 			stream(exchange, request, run);
 		}
 		finally {
