--- a/cli/src/main/java/io/sequoialink/cli/Main.java
+++ b/cli/src/main/java/io/sequoialink/cli/Main.java
@@ -12,7 +12,7 @@
 		footerHeading = "%nExit codes: 0 done, 1 failed, 2 not accepted, 3 conflict with another operator.%n",
 		subcommands = { ServeCommand.class, DemoCommand.class, SettingsCommand.class, ConfigCommand.class,
 				VersionCommand.class, RolloutCommand.class, HostCommand.class, ExplainCommand.class, BillsCommand.class,
-				StandinsCommand.class, BenchCommand.class, SoakCommand.class, AutoComplete.GenerateCompletion.class })
+				StandinsCommand.class, BenchCommand.class, AutoComplete.GenerateCompletion.class })
 public final class Main implements Runnable {
 
 	private static final int USAGE_COLUMNS = 100;
--- a/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
@@ -1,12 +1,16 @@
 package io.sequoialink.entry;
 
 import java.io.IOException;
+import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.sequoialink.soak.StandinStore;
 import org.junit.jupiter.api.Test;
@@ -22,11 +26,14 @@
 	@TempDir
 	private Path directory;
 
-	private Process start(String settings) throws IOException {
+	private Process start(String settings, String... options) throws IOException {
 		Path file = Files.writeString(this.directory.resolve("settings.json"), settings);
-		return new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-				System.getProperty("java.class.path"), EntryMain.class.getName(), file.toString()))
-			.redirectErrorStream(true)
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		command.addAll(List.of(options));
+		command.addAll(List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
+		command.add(file.toString());
+		return new ProcessBuilder(command).redirectErrorStream(true)
 			.redirectOutput(this.directory.resolve("out").toFile())
 			.start();
 	}
@@ -34,12 +41,9 @@
 	@Test
 	void everyLineOfTheLogIsJsonFromTheStartToTheStop() throws Exception {
 		try (StandinStore store = new StandinStore()) {
-			Process process = start("{\"host\":\"h1\",\"zone\":\"a\",\"clients\":\"127.0.0.1:" + freePort()
-					+ "\",\"readiness\":\"127.0.0.1:" + freePort() + "\",\"store\":{\"address\":\"127.0.0.1:"
-					+ store.address().getPort() + "\"},\"bounds\":{\"stop_seconds\":4,\"leaving_millis\":2000,"
-					+ "\"apply_millis\":2000,\"repeat_ratio\":0.9,\"repeat_slack\":56,\"repeat_window_seconds\":10,"
-					+ "\"exposure_share\":0.15,\"exposure_slack\":30,\"session_seconds\":5}}");
-			Thread.sleep(2500);
+			int readiness = freePort();
+			Process process = start(settings(store, readiness));
+			within(() -> answers(readiness));
 			process.destroy();
 			assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
 			String text = Files.readString(this.directory.resolve("out"));
@@ -48,6 +52,56 @@
 		}
 	}
 
+	// Each class that is loaded at a start delays a restart.
+	@Test
+	void theLibraryOfMetricsIsLoadedOnlyWhenTheyAreAskedFor() throws Exception {
+		Path loaded = this.directory.resolve("loaded");
+		try (StandinStore store = new StandinStore()) {
+			int readiness = freePort();
+			Process process = start(settings(store, readiness), "-Xlog:class+load:file=" + loaded);
+			within(() -> answers(readiness));
+			assertThat(Files.readString(loaded)).contains("io.sequoialink.entry.EntryHost")
+				.doesNotContain("io.prometheus");
+			assertThat(status(readiness, "/metrics")).isEqualTo(200);
+			assertThat(Files.readString(loaded)).contains("io.prometheus");
+			process.destroyForcibly().waitFor();
+		}
+	}
+
+	private static String settings(StandinStore store, int readiness) throws IOException {
+		return "{\"host\":\"h1\",\"zone\":\"a\",\"clients\":\"127.0.0.1:" + freePort() + "\",\"readiness\":\"127.0.0.1:"
+				+ readiness + "\",\"store\":{\"address\":\"127.0.0.1:" + store.address().getPort()
+				+ "\"},\"bounds\":{\"stop_seconds\":4,\"leaving_millis\":2000,"
+				+ "\"apply_millis\":2000,\"repeat_ratio\":0.9,\"repeat_slack\":56,\"repeat_window_seconds\":10,"
+				+ "\"exposure_share\":0.15,\"exposure_slack\":30,\"session_seconds\":5}}";
+	}
+
+	private static boolean answers(int readiness) {
+		try {
+			return status(readiness, "/-/readiness") == 503;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	private static int status(int port, String path) throws IOException {
+		HttpURLConnection connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path)
+			.toURL()
+			.openConnection();
+		int status = connection.getResponseCode();
+		connection.disconnect();
+		return status;
+	}
+
+	private static void within(BooleanSupplier holds) throws InterruptedException {
+		long until = System.nanoTime() + 20_000_000_000L;
+		while (!holds.getAsBoolean()) {
+			assertThat(System.nanoTime()).isLessThan(until);
+			Thread.sleep(50);
+		}
+	}
+
 	@Test
 	void settingsThatCannotBeUsedEndTheProgramWithAllErrors() throws Exception {
 		Process process = start("{\"host\":7,\"zone\":\"a\"}");
--- a/soak/src/main/java/io/sequoialink/soak/Asked.java
+++ b/entry/src/test/java/io/sequoialink/soak/Asked.java
@@ -18,7 +18,7 @@
 
 	final String path;
 
-	final long sentNanos = System.nanoTime();
+	final long sentNanos;
 
 	final Set<String> servers = new HashSet<>();
 
@@ -28,12 +28,13 @@
 
 	long leftNanos;
 
-	Asked(String id, Kind kind, String account, String host, String path) {
+	Asked(String id, Kind kind, String account, String host, String path, long sentNanos) {
 		this.id = id;
 		this.kind = kind;
 		this.account = account;
 		this.host = host;
 		this.path = path;
+		this.sentNanos = sentNanos;
 	}
 
 	/** What may be repeated, and the service that runs it. */
--- a/soak/src/main/java/io/sequoialink/soak/BackendStandin.java
+++ b/entry/src/test/java/io/sequoialink/soak/BackendStandin.java
@@ -131,13 +131,13 @@
 	}
 
 	private void answer(Socket socket, InputStream in, HttpWire.Head head, String body) throws IOException {
-		String id = head.header("x-sequoialink-request-id").orElse("");
+		String id = head.header(Wire.REQUEST_ID).orElse("");
 		OutputStream out = socket.getOutputStream();
-		if (!head.header("x-sequoialink-expect-instance").equals(Optional.of(this.name))) {
+		if (!head.header(Wire.EXPECTED_SERVER).equals(Optional.of(this.name))) {
 			refuse(out, id, 421);
 			return;
 		}
-		checkLeaving(id);
+		this.ledger.reached(id, this.name, this.drainedNanos);
 		if (this.running.get() >= SLOTS) {
 			refuse(out, id, 503);
 			return;
@@ -157,21 +157,9 @@
 		}
 	}
 
-	private void checkLeaving(String id) {
-		long leaving = this.drainedNanos;
-		if (leaving == 0 || System.nanoTime() - leaving < Bounds.nanos(Bounds.LEAVING_MILLIS)) {
-			return;
-		}
-		long since = leaving - Bounds.nanos(Bounds.STABLE_MILLIS);
-		boolean bound = this.ledger.find(id).filter((asked) -> this.calm.since(asked.host, since)).isPresent();
-		if (bound && this.calm.since("store", since) && this.calm.since(this.name, since)) {
-			this.ledger.broken("DRAIN", id, "reached " + this.name + " after its time to leave");
-		}
-	}
-
 	private static void refuse(OutputStream out, String id, int status) throws IOException {
-		HttpWire.write(out, "HTTP/1.1 " + status + " X\r\nX-Sequoialink-Not-Executed: 1\r\n"
-				+ "X-Sequoialink-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+		HttpWire.write(out, "HTTP/1.1 " + status + " X\r\n" + Wire.NOT_EXECUTED + ": 1\r\n" + Wire.REQUEST_ID + ": "
+				+ id + "\r\nContent-Length: 0\r\n\r\n");
 	}
 
 	private void run(Socket socket, InputStream in, String id, HttpWire.Head head) throws IOException {
@@ -198,13 +186,13 @@
 	}
 
 	private static String head(String id, int status) {
-		return "HTTP/1.1 " + status + " X\r\nX-Sequoialink-Request-Id: " + id + "\r\nX-Sequoialink-Server-Seal: " + id
-				+ '/' + status + "\r\n";
+		return "HTTP/1.1 " + status + " X\r\n" + Wire.REQUEST_ID + ": " + id + "\r\n" + Wire.SEAL + ": " + id + '/'
+				+ status + "\r\n";
 	}
 
 	private void stream(Socket socket, InputStream in, String id, HttpWire.Head head) throws IOException {
 		OutputStream out = socket.getOutputStream();
-		int last = Integer.parseInt(head.header("last-event-id").orElse("0"));
+		int last = Integer.parseInt(head.header(Wire.LAST_EVENT).orElse("0"));
 		HttpWire.write(out, head(id, 200) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
 		for (int event = last + 1; event <= EVENTS; event++) {
 			String text = "id: " + event + "\ndata: " + ((event == EVENTS) ? "end" : "more") + "\n\n";
--- a/soak/src/main/java/io/sequoialink/soak/Calm.java
+++ b/entry/src/test/java/io/sequoialink/soak/Calm.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Which parts of the world were disturbed until when. Safe for threads.
@@ -12,13 +13,19 @@
 
 	private final Map<String, Long> ended = new HashMap<>();
 
+	private final LongSupplier clock;
+
+	Calm(LongSupplier clock) {
+		this.clock = clock;
+	}
+
 	synchronized void disturb(String name) {
 		this.active.merge(name, 1, Integer::sum);
 	}
 
 	synchronized void settle(String name) {
 		this.active.merge(name, -1, Integer::sum);
-		this.ended.put(name, System.nanoTime());
+		this.ended.put(name, this.clock.getAsLong());
 	}
 
 	/**
--- a/soak/src/main/java/io/sequoialink/soak/Client.java
+++ b/entry/src/test/java/io/sequoialink/soak/Client.java
@@ -8,7 +8,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -25,9 +24,6 @@
 	/** Time beyond the route's own after which the client gives up, in milliseconds. */
 	private static final int PATIENCE_MILLIS = 1500;
 
-	/** A longer time is told only to contents that crash servers. */
-	private static final double LONGEST_RETRY_SECONDS = 10;
-
 	private final Ledger ledger;
 
 	private final Random random;
@@ -91,7 +87,7 @@
 			return new Result(0, false, 100);
 		}
 		String id = "q" + IDS.incrementAndGet();
-		Asked asked = this.ledger.sent(new Asked(id, kind, this.account, this.host.name(), path));
+		Asked asked = this.ledger.sent(id, kind, this.account, this.host.name(), path);
 		try {
 			return exchange(asked, body);
 		}
@@ -126,33 +122,27 @@
 
 	private Result exchange(Asked asked, String body) throws IOException {
 		HttpWire.write(this.socket.getOutputStream(),
-				"POST " + asked.path + " HTTP/1.1\r\nHost: soak.example\r\n" + "X-Sequoialink-Request-Id: " + asked.id
-						+ "\r\nX-Sequoialink-Credential: key-" + this.account + "\r\nX-Sequoialink-Deadline-Ms: "
-						+ (Bounds.TIMEOUT_MILLIS + PATIENCE_MILLIS) + "\r\nX-Sequoialink-Hold: h1\r\nContent-Length: "
+				"POST " + asked.path + " HTTP/1.1\r\nHost: soak.example\r\n" + Wire.REQUEST_ID + ": " + asked.id
+						+ "\r\n" + Wire.CREDENTIAL + ": key-" + this.account + "\r\n" + Wire.DEADLINE + ": "
+						+ (Bounds.TIMEOUT_MILLIS + PATIENCE_MILLIS) + "\r\n" + Wire.HOLD + ": h1\r\nContent-Length: "
 						+ body.length() + "\r\n\r\n" + body);
 		if (this.random.nextInt(100) < 3 && leave(asked)) {
 			return new Result(-1, true, 0);
 		}
 		this.socket.setSoTimeout(Bounds.TIMEOUT_MILLIS + PATIENCE_MILLIS);
 		HttpWire.Head head = HttpWire.readHead(this.in).orElseThrow(EOFException::new);
-		check(asked, head);
+		double seconds = Double.parseDouble(head.header("retry-after").orElse("0"));
+		this.ledger.head(asked, head.status(), head.header(Wire.SEAL), seconds, !body.startsWith("poison"));
 		if (head.chunked()) {
 			readStream(asked);
 		}
 		else {
-			String text = HttpWire.readBody(this.in, head);
-			if (head.status() == 200 && !text.equals("answer to " + asked.id)) {
-				this.ledger.broken("MIXED", asked.id, "got the answer '" + text + "'");
-			}
+			this.ledger.body(asked, head.status(), HttpWire.readBody(this.in, head));
 		}
 		this.ledger.answered(asked, head.status());
 		if (head.last()) {
 			close();
 		}
-		double seconds = Double.parseDouble(head.header("retry-after").orElse("0"));
-		if (seconds > LONGEST_RETRY_SECONDS && !body.startsWith("poison")) {
-			this.ledger.broken("INNOCENT", asked.id, "told to stay away for " + seconds + " s");
-		}
 		return new Result(head.status(), true, (long) (1000 * seconds));
 	}
 
@@ -174,36 +164,14 @@
 		}
 	}
 
-	private void check(Asked asked, HttpWire.Head head) {
-		int status = head.status();
-		Optional<String> seal = head.header("x-sequoialink-server-seal");
-		boolean sealWrong = seal.isPresent() && !seal.get().equals(asked.id + '/' + status);
-		boolean sealMissing = status / 100 == 2 && seal.isEmpty();
-		if (sealWrong || sealMissing) {
-			this.ledger.broken("MIXED", asked.id, "status " + status + " with signature " + seal.orElse("none"));
-		}
-	}
-
 	private void readStream(Asked asked) throws IOException {
-		StringBuilder text = new StringBuilder();
-		int expected = 1;
+		StreamCheck check = new StreamCheck();
 		String chunk = HttpWire.readChunk(this.in);
 		while (!chunk.isEmpty()) {
-			text.append(chunk);
-			int end = text.indexOf("\n\n");
-			while (end >= 0) {
-				if (!text.substring(0, end).startsWith("id: " + expected + "\n")) {
-					this.ledger.broken("ORDER", asked.id, "event " + expected + " expected, got " + text);
-				}
-				expected++;
-				text.delete(0, end + 2);
-				end = text.indexOf("\n\n");
-			}
+			check.take(chunk);
 			chunk = HttpWire.readChunk(this.in);
 		}
-		if (expected != BackendStandin.EVENTS + 1 || text.length() > 0) {
-			this.ledger.broken("ORDER", asked.id, "ended as complete after event " + (expected - 1));
-		}
+		check.ended().ifPresent((fault) -> this.ledger.broken("ORDER", asked.id, fault));
 	}
 
 	void close() {
--- a/soak/src/main/java/io/sequoialink/soak/Faults.java
+++ b/entry/src/test/java/io/sequoialink/soak/Faults.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -48,7 +49,7 @@
 		int draw = this.random.nextInt(16);
 		int millis = 500 + this.random.nextInt(3500);
 		HostProcess host = this.hosts.get(this.random.nextInt(this.hosts.size()));
-		BackendStandin server = this.servers.pick(this.random);
+		Optional<BackendStandin> picked = this.servers.pick(this.random);
 		LinkProxy.Mode mode = LinkProxy.Mode.values()[1 + this.random.nextInt(4)];
 		StandinStore.Fault storeFault = StandinStore.Fault.values()[1 + this.random.nextInt(4)];
 		switch (draw) {
@@ -59,7 +60,13 @@
 			case 8, 9 -> onHost("store link " + mode, host, () -> link(host.storeLink(), mode, millis));
 			case 10 -> onStore(storeFault, millis);
 			case 11 -> begin("forget", "store history", this::forget);
-			case 12 -> begin("crash", server.name(), () -> this.servers.crash(server));
+			default -> picked.ifPresent((server) -> onServer(draw, server, mode, millis));
+		}
+	}
+
+	private void onServer(int draw, BackendStandin server, LinkProxy.Mode mode, int millis) {
+		switch (draw) {
+			case 12 -> begin("crash", server.name(), server::crash);
 			case 13 -> begin("drain", server.name(), () -> this.servers.drain(server));
 			case 14 -> onServer("mute", server, () -> mute(server, millis));
 			default -> onServer("link " + mode, server, () -> link(server.link(), mode, millis));
--- a/soak/src/main/java/io/sequoialink/soak/HostProcess.java
+++ b/entry/src/test/java/io/sequoialink/soak/HostProcess.java
@@ -8,6 +8,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -24,7 +25,7 @@
 
 	private final String name;
 
-	private final Path program;
+	private final List<String> program;
 
 	private final Path directory;
 
@@ -40,7 +41,7 @@
 
 	private boolean closed;
 
-	HostProcess(String name, Path program, Path directory, InetSocketAddress store) throws IOException {
+	HostProcess(String name, List<String> program, Path directory, InetSocketAddress store) throws IOException {
 		this.name = name;
 		this.program = program;
 		this.directory = directory;
@@ -73,10 +74,12 @@
 			return;
 		}
 		this.stopping = false;
-		this.process = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-				"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-jar", this.program.toString(),
-				settings.toString()))
-			.redirectErrorStream(true)
+		List<String> command = new ArrayList<>(
+				List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+						"-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k"));
+		command.addAll(this.program);
+		command.add(settings.toString());
+		this.process = new ProcessBuilder(command).redirectErrorStream(true)
 			.redirectOutput(ProcessBuilder.Redirect.appendTo(this.directory.resolve(this.name + ".log").toFile()))
 			.start();
 	}
--- a/soak/src/main/java/io/sequoialink/soak/Ledger.java
+++ b/entry/src/test/java/io/sequoialink/soak/Ledger.java
@@ -7,13 +7,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Keeps what callers sent and got and what servers ran, and checks each fact against the
- * promises as it arrives. Safe for threads.
+ * promises as it arrives. Keeps every request of the run. Safe for threads.
  */
 final class Ledger {
 
@@ -27,8 +28,16 @@
 	/** Late answers and late arrivals that are no fault yet. */
 	private static final int MANY_LATE = 8;
 
+	/** A longer time to stay away is told only to contents that crash servers. */
+	private static final double LONGEST_RETRY_SECONDS = 10;
+
+	/** Share of the last requests that must be served; servers fail and hang a few. */
+	private static final double SERVED_SHARE = 0.85;
+
 	private final Calm calm;
 
+	private final LongSupplier clock;
+
 	private final Map<String, Asked> asked = new HashMap<>();
 
 	private final Map<String, List<Long>> crashes = new HashMap<>();
@@ -37,12 +46,14 @@
 
 	private final List<Violation> violations = new ArrayList<>();
 
-	Ledger(Calm calm) {
+	Ledger(Calm calm, LongSupplier clock) {
 		this.calm = calm;
+		this.clock = clock;
 	}
 
-	synchronized Asked sent(Asked request) {
-		this.asked.put(request.id, request);
+	synchronized Asked sent(String id, Asked.Kind kind, String account, String host, String path) {
+		Asked request = new Asked(id, kind, account, host, path, this.clock.getAsLong());
+		this.asked.put(id, request);
 		count("sent");
 		return request;
 	}
@@ -89,19 +100,20 @@
 		count("crashed by content");
 		Asked request = this.asked.get(id);
 		List<Long> before = this.crashes.computeIfAbsent(content, (key) -> new ArrayList<>());
-		boolean late = before.size() >= 3 && System.nanoTime() - before.get(2) > Bounds.nanos(Bounds.STABLE_MILLIS);
+		boolean late = before.size() >= 3
+				&& this.clock.getAsLong() - before.get(2) > Bounds.nanos(Bounds.STABLE_MILLIS);
 		if (late && hostCalm(request.host, before.get(2)) && this.calm.since("store", before.get(2))) {
 			many("BUDGET", id, "'" + content + "' ran again after " + before.size() + " crashes");
 		}
-		before.add(System.nanoTime());
+		before.add(this.clock.getAsLong());
 	}
 
 	private void checkHeaders(Asked request, HttpWire.Head head) {
-		if (head.header("x-sequoialink-credential").isPresent() || head.header("x-sequoialink-hold").isPresent()) {
+		if (head.header(Wire.CREDENTIAL).isPresent() || head.header(Wire.HOLD).isPresent()) {
 			broken("UNASKED", request.id, "a key or a hold was passed on");
 		}
-		if (!head.header("x-sequoialink-tenant").equals(Optional.of(request.account))) {
-			broken("UNASKED", request.id, "account " + head.header("x-sequoialink-tenant"));
+		if (!head.header(Wire.ACCOUNT).equals(Optional.of(request.account))) {
+			broken("UNASKED", request.id, "account " + head.header(Wire.ACCOUNT));
 		}
 	}
 
@@ -119,8 +131,8 @@
 		}
 	}
 
-	private static boolean left(Asked request, long millis) {
-		return request.leftNanos != 0 && System.nanoTime() - request.leftNanos > Bounds.nanos(millis);
+	private boolean left(Asked request, long millis) {
+		return request.leftNanos != 0 && this.clock.getAsLong() - request.leftNanos > Bounds.nanos(millis);
 	}
 
 	private boolean hostCalm(String host, long sinceNanos) {
@@ -128,7 +140,7 @@
 	}
 
 	synchronized void left(Asked request) {
-		request.leftNanos = System.nanoTime();
+		request.leftNanos = this.clock.getAsLong();
 		count("left early");
 	}
 
@@ -154,7 +166,7 @@
 	synchronized void cut(Asked request, boolean stopping) {
 		count(stopping ? "cut while stopping" : "cut");
 		boolean serversCalm = request.servers.stream().allMatch((server) -> this.calm.since(server, request.sentNanos));
-		long waited = System.nanoTime() - request.sentNanos;
+		long waited = this.clock.getAsLong() - request.sentNanos;
 		boolean inTime = waited < Bounds.nanos(Bounds.TIMEOUT_MILLIS);
 		if (!serversCalm || !inTime || !hostCalm(request.host, request.sentNanos)) {
 			return;
@@ -168,7 +180,8 @@
 	}
 
 	private void checkTime(Asked request) {
-		long late = System.nanoTime() - request.sentNanos - Bounds.nanos(Bounds.TIMEOUT_MILLIS + Bounds.ANSWER_MILLIS);
+		long late = this.clock.getAsLong() - request.sentNanos
+				- Bounds.nanos(Bounds.TIMEOUT_MILLIS + Bounds.ANSWER_MILLIS);
 		if (late > 0 && hostCalm(request.host, request.sentNanos)) {
 			many("CONFIG", request.id, "answered " + late / 1_000_000 + " ms too late");
 		}
@@ -183,6 +196,78 @@
 		checkTime(request);
 	}
 
+	/**
+	 * The head of an answer has reached its client.
+	 * @param request the request
+	 * @param status status code
+	 * @param seal signature of the server, if there is one
+	 * @param retrySeconds time that the client is told to stay away, 0 for none
+	 * @param harmless whether the request's content crashes no server
+	 */
+	synchronized void head(Asked request, int status, Optional<String> seal, double retrySeconds, boolean harmless) {
+		boolean wrong = seal.isPresent() && !seal.get().equals(request.id + '/' + status);
+		boolean missing = status / 100 == 2 && seal.isEmpty();
+		if (wrong || missing) {
+			broken("MIXED", request.id, "status " + status + " with signature " + seal.orElse("none"));
+		}
+		if (harmless && retrySeconds > LONGEST_RETRY_SECONDS) {
+			broken("INNOCENT", request.id, "told to stay away for " + retrySeconds + " s");
+		}
+	}
+
+	/**
+	 * The whole body of an answer that is no stream has reached its client.
+	 * @param request the request
+	 * @param status status code
+	 * @param text the body
+	 */
+	synchronized void body(Asked request, int status, String text) {
+		if (status == 200 && !text.equals("answer to " + request.id)) {
+			broken("MIXED", request.id, "got the answer '" + text + "'");
+		}
+	}
+
+	/**
+	 * A request reaches a server.
+	 * @param id identifier of the request
+	 * @param server name of the server
+	 * @param leavingNanos monotonic time since which the store says that the server
+	 * leaves, 0 if it does not
+	 */
+	synchronized void reached(String id, String server, long leavingNanos) {
+		Asked request = this.asked.get(id);
+		boolean late = leavingNanos != 0 && this.clock.getAsLong() - leavingNanos > Bounds.nanos(Bounds.LEAVING_MILLIS);
+		if (late && request != null && hostCalm(request.host, leavingNanos) && hostCalm("store", leavingNanos)
+				&& hostCalm(server, leavingNanos)) {
+			broken("DRAIN", id, "reached " + server + " after its time to leave");
+		}
+	}
+
+	/**
+	 * A host was asked whether a change is in force, later than it had to be.
+	 * @param host name of the host
+	 * @param change the change
+	 * @param seen what the host answered
+	 */
+	synchronized void probed(String host, Operator.Change change, Probe seen) {
+		boolean bound = hostCalm(host, change.ackedNanos()) && hostCalm("store", change.ackedNanos());
+		if (bound && seen.contradicts(change)) {
+			broken("CONFIG", host, change + " answered with " + seen);
+		}
+	}
+
+	/**
+	 * Requests were sent in the calm at the end.
+	 * @param served how many were served
+	 * @param sent how many were sent
+	 */
+	synchronized void ended(int served, int sent) {
+		logger.info("served at the end: {} of {}", served, sent);
+		if (served < SERVED_SHARE * sent) {
+			broken("RECOVER", "end", served + " of " + sent + " served");
+		}
+	}
+
 	// Some rules allow a few cases.
 	private void many(String rule, String id, String detail) {
 		int seen = count(rule + " cases");
--- a/soak/src/main/java/io/sequoialink/soak/Rotation.java
+++ b/entry/src/test/java/io/sequoialink/soak/Rotation.java
@@ -16,6 +16,8 @@
 
 	private final Map<HostProcess, Integer> misses = new HashMap<>();
 
+	private volatile boolean running = true;
+
 	Rotation(List<HostProcess> hosts) {
 		this.hosts = hosts;
 		for (HostProcess host : hosts) {
@@ -24,7 +26,7 @@
 	}
 
 	private void ask(HostProcess host) {
-		while (!Thread.currentThread().isInterrupted()) {
+		while (this.running) {
 			boolean ready = host.ready();
 			synchronized (this) {
 				this.misses.merge(host, ready ? 0 : 1, (before, now) -> ready ? 0 : before + now);
@@ -33,6 +35,13 @@
 		}
 	}
 
+	/**
+	 * Asks no host any more.
+	 */
+	void stop() {
+		this.running = false;
+	}
+
 	synchronized HostProcess pick(Random random) {
 		List<HostProcess> in = new ArrayList<>(this.hosts);
 		in.removeIf((host) -> this.misses.getOrDefault(host, 0) >= 2);
--- a/soak/src/main/java/io/sequoialink/soak/Servers.java
+++ b/entry/src/test/java/io/sequoialink/soak/Servers.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 /**
@@ -44,32 +45,22 @@
 		}
 	}
 
-	synchronized BackendStandin pick(Random random) {
-		return this.running.get(random.nextInt(this.running.size()));
-	}
-
-	private synchronized void remove(BackendStandin server) {
-		this.running.remove(server);
-	}
-
 	/**
-	 * Ends a server without notice and starts another after a while.
-	 * @param server the server
+	 * Picks a server that runs.
+	 * @param random source of the draw
+	 * @return the server, empty if none runs
 	 */
-	void crash(BackendStandin server) {
-		server.crash();
-		replaceEnded(server);
+	synchronized Optional<BackendStandin> pick(Random random) {
+		List<BackendStandin> up = this.running.stream().filter((server) -> !server.ended()).toList();
+		return up.isEmpty() ? Optional.empty() : Optional.of(up.get(random.nextInt(up.size())));
 	}
 
-	private void replaceEnded(BackendStandin server) {
-		remove(server);
-		Daemons.sleep(GONE_MILLIS);
-		this.store.put("servers", server.name(), "");
-		add(server.service());
+	private synchronized void remove(BackendStandin server) {
+		this.running.remove(server);
 	}
 
 	/**
-	 * Replaces servers that a request's content has crashed.
+	 * Replaces servers that have crashed, in the background.
 	 */
 	void tend() {
 		List<BackendStandin> ended;
@@ -77,7 +68,13 @@
 			ended = this.running.stream().filter(BackendStandin::ended).toList();
 			this.running.removeAll(ended);
 		}
-		ended.forEach((server) -> Daemons.start("replace", () -> replaceEnded(server)));
+		ended.forEach((server) -> Daemons.start("replace", () -> replace(server)));
+	}
+
+	private void replace(BackendStandin ended) {
+		Daemons.sleep(GONE_MILLIS);
+		this.store.put("servers", ended.name(), "");
+		add(ended.service());
 	}
 
 	/**
--- a/soak/src/main/java/io/sequoialink/soak/Soak.java
+++ b/entry/src/test/java/io/sequoialink/soak/Soak.java
@@ -10,7 +10,9 @@
 
 /**
  * One run of the soak: hosts, servers, clients and disturbances, and the checks between
- * them. Confined to its thread.
+ * them. {@link #run()} and {@link #close()} belong to one thread; what they share with
+ * the threads of clients and disturbances is safe for these. No host outlives this
+ * process.
  */
 public final class Soak implements AutoCloseable {
 
@@ -27,16 +29,16 @@
 	 */
 	private static final int CALM_MILLIS = 7000;
 
-	private static final int TEND_MILLIS = 200;
+	/** Longest time of a client's last request with its retries, in milliseconds. */
+	private static final int CLIENT_MILLIS = 20_000;
 
-	/** Share of the last requests that must be served; servers fail and hang a few. */
-	private static final double SERVED_SHARE = 0.85;
+	private static final int TEND_MILLIS = 200;
 
 	private final SoakOptions options;
 
-	private final Calm calm = new Calm();
+	private final Calm calm = new Calm(System::nanoTime);
 
-	private final Ledger ledger = new Ledger(this.calm);
+	private final Ledger ledger = new Ledger(this.calm, System::nanoTime);
 
 	private final StandinStore store;
 
@@ -48,6 +50,10 @@
 
 	private final Random random;
 
+	private final List<Thread> threads = new CopyOnWriteArrayList<>();
+
+	private Rotation rotation;
+
 	private volatile boolean running = true;
 
 	/**
@@ -71,21 +77,21 @@
 	 */
 	public SoakReport run() throws IOException {
 		startWorld();
-		Rotation rotation = new Rotation(this.hosts);
-		startClients(rotation);
+		this.rotation = new Rotation(this.hosts);
+		startClients();
 		Daemons.start("tend", this::tendServers);
 		Faults faults = new Faults(this.random.nextLong(), this.calm, this.store, this.hosts, this.servers);
 		long until = System.nanoTime() + Bounds.nanos(this.options.millis());
 		while (System.nanoTime() - until < 0) {
 			faults.next();
-			changeNowAndThen(rotation);
+			changeNowAndThen();
 			Daemons.sleep(300 + this.random.nextInt(1200));
 		}
 		while (!faults.idle()) {
 			Daemons.sleep(100);
 		}
 		Daemons.sleep(CALM_MILLIS);
-		checkRecovery(rotation);
+		checkRecovery();
 		this.running = false;
 		return new SoakReport(this.options.seed(), this.ledger.counts(), this.ledger.violations());
 	}
@@ -105,7 +111,8 @@
 		long until = System.nanoTime() + Bounds.nanos(START_MILLIS);
 		while (!this.hosts.stream().allMatch(HostProcess::ready)) {
 			if (System.nanoTime() - until > 0) {
-				throw new IOException("the hosts are not ready after " + START_MILLIS + " ms");
+				throw new IOException("the hosts are not ready after " + START_MILLIS + " ms; their logs are in "
+						+ this.options.directory());
 			}
 			Daemons.sleep(100);
 		}
@@ -119,21 +126,21 @@
 		}
 	}
 
-	private void startClients(Rotation rotation) {
+	private void startClients() {
 		for (int i = 0; i < CLIENTS_OF_A_HOST * this.options.hosts(); i++) {
 			Client client = new Client(this.ledger, (i % 2 == 0) ? "acme" : "bolt", this.random.nextLong());
 			Random pauses = new Random(this.random.nextLong());
-			Daemons.start("client", () -> {
+			this.threads.add(Daemons.start("client", () -> {
 				while (this.running) {
-					client.ask(rotation);
+					client.ask(this.rotation);
 					Daemons.sleep(pauses.nextInt(40));
 				}
 				client.close();
-			});
+			}));
 		}
 	}
 
-	private void changeNowAndThen(Rotation rotation) {
+	private void changeNowAndThen() {
 		int draw = this.random.nextInt(12);
 		if (draw < 4) {
 			Operator.Change change = this.operator.change();
@@ -143,56 +150,53 @@
 		else if (draw == 4) {
 			Asked.Kind kind = this.random.nextBoolean() ? Asked.Kind.SAFE : Asked.Kind.ONCE;
 			long seed = this.random.nextLong();
-			Daemons.start("poison", () -> sendPoison(rotation, kind, seed));
+			Daemons.start("poison", () -> sendPoison(kind, seed));
 		}
 	}
 
 	// Asks every host that is bound by it whether a change is in force.
 	private void probe(Operator.Change change, long seed) {
 		Daemons.sleep(Bounds.APPLY_MILLIS + 50L);
-		long since = change.ackedNanos() - Bounds.nanos(Bounds.STABLE_MILLIS);
 		for (HostProcess host : this.hosts) {
-			Client client = new Client(this.ledger, "acme", seed);
-			Client extra = new Client(this.ledger, "extra", seed);
-			int added = client.attempt(host, Asked.Kind.SAFE, change.added() + "x", "probe", true).status();
-			int dropped = client.attempt(host, Asked.Kind.SAFE, change.dropped() + "x", "probe", true).status();
-			int key = extra.attempt(host, Asked.Kind.SAFE, "/safe/x", "probe", true).status();
-			client.close();
-			extra.close();
-			boolean newer = !change.equals(this.operator.last());
-			boolean wrong = added == 404 || (dropped != 404 && dropped != 0) || (key == 401) == change.extraKey();
-			if (!newer && key != 0 && wrong && !host.stopping() && this.calm.since(host.name(), since)
-					&& this.calm.since("store", since)) {
-				this.ledger.broken("CONFIG", host.name(),
-						change + " answered with " + added + ", " + dropped + ", " + key);
+			Probe seen = ask(host, change, seed);
+			if (change.equals(this.operator.last()) && !host.stopping()) {
+				this.ledger.probed(host.name(), change, seen);
 			}
 		}
 	}
 
-	private void sendPoison(Rotation rotation, Asked.Kind kind, long seed) {
+	private Probe ask(HostProcess host, Operator.Change change, long seed) {
+		Client client = new Client(this.ledger, "acme", seed);
+		Client extra = new Client(this.ledger, "extra", seed);
+		int added = client.attempt(host, Asked.Kind.SAFE, change.added() + "x", "probe", true).status();
+		int dropped = client.attempt(host, Asked.Kind.SAFE, change.dropped() + "x", "probe", true).status();
+		int key = extra.attempt(host, Asked.Kind.SAFE, "/safe/x", "probe", true).status();
+		client.close();
+		extra.close();
+		return new Probe(added, dropped, key);
+	}
+
+	private void sendPoison(Asked.Kind kind, long seed) {
 		Client client = new Client(this.ledger, "acme", seed);
 		String path = "/" + kind.name().toLowerCase(java.util.Locale.ROOT) + "/poison";
 		for (int i = 0; i < 12 && this.running; i++) {
-			client.ask(rotation, kind, path, "poison " + seed);
+			client.ask(this.rotation, kind, path, "poison " + seed);
 			Daemons.sleep(700);
 		}
 		client.close();
 	}
 
-	private void checkRecovery(Rotation rotation) {
+	private void checkRecovery() {
 		Client client = new Client(this.ledger, "acme", this.random.nextLong());
 		int served = 0;
 		int asked = 40;
 		for (int i = 0; i < asked; i++) {
-			Client.Result result = client.attempt(rotation.pick(this.random), Asked.Kind.SAFE, "/safe/end", "end",
+			Client.Result result = client.attempt(this.rotation.pick(this.random), Asked.Kind.SAFE, "/safe/end", "end",
 					true);
 			served += (result.status() == 200 || result.status() == -1) ? 1 : 0;
 		}
 		client.close();
-		logger.info("served at the end: {} of {}", served, asked);
-		if (served < SERVED_SHARE * asked) {
-			this.ledger.broken("RECOVER", "end", served + " of " + asked + " served");
-		}
+		this.ledger.ended(served, asked);
 	}
 
 	// Also when this process is asked to end: no host outlives it.
@@ -208,9 +212,25 @@
 		}
 	}
 
+	// Their last requests end before the hosts do, and are judged like the others.
+	private void awaitClients() {
+		try {
+			for (Thread client : this.threads) {
+				client.join(CLIENT_MILLIS);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.running = false;
+		if (this.rotation != null) {
+			this.rotation.stop();
+		}
+		awaitClients();
 		closeHosts();
 		this.servers.close();
 		this.store.close();
--- a/cli/src/main/java/io/sequoialink/cli/SoakCommand.java
+++ b/entry/src/test/java/io/sequoialink/soak/SoakCommand.java
@@ -1,25 +1,23 @@
-package io.sequoialink.cli;
+package io.sequoialink.soak;
 
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 
-import io.sequoialink.soak.Soak;
-import io.sequoialink.soak.SoakOptions;
-import io.sequoialink.soak.SoakReport;
 import picocli.CommandLine;
 
 /**
  * Runs entry hosts under disturbances and checks the promises. Confined to the main
  * thread. Exits with 1 when a promise was broken.
  */
-@CommandLine.Command(name = "soak", mixinStandardHelpOptions = true,
+@CommandLine.Command(name = "sequoialink soak", mixinStandardHelpOptions = true,
 		description = { "Runs entry hosts as processes under disturbances and checks the promises meanwhile.",
 				"Ends only processes that it started. The seed fixes the draws; times depend on the machine." },
 		footer = { "", "Examples:", "  sequoialink soak --seed 7 --minutes 2", "  sequoialink soak --processes 8" })
-final class SoakCommand implements Callable<Integer> {
+public final class SoakCommand implements Callable<Integer> {
 
 	private static final int MAX_PROCESSES = 100;
 
@@ -45,13 +43,21 @@
 	@CommandLine.Option(names = "--output", paramLabel = "DIR", description = "keep settings and logs of the hosts")
 	private Path output;
 
+	/**
+	 * Runs the soak.
+	 * @param arguments the options
+	 */
+	public static void main(String[] arguments) {
+		System.exit(new CommandLine(new SoakCommand()).execute(arguments));
+	}
+
 	@Override
 	public Integer call() throws IOException {
 		checkOptions();
 		Path directory = (this.output != null) ? Files.createDirectories(this.output)
 				: Files.createTempDirectory("sequoialink-soak");
 		SoakOptions options = new SoakOptions(this.seed, (long) (this.minutes * MILLIS_OF_A_MINUTE), this.processes,
-				this.program.toAbsolutePath(), directory.toAbsolutePath());
+				List.of("-jar", this.program.toAbsolutePath().toString()), directory.toAbsolutePath());
 		try (Soak soak = new Soak(options)) {
 			return report(soak.run());
 		}
@@ -72,7 +78,7 @@
 		out.println("seed " + report.seed() + ": "
 				+ (report.violations().isEmpty() ? "all promises held" : "promises were broken"));
 		out.flush();
-		return report.violations().isEmpty() ? ExitCodes.OK : ExitCodes.FAILED;
+		return report.violations().isEmpty() ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
 	}
 
 }
