Listen before anything else is loaded, archive what a rehearsed start links

The age of a topic that was never read counts from the start (the log told of outages as long as the machine was up).

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -1,5 +1,7 @@
 package io.sequoialink.entry;
 
+import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -22,6 +24,7 @@
 import io.sequoialink.gateway.http.BackendPool;
 import io.sequoialink.gateway.http.FrontServer;
 import io.sequoialink.gateway.http.Gateway;
+import io.sequoialink.gateway.http.ListeningSocket;
 import io.sequoialink.gateway.http.ReadinessServer;
 import io.sequoialink.gateway.http.StartGate;
 import io.sequoialink.gateway.place.LeastWorkChoice;
@@ -133,10 +136,20 @@
 
 	/**
 	 * Starts to read the platform's store and to serve.
+	 * @throws IOException if clients' address can't be used
 	 * @throws InterruptedException if interrupted while sockets are bound
 	 */
-	public void start() throws InterruptedException {
-		this.front.start(this.loops, this.settings.clients());
+	public void start() throws IOException, InterruptedException {
+		start(ListeningSocket.open(this.settings.clients()));
+	}
+
+	/**
+	 * Starts to read the platform's store and to serve.
+	 * @param clients socket on which clients connect already; from now on this host's
+	 * @throws InterruptedException if interrupted while sockets are bound
+	 */
+	void start(ServerSocketChannel clients) throws InterruptedException {
+		this.front.start(this.loops, clients);
 		new ReadinessServer(new HeaderDialect().readinessPath(), this::ready, Map.of(METRICS_PATH, metrics()::text))
 			.start(this.loops, this.settings.readiness());
 		this.loop.execute(this::work);
--- a/entry/src/main/java/io/sequoialink/entry/EntryMain.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryMain.java
@@ -1,7 +1,13 @@
 package io.sequoialink.entry;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
 
+import io.sequoialink.gateway.http.ListeningSocket;
 import io.sequoialink.platform.ProcessEnvironment;
 import sun.misc.Signal;
 
@@ -11,8 +17,14 @@
  */
 public final class EntryMain {
 
-	/** Loads the classes of a start and ends, for the build's archive of classes. */
-	private static final String LOAD_CLASSES = "--load-classes";
+	/**
+	 * Followed by clients' address, so that connections can wait for the rest of the
+	 * start.
+	 */
+	private static final String LISTEN = "--listen";
+
+	/** Starts a host on loopback and ends, for the build's archive of classes. */
+	private static final String REHEARSE = "--rehearse";
 
 	/** Longest time to write the last lines of the log, in milliseconds. */
 	private static final long LOG_FLUSH_MILLIS = 100;
@@ -24,31 +36,22 @@
 
 	/**
 	 * Starts the host and returns; the event loop keeps the process alive.
-	 * @param arguments path of the settings file, unless the environment names it
+	 * @param arguments {@code --listen IP:PORT}, if clients' address is to be used before
+	 * the settings are read; then the path of the settings file, unless the environment
+	 * names it
 	 * @throws InterruptedException if interrupted while sockets are bound
+	 * @throws IOException if clients' address can't be used
 	 */
-	public static void main(String[] arguments) throws InterruptedException {
-		if (arguments.length == 1 && arguments[0].equals(LOAD_CLASSES)) {
-			System.out.println(StartupClasses.load() + " classes loaded");
+	public static void main(String[] arguments) throws InterruptedException, IOException {
+		if (arguments.length == 1 && arguments[0].equals(REHEARSE)) {
+			Rehearsal.run();
 			return;
 		}
+		boolean listens = arguments.length > 1 && arguments[0].equals(LISTEN);
+		ServerSocketChannel early = listens ? early(arguments[1]) : null;
 		LogSetup.quiet();
-		String named = System.getenv(ProcessEnvironment.SETTINGS_FILE);
-		String file = (arguments.length > 0) ? arguments[0] : named;
-		if (file == null) {
-			System.err.println("no settings file: name it as argument or in " + ProcessEnvironment.SETTINGS_FILE);
-			System.exit(INVALID_SETTINGS);
-			return;
-		}
 		try {
-			EntrySettings settings = SettingsReader.read(Path.of(file));
-			LogQueue log = LogSetup.configure(settings.host());
-			EntryHost host = new EntryHost(settings);
-			host.start();
-			SettingsWatch watch = new SettingsWatch(Path.of(file), host::apply);
-			host.every(SettingsWatch.PERIOD_MILLIS, watch::check);
-			Signal.handle(new Signal("HUP"), (signal) -> host.execute(watch::reload));
-			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(host, log), "stop"));
+			start(settingsFile(arguments, listens ? 2 : 0), early);
 		}
 		catch (SettingsException ex) {
 			ex.errors().forEach(System.err::println);
@@ -56,6 +59,45 @@
 		}
 	}
 
+	// An address that can't be used is reported with the settings, which state it too.
+	private static ServerSocketChannel early(String address) throws IOException {
+		Optional<InetSocketAddress> parsed = SocketAddresses.parse(address);
+		return parsed.isPresent() ? ListeningSocket.open(parsed.get()) : null;
+	}
+
+	private static Path settingsFile(String[] arguments, int index) throws SettingsException {
+		String named = System.getenv(ProcessEnvironment.SETTINGS_FILE);
+		String file = (arguments.length > index) ? arguments[index] : named;
+		if (file == null) {
+			throw new SettingsException(
+					List.of("no settings file: name it as argument or in " + ProcessEnvironment.SETTINGS_FILE));
+		}
+		return Path.of(file);
+	}
+
+	private static void start(Path file, ServerSocketChannel early)
+			throws SettingsException, IOException, InterruptedException {
+		EntrySettings settings = SettingsReader.read(file);
+		LogQueue log = LogSetup.configure(settings.host());
+		EntryHost host = new EntryHost(settings);
+		host.start(clients(settings, early));
+		SettingsWatch watch = new SettingsWatch(file, host::apply);
+		host.every(SettingsWatch.PERIOD_MILLIS, watch::check);
+		Signal.handle(new Signal("HUP"), (signal) -> host.execute(watch::reload));
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(host, log), "stop"));
+	}
+
+	// The settings decide where clients connect.
+	private static ServerSocketChannel clients(EntrySettings settings, ServerSocketChannel early) throws IOException {
+		if (early != null && early.getLocalAddress().equals(settings.clients())) {
+			return early;
+		}
+		if (early != null) {
+			early.close();
+		}
+		return ListeningSocket.open(settings.clients());
+	}
+
 	private static void stop(EntryHost host, LogQueue log) {
 		host.stop();
 		log.flush(LOG_FLUSH_MILLIS);
--- a/entry/src/main/java/io/sequoialink/entry/SettingsReader.java
+++ b/entry/src/main/java/io/sequoialink/entry/SettingsReader.java
@@ -9,7 +9,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.netty.util.NetUtil;
 
 /**
  * Reads and checks the settings file. All errors are collected, so that one look mends
@@ -21,8 +20,6 @@
 
 	private static final long MILLIS_PER_SECOND = 1000;
 
-	private static final int MAX_PORT = 65535;
-
 	private final Path file;
 
 	private final List<String> errors = new ArrayList<>();
@@ -96,25 +93,11 @@
 	}
 
 	private InetSocketAddress address(JsonNode root, String field) {
-		String text = at(root, field).asText();
-		int colon = text.lastIndexOf(':');
-		var host = (colon > 0) ? NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon)) : null;
-		int port = (colon > 0) ? port(text.substring(colon + 1)) : -1;
-		if (host == null || port < 0) {
-			error(field, at(root, field), "an IP address and a port, as 10.0.0.1:8080");
+		JsonNode value = at(root, field);
+		return SocketAddresses.parse(value.asText()).orElseGet(() -> {
+			error(field, value, "an IP address and a port, as 10.0.0.1:8080");
 			return InetSocketAddress.createUnresolved("unknown", 0);
-		}
-		return new InetSocketAddress(host, port);
-	}
-
-	private static int port(String text) {
-		try {
-			int port = Integer.parseInt(text);
-			return (port > 0 && port <= MAX_PORT) ? port : -1;
-		}
-		catch (NumberFormatException ex) {
-			return -1;
-		}
+		});
 	}
 
 	private void error(String field, JsonNode value, String accepted) {
--- a/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
@@ -4,6 +4,7 @@
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -28,11 +29,19 @@
 
 	private Process start(String settings, String... options) throws IOException {
 		Path file = Files.writeString(this.directory.resolve("settings.json"), settings);
+		return java(List.of(options), file.toString());
+	}
+
+	private Process java(String... arguments) throws IOException {
+		return java(List.of(), arguments);
+	}
+
+	private Process java(List<String> options, String... arguments) throws IOException {
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-		command.addAll(List.of(options));
+		command.addAll(options);
 		command.addAll(List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
-		command.add(file.toString());
+		command.addAll(List.of(arguments));
 		return new ProcessBuilder(command).redirectErrorStream(true)
 			.redirectOutput(this.directory.resolve("out").toFile())
 			.start();
@@ -68,8 +77,41 @@
 		}
 	}
 
+	// After a herd of hosts was killed, clients that retry at once were refused until all
+	// classes were loaded.
+	@Test
+	void clientsCanConnectBeforeTheSettingsAreRead() throws Exception {
+		Path settings = this.directory.resolve("pipe");
+		assertThat(new ProcessBuilder("mkfifo", settings.toString()).start().waitFor()).isZero();
+		int clients = freePort();
+		Process process = java("--listen", "127.0.0.1:" + clients, settings.toString());
+		try (StandinStore store = new StandinStore()) {
+			within(() -> connects(clients));
+			int readiness = freePort();
+			Files.writeString(settings, settings(store, clients, readiness));
+			within(() -> answers(readiness));
+			assertThat(status(clients, "/none")).isEqualTo(503);
+		}
+		finally {
+			process.destroyForcibly().waitFor();
+		}
+	}
+
+	private static boolean connects(int port) {
+		try (Socket socket = new Socket("127.0.0.1", port)) {
+			return socket.isConnected();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	private static String settings(StandinStore store, int readiness) throws IOException {
-		return "{\"host\":\"h1\",\"zone\":\"a\",\"clients\":\"127.0.0.1:" + freePort() + "\",\"readiness\":\"127.0.0.1:"
+		return settings(store, freePort(), readiness);
+	}
+
+	private static String settings(StandinStore store, int clients, int readiness) {
+		return "{\"host\":\"h1\",\"zone\":\"a\",\"clients\":\"127.0.0.1:" + clients + "\",\"readiness\":\"127.0.0.1:"
 				+ readiness + "\",\"store\":{\"address\":\"127.0.0.1:" + store.address().getPort()
 				+ "\"},\"bounds\":{\"stop_seconds\":4,\"leaving_millis\":2000,"
 				+ "\"apply_millis\":2000,\"repeat_ratio\":0.9,\"repeat_slack\":56,\"repeat_window_seconds\":10,"
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -95,6 +95,7 @@
 	 * Begins to read.
 	 */
 	public void start() {
+		this.lastRead = this.clock.getAsLong();
 		readNewest();
 	}
 
@@ -108,7 +109,8 @@
 
 	/**
 	 * Returns the age of what was last read.
-	 * @return nanoseconds since the last successful call
+	 * @return nanoseconds since the last successful call, or since the start before the
+	 * first
 	 */
 	public long ageNanos() {
 		return this.clock.getAsLong() - this.lastRead;
--- a/gateway/src/main/java/io/sequoialink/gateway/http/FrontServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/FrontServer.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.http;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -22,12 +23,10 @@
 
 /**
  * Accepts clients' connections. Confined to the event loop, but for
- * {@link #start(EventLoopGroup, InetSocketAddress)}.
+ * {@link #start(EventLoopGroup, ServerSocketChannel)}.
  */
 public final class FrontServer {
 
-	private static final int BACKLOG = 1024;
-
 	private static final int SWEEP_MILLIS = 250;
 
 	private static final int MAX_CHUNK_BYTES = 65536;
@@ -49,19 +48,17 @@
 	}
 
 	/**
-	 * Listens for clients.
+	 * Accepts clients, also those that connected before.
 	 * @param loop the event loop
-	 * @param address where to listen
-	 * @throws InterruptedException if interrupted before the socket is bound
+	 * @param socket where clients connect; from now on this server's
+	 * @throws InterruptedException if interrupted before clients are accepted
 	 */
-	public void start(EventLoopGroup loop, InetSocketAddress address) throws InterruptedException {
+	public void start(EventLoopGroup loop, ServerSocketChannel socket) throws InterruptedException {
 		this.listening = new ServerBootstrap().group(loop)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, BACKLOG)
-			.option(ChannelOption.SO_REUSEADDR, true)
+			.channelFactory(() -> new NioServerSocketChannel(socket))
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(initializer())
-			.bind(address)
+			.register()
 			.sync()
 			.channel();
 		loop.next().scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -101,6 +101,15 @@
 		assertThat(this.seen).containsEntry("a", "1");
 	}
 
+	// The log told of an outage as long as the machine had been up.
+	@Test
+	void theAgeOfWhatWasNeverReadCountsFromTheStart() {
+		this.now = 5_000_000_000L;
+		this.follower.start();
+		this.now += 7;
+		assertThat(this.follower.ageNanos()).isEqualTo(7);
+	}
+
 	@Test
 	void aForgottenHistoryIsReadAnewAndKeysThatAreGoneAreDropped() {
 		this.topic.put("a", "1");
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -93,7 +93,8 @@
 		for (ScriptedServer.Script script : scripts) {
 			fixture.servers.add(new ScriptedServer(script));
 		}
-		fixture.front.start(fixture.loops, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		fixture.front.start(fixture.loops,
+				ListeningSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
 		return fixture;
 	}
 
