Hosts read the store for one another

A host tells the others in datagrams what it read; one that is told by a host with a smaller name rests, up to 0.8 of each bound since the last stretch that followed what it knew. Ruled out: a reader named by the store's group, longer waits (a call made while the store is slow may bring nothing), passing on records that tell nothing new (docs/design/0040). Pause after a read outside roll-outs 0.3 -> 1 s, so that a fleet that starts reads its hosts' addresses in fewer calls.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -1,9 +1,11 @@
 package io.sequoialink.entry;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +20,7 @@
 import io.sequoialink.gateway.count.GatewayCounts;
 import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.feed.FleetUpdates;
+import io.sequoialink.gateway.feed.ReadSharing;
 import io.sequoialink.gateway.feed.StoreWatch;
 import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.FleetView;
@@ -31,6 +34,10 @@
 import io.sequoialink.gateway.place.ReadingSpeed;
 import io.sequoialink.gateway.place.ServerTable;
 import io.sequoialink.gateway.place.UsualPace;
+import io.sequoialink.gateway.relay.Peer;
+import io.sequoialink.gateway.relay.PeerAnnouncement;
+import io.sequoialink.gateway.relay.PeerSocket;
+import io.sequoialink.gateway.relay.ReadRelay;
 import io.sequoialink.gateway.rollout.RolloutWatch;
 import io.sequoialink.platform.HeaderDialect;
 import io.sequoialink.platform.StatusRecords;
@@ -60,6 +67,12 @@
 
 	private static final long POLL_MILLIS = 100;
 
+	/**
+	 * Bounds that may pass without a word of the host that reads for this one; until then
+	 * this host reads beside it in time.
+	 */
+	private static final int READER_SILENCE_BOUNDS = 2;
+
 	/**
 	 * Where the metrics stand, beside the platform's question whether the host is ready.
 	 */
@@ -85,6 +98,10 @@
 
 	private final StoreReading reading;
 
+	private final PeerSocket peerSocket = new PeerSocket();
+
+	private final Optional<ReadRelay> relay;
+
 	private final RolloutWatch rollouts;
 
 	private final CrashWatch crashes;
@@ -117,11 +134,17 @@
 				statuses, System::nanoTime, random);
 		StartGate gate = new StartGate();
 		// on an order, calls that wait for crashes only are made again with shorter waits
-		this.updates = new FleetUpdates(this.view, this.rollouts, this.store::renewReads, gate::open, System::nanoTime);
+		this.updates = new FleetUpdates(this.view, this.rollouts, () -> readClosely(statuses), gate::open,
+				System::nanoTime);
 		this.crashes = new CrashWatch(settings.host(), statuses, this::later, System::nanoTime);
-		statuses.readInto(this.updates, this.crashes::take);
+		this.relay = settings.peers().map(this::relay);
+		statuses.readInto(this.updates, this.crashes::take,
+				(peer) -> this.relay.ifPresent((known) -> known.peer(peer)));
 		this.reading = new StoreReading(this.store, this.updates, statuses, this.rollouts::underWay, this::later,
-				new StoreWatch(this.counts.storeCalls()));
+				new StoreWatch(this.counts.storeCalls()),
+				this.relay.<ReadSharing>map((known) -> known).orElse(ReadSharing.NONE));
+		this.relay.ifPresent((known) -> this.updates
+			.whenStatusesRead(new PeerAnnouncement(known, statuses, this::later)::statusesRead));
 		ServerTable servers = new ServerTable(this.view);
 		ReadingSpeed speed = new ReadingSpeed();
 		this.budget = new RepeatBudget(bounds.repeatRatio(), hostSlack(bounds),
@@ -152,11 +175,29 @@
 		this.front.start(this.loops, clients);
 		new ReadinessServer(new HeaderDialect().readinessPath(), this::ready, Map.of(METRICS_PATH, metrics()::text))
 			.start(this.loops, this.settings.readiness());
+		this.relay.ifPresent(
+				(known) -> this.peerSocket.start(this.loops, this.settings.peers().orElseThrow(), known::received));
 		this.loop.execute(this::work);
 		logger.info(GatewayEvents.STARTED, this.settings.host(), this.settings.zone(), this.settings.clients(),
 				this.settings.readiness());
 	}
 
+	private ReadRelay relay(InetSocketAddress address) {
+		return new ReadRelay(new Peer(this.settings.host(), this.settings.zone(), address), this.peerSocket,
+				(read) -> this.reading.shared(read), silenceNanos(this.settings.bounds()), System::nanoTime);
+	}
+
+	private static long silenceNanos(EntrySettings.Bounds bounds) {
+		return TimeUnit.MILLISECONDS
+			.toNanos(READER_SILENCE_BOUNDS * Math.min(bounds.applyMillis(), bounds.leavingMillis()));
+	}
+
+	// What hosts publish matters more closely from now on.
+	private void readClosely(StatusRecords statuses) {
+		this.store.renewReads();
+		statuses.readNow();
+	}
+
 	private MetricsPage metrics() {
 		return new MetricsPage(this.counts, List.of(
 				new MetricsPage.Gauge("sequoialink_ready", "1 while the host takes new connections",
@@ -207,6 +248,7 @@
 		this.store.address(changed.store());
 		this.budget.limits(bounds.repeatRatio(), hostSlack(bounds));
 		this.rollouts.options(options(bounds));
+		this.relay.ifPresent((known) -> known.silence(silenceNanos(bounds)));
 	}
 
 	/**
--- a/entry/src/main/java/io/sequoialink/entry/EntrySettings.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntrySettings.java
@@ -1,6 +1,7 @@
 package io.sequoialink.entry;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 
 /**
  * Settings of an entry host. Immutable.
@@ -10,10 +11,12 @@
  * @param clients where clients connect
  * @param readiness where the platform asks whether the host is ready
  * @param store where the platform's store listens
+ * @param peers where datagrams of other hosts are taken; if empty, this host reads the
+ * store for itself alone
  * @param bounds times and budgets that the platform states
  */
 public record EntrySettings(String host, String zone, InetSocketAddress clients, InetSocketAddress readiness,
-		InetSocketAddress store, Bounds bounds) {
+		InetSocketAddress store, Optional<InetSocketAddress> peers, Bounds bounds) {
 
 	/**
 	 * Times and budgets that the platform states. Immutable.
--- a/entry/src/main/java/io/sequoialink/entry/SettingsReader.java
+++ b/entry/src/main/java/io/sequoialink/entry/SettingsReader.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -41,7 +42,7 @@
 	private EntrySettings read() throws SettingsException {
 		JsonNode root = parse();
 		EntrySettings settings = new EntrySettings(text(root, "host"), text(root, "zone"), address(root, "clients"),
-				address(root, "readiness"), address(root, "store.address"),
+				address(root, "readiness"), address(root, "store.address"), optionalAddress(root, "peers"),
 				new EntrySettings.Bounds(millis(root, "bounds.stop_seconds"),
 						(long) number(root, "bounds.leaving_millis"), (long) number(root, "bounds.apply_millis"),
 						number(root, "bounds.repeat_ratio"), number(root, "bounds.repeat_slack"),
@@ -100,6 +101,10 @@
 		});
 	}
 
+	private Optional<InetSocketAddress> optionalAddress(JsonNode root, String field) {
+		return at(root, field).isMissingNode() ? Optional.empty() : Optional.of(address(root, field));
+	}
+
 	private void error(String field, JsonNode value, String accepted) {
 		String found = value.isMissingNode() ? "is missing" : "is " + value;
 		this.errors.add(this.file + ": " + field + " " + found + "; accepted is " + accepted);
--- a/entry/src/main/java/io/sequoialink/entry/StoreReading.java
+++ b/entry/src/main/java/io/sequoialink/entry/StoreReading.java
@@ -1,12 +1,16 @@
 package io.sequoialink.entry;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.sequoialink.gateway.feed.FleetUpdates;
 import io.sequoialink.gateway.feed.FollowPace;
 import io.sequoialink.gateway.feed.LoopTimer;
+import io.sequoialink.gateway.feed.ReadSharing;
 import io.sequoialink.gateway.feed.RecordSink;
+import io.sequoialink.gateway.feed.SharedRead;
 import io.sequoialink.gateway.feed.StoreWatch;
 import io.sequoialink.gateway.feed.TopicFollower;
 import io.sequoialink.platform.OperatorRecords;
@@ -53,12 +57,20 @@
 	 * All hosts publish while a roll-out is under way, so each reads what came together
 	 * in a while instead of one record after the other.
 	 */
-	private static final FollowPace ROLLOUT_PACE = new FollowPace(1000, 1000, 1500, RETRY_MILLIS, LONGEST_RETRY_MILLIS);
+	private static final FollowPace ROLLOUT_PACE = new FollowPace(1000, 1000, 1500, RETRY_MILLIS, LONGEST_RETRY_MILLIS,
+			2800);
 
 	/**
 	 * At other times hosts publish only crashes: rare, and to be known within seconds.
 	 */
-	private static final FollowPace CRASH_PACE = new FollowPace(20_000, 2000, 300, RETRY_MILLIS, LONGEST_RETRY_MILLIS);
+	private static final FollowPace CRASH_PACE = new FollowPace(20_000, 2000, 1000, RETRY_MILLIS, LONGEST_RETRY_MILLIS,
+			30_000);
+
+	/**
+	 * Part of a bound up to which a host rests while another reads for it; the rest is
+	 * for its own call.
+	 */
+	private static final double REST_PART = 0.8;
 
 	private final StoreConnections store;
 
@@ -72,6 +84,10 @@
 
 	private final StoreWatch watch;
 
+	private final ReadSharing sharing;
+
+	private final Map<String, TopicFollower> followers = new HashMap<>();
+
 	/**
 	 * Creates a reading that has not begun.
 	 * @param store connections to the store
@@ -80,15 +96,17 @@
 	 * @param rolloutUnderWay whether what hosts publish matters now
 	 * @param timer runs work later
 	 * @param watch lets the followers know of the store's return
+	 * @param sharing lets hosts read for one another
 	 */
 	StoreReading(StoreConnections store, FleetUpdates updates, StatusRecords statuses, BooleanSupplier rolloutUnderWay,
-			LoopTimer timer, StoreWatch watch) {
+			LoopTimer timer, StoreWatch watch, ReadSharing sharing) {
 		this.store = store;
 		this.updates = updates;
 		this.statuses = statuses;
 		this.rolloutUnderWay = rolloutUnderWay;
 		this.timer = timer;
 		this.watch = watch;
+		this.sharing = sharing;
 	}
 
 	/**
@@ -97,19 +115,33 @@
 	 */
 	void start(EntrySettings.Bounds bounds) {
 		int wait = (int) (APPLY_PART * bounds.applyMillis());
-		FollowPace operator = new FollowPace(wait, wait, 0, RETRY_MILLIS, LONGEST_RETRY_MILLIS);
+		FollowPace operator = new FollowPace(wait, wait, 0, RETRY_MILLIS, LONGEST_RETRY_MILLIS,
+				(int) (REST_PART * bounds.applyMillis()));
 		follow(StoreTopic.operator(this.store), new OperatorRecords(this.updates), () -> operator);
 		int pause = (int) (LEAVING_PART * bounds.leavingMillis());
 		FollowPace servers = new FollowPace(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause, RETRY_MILLIS,
-				SERVERS_RETRY_MILLIS);
+				SERVERS_RETRY_MILLIS, (int) (REST_PART * bounds.leavingMillis()));
 		follow(StoreTopic.servers(this.store), new ServerRecords(this.updates), () -> servers);
 		TopicFollower published = follow(StoreTopic.statuses(this.store), this.statuses,
 				() -> this.rolloutUnderWay.getAsBoolean() ? ROLLOUT_PACE : CRASH_PACE);
 		this.statuses.readNowWith(published::readNow);
 	}
 
+	/**
+	 * Takes what another host read.
+	 * @param read what it read
+	 */
+	void shared(SharedRead read) {
+		TopicFollower follower = this.followers.get(read.topic());
+		if (follower != null) {
+			follower.shared(read);
+		}
+	}
+
 	private TopicFollower follow(StoreTopic topic, RecordSink sink, Supplier<FollowPace> pace) {
-		TopicFollower follower = new TopicFollower(topic, sink, pace, this.timer, System::nanoTime, this.watch);
+		TopicFollower follower = new TopicFollower(topic, sink, pace, this.timer, System::nanoTime, this.watch,
+				this.sharing);
+		this.followers.put(topic.name(), follower);
 		follower.start();
 		return follower;
 	}
--- a/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 import com.sun.net.httpserver.HttpServer;
@@ -57,7 +58,7 @@
 		this.readiness = freePort();
 		InetAddress loopback = InetAddress.getLoopbackAddress();
 		this.host = new EntryHost(new EntrySettings("h1", "a", new InetSocketAddress(loopback, this.clients),
-				new InetSocketAddress(loopback, this.readiness), this.store.address(),
+				new InetSocketAddress(loopback, this.readiness), this.store.address(), Optional.empty(),
 				new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
 		this.host.start();
 	}
--- a/entry/src/test/java/io/sequoialink/entry/SettingsReaderTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/SettingsReaderTests.java
@@ -32,6 +32,17 @@
 		assertThat(settings.bounds().repeatRatio()).isEqualTo(0.9);
 	}
 
+	@Test
+	void theAddressForOtherHostsMayBeLeftOutButNotWrong() throws Exception {
+		assertThat(SettingsReader.read(file(GOOD)).peers()).isEmpty();
+		String stated = GOOD.replace("\"zone\":\"a\"", "\"zone\":\"a\",\"peers\":\"10.0.0.1:7340\"");
+		assertThat(SettingsReader.read(file(stated)).peers()).get()
+			.satisfies((address) -> assertThat(address.getPort()).isEqualTo(7340));
+		Path wrong = file(stated.replace("10.0.0.1:7340", "10.0.0.1"));
+		assertThatExceptionOfType(SettingsException.class).isThrownBy(() -> SettingsReader.read(wrong))
+			.satisfies((ex) -> assertThat(ex.errors()).singleElement().asString().contains("peers is \"10.0.0.1\""));
+	}
+
 	@Test
 	void allErrorsAreNamedAtOnce() throws IOException {
 		Path file = file("{\"host\":7,\"clients\":\"here\",\"store\":{},\"bounds\":{\"stop_seconds\":-1}}");
--- a/entry/src/test/java/io/sequoialink/soak/HostProcess.java
+++ b/entry/src/test/java/io/sequoialink/soak/HostProcess.java
@@ -35,6 +35,8 @@
 
 	private final int readiness = freePort();
 
+	private final int peers = freePort();
+
 	private Process process;
 
 	private volatile boolean stopping;
@@ -93,10 +95,11 @@
 		Path file = this.directory.resolve(this.name + ".json");
 		Files.writeString(file,
 				"{\"host\":\"" + this.name + "\",\"zone\":\"a\",\"clients\":\"127.0.0.1:" + this.clients
-						+ "\",\"readiness\":\"127.0.0.1:" + this.readiness + "\",\"store\":{\"address\":\"127.0.0.1:"
-						+ this.storeLink.port() + "\"},\"bounds\":{\"stop_seconds\":" + Bounds.STOP_SECONDS
-						+ ",\"leaving_millis\":" + Bounds.LEAVING_MILLIS + ",\"apply_millis\":" + Bounds.APPLY_MILLIS
-						+ ",\"repeat_ratio\":" + repeatRatio + ",\"repeat_slack\":56,\"repeat_window_seconds\":10,"
+						+ "\",\"readiness\":\"127.0.0.1:" + this.readiness + "\",\"peers\":\"127.0.0.1:" + this.peers
+						+ "\",\"store\":{\"address\":\"127.0.0.1:" + this.storeLink.port()
+						+ "\"},\"bounds\":{\"stop_seconds\":" + Bounds.STOP_SECONDS + ",\"leaving_millis\":"
+						+ Bounds.LEAVING_MILLIS + ",\"apply_millis\":" + Bounds.APPLY_MILLIS + ",\"repeat_ratio\":"
+						+ repeatRatio + ",\"repeat_slack\":56,\"repeat_window_seconds\":10,"
 						+ "\"exposure_share\":0.15,\"exposure_slack\":30,\"session_seconds\":5}}");
 		return file;
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -80,6 +80,18 @@
 	/** This host could not write what it saw of crashes. */
 	public static final String CRASHES_NOT_WRITTEN = "SL-3403 could not write which contents are suspect, tries again: {}, {}";
 
+	/** Another host reads the store for this one. */
+	public static final String READER_FOUND = "SL-3501 host {} reads the store for this one, told of {} up to offset {}";
+
+	/** No host reads for this one any more. */
+	public static final String READER_LOST = "SL-3502 host {} has fallen silent, this host reads the store itself";
+
+	/** The socket for other hosts could not be opened. */
+	public static final String NO_PEER_SOCKET = "SL-3503 no datagrams of other hosts are taken at {}: {}";
+
+	/** This host's address could not be written. */
+	public static final String ADDRESS_NOT_WRITTEN = "SL-3504 could not write where this host takes datagrams, tries again: {}, {}";
+
 	private GatewayEvents() {
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetUpdates.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetUpdates.java
@@ -52,6 +52,9 @@
 
 	private boolean statusesRead;
 
+	private Runnable afterStatuses = () -> {
+	};
+
 	private boolean announced;
 
 	private long outageEnded;
@@ -111,6 +114,14 @@
 		this.rollouts.evidence(evidence);
 	}
 
+	/**
+	 * Sets what is run each time that all that hosts publish was read.
+	 * @param work the work
+	 */
+	public void whenStatusesRead(Runnable work) {
+		this.afterStatuses = work;
+	}
+
 	/**
 	 * Notes how far the published states of roll-outs were read.
 	 * @param end offset after the last record
@@ -118,15 +129,17 @@
 	public void statusesRead(long end) {
 		this.statusesRead = true;
 		this.rollouts.read(end);
+		this.afterStatuses.run();
 		announce();
 	}
 
 	/**
 	 * Takes a server's entry.
 	 * @param entry the entry
+	 * @return whether it tells anything new
 	 */
-	public void server(ServerEntry entry) {
-		this.leaving.remove(entry.id());
+	public boolean server(ServerEntry entry) {
+		boolean wasLeaving = this.leaving.remove(entry.id()) != null;
 		ServerEntry before = this.view.server(entry.id()).orElse(null);
 		this.view.put(entry);
 		if (before == null || before.draining() != entry.draining() || before.bornMillis() != entry.bornMillis()) {
@@ -134,6 +147,7 @@
 					(entry.draining() ? "draining" : "ready") + ", version " + entry.version() + ", slots "
 							+ entry.slots());
 		}
+		return wasLeaving || !entry.equals(before);
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/RecordSink.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/RecordSink.java
@@ -8,8 +8,9 @@
 	/**
 	 * Takes a record; a key's records arrive in the order of their offsets.
 	 * @param record the record
+	 * @return whether it may have changed what the host knows
 	 */
-	void take(KeyedRecord record);
+	boolean take(KeyedRecord record);
 
 	/**
 	 * The topic was read up to its end, as it is now.
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -49,6 +49,8 @@
 
 	private final StoreWatch watch;
 
+	private final ReadSharing sharing;
+
 	private final Map<String, Long> offsets = new HashMap<>();
 
 	private final Set<String> seenInPages = new HashSet<>();
@@ -71,6 +73,8 @@
 
 	private Runnable planned;
 
+	private boolean noRest;
+
 	/**
 	 * Creates a follower that does not read yet.
 	 * @param topic the topic
@@ -79,15 +83,17 @@
 	 * @param timer runs work later
 	 * @param clock monotonic time in nanoseconds
 	 * @param watch followers of the same store
+	 * @param sharing lets hosts read for one another
 	 */
 	public TopicFollower(KeyedTopic topic, RecordSink sink, Supplier<FollowPace> pace, LoopTimer timer,
-			LongSupplier clock, StoreWatch watch) {
+			LongSupplier clock, StoreWatch watch, ReadSharing sharing) {
 		this.topic = topic;
 		this.sink = sink;
 		this.pace = pace;
 		this.timer = timer;
 		this.clock = clock;
 		this.watch = watch;
+		this.sharing = sharing;
 		watch.join(this);
 	}
 
@@ -117,7 +123,7 @@
 	}
 
 	/**
-	 * Returns how long the store has answered without a break.
+	 * Returns how long the topic could be read without a break.
 	 * @return nanoseconds, or empty while it can't be read
 	 */
 	public Optional<Long> steadyNanos() {
@@ -174,10 +180,10 @@
 		}
 	}
 
-	private void handOn(KeyedRecord record) {
+	private boolean handOn(KeyedRecord record) {
 		Long known = this.offsets.get(record.key());
 		if (known != null && known >= record.offset()) {
-			return;
+			return false;
 		}
 		if (record.dropped()) {
 			this.offsets.remove(record.key());
@@ -186,14 +192,26 @@
 			this.offsets.put(record.key(), record.offset());
 		}
 		try {
-			this.sink.take(record);
+			return this.sink.take(record);
 		}
 		catch (RuntimeException ex) {
 			logger.warn(GatewayEvents.RECORD_SKIPPED, record.key(), record.offset(), this.topic.name(), ex.toString());
+			return true;
 		}
 	}
 
+	// Rests as long as another host reads and its news are fresh enough.
 	private void readTail() {
+		long rest = this.pace.get().restMillis() - ageNanos() / NANOS_PER_MILLI;
+		if (rest > 0 && !this.noRest && this.lostSince == 0 && this.sharing.fed()) {
+			later(this::readTail, rest);
+			return;
+		}
+		this.noRest = false;
+		callTail();
+	}
+
+	private void callTail() {
 		this.askedAt = this.clock.getAsLong();
 		this.topic.read(this.next, waitMillis(), (reply) -> reply.match(this::takeTail, (failure) -> {
 			failed(failure);
@@ -213,9 +231,10 @@
 			readNewest();
 			return;
 		}
-		List<KeyedRecord> records = tail.records();
-		records.forEach(this::handOn);
+		List<KeyedRecord> changes = tail.records().stream().filter(this::handOn).toList();
+		long from = this.next;
 		this.next = Math.max(this.next, tail.next());
+		this.sharing.read(new SharedRead(this.topic.name(), from, this.next, changes, true));
 		boolean more = this.next < tail.end();
 		if (!more) {
 			this.sink.caughtUp(this.next);
@@ -223,18 +242,37 @@
 		later(this::readTail, more ? 0 : this.pace.get().pauseMillis());
 	}
 
+	/**
+	 * Takes what another host read. A stretch that does not follow what is known makes
+	 * this host read itself.
+	 * @param read the stretch
+	 */
+	public void shared(SharedRead read) {
+		if (!this.whole || read.next() < this.next) {
+			return;
+		}
+		if (read.from() > this.next || !read.whole()) {
+			this.watch.called(this.topic.name(), "missed");
+			readNow();
+			return;
+		}
+		this.watch.called(this.topic.name(), "shared");
+		if (this.lostSince != 0) {
+			back(this.clock.getAsLong());
+		}
+		read.changes().forEach(this::handOn);
+		this.next = read.next();
+		this.lastRead = this.clock.getAsLong();
+		this.sink.caughtUp(this.next);
+	}
+
 	private void succeeded() {
 		this.failuresInRow = 0;
 		this.watch.called(this.topic.name(), "answered");
 		long now = this.clock.getAsLong();
 		this.watch.answered(now);
 		if (this.lostSince != 0) {
-			logger.info(GatewayEvents.STORE_BACK, this.topic.name(), (now - this.lostSince) / NANOS_PER_MILLI,
-					this.next);
-			this.lostSince = 0;
-			this.backSince = now;
-			this.cautiousUntil = now + CAUTION_NANOS;
-			this.sink.returned();
+			back(now);
 			this.topic.renewWaiting();
 			this.watch.returned(this);
 		}
@@ -244,6 +282,14 @@
 		this.lastRead = now;
 	}
 
+	private void back(long now) {
+		logger.info(GatewayEvents.STORE_BACK, this.topic.name(), (now - this.lostSince) / NANOS_PER_MILLI, this.next);
+		this.lostSince = 0;
+		this.backSince = now;
+		this.cautiousUntil = now + CAUTION_NANOS;
+		this.sink.returned();
+	}
+
 	private void retryLater(Runnable call, StoreFailure failure) {
 		later(call, (failure.kind() == StoreFailure.Kind.RENEWED) ? 0 : retryMillis());
 	}
@@ -268,6 +314,7 @@
 	 */
 	public void readNow() {
 		if (this.planned != null) {
+			this.noRest = true;
 			this.planned.run();
 		}
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FakeTopic.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FakeTopic.java
@@ -32,6 +32,8 @@
 
 	private int lastWait;
 
+	private int reads;
+
 	public FakeTopic pageSize(int records) {
 		this.pageSize = records;
 		return this;
@@ -44,6 +46,10 @@
 		}
 	}
 
+	public int reads() {
+		return this.reads;
+	}
+
 	public int lastWait() {
 		return this.lastWait;
 	}
@@ -126,6 +132,7 @@
 	@Override
 	public void read(long from, int waitMillis, Consumer<StoreReply<Tail>> reply) {
 		this.lastWait = waitMillis;
+		this.reads++;
 		if (this.down) {
 			reply.accept(failure());
 		}
@@ -137,7 +144,10 @@
 			reply.accept(StoreReply.of(new Tail(tail, this.log.size(), this.log.size(), false)));
 		}
 		else {
-			this.waiting.add(() -> read(from, waitMillis, reply));
+			this.waiting.add(() -> {
+				this.reads--;
+				read(from, waitMillis, reply);
+			});
 			this.waitingReplies.add(reply);
 		}
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -10,6 +10,8 @@
 
 import io.sequoialink.gateway.count.LabelledCounts;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -29,8 +31,25 @@
 
 	private final List<Long> delays = new ArrayList<>();
 
+	private boolean fed;
+
+	private final List<SharedRead> told = new ArrayList<>();
+
+	private final ReadSharing sharing = new ReadSharing() {
+		@Override
+		public boolean fed() {
+			return TopicFollowerTests.this.fed;
+		}
+
+		@Override
+		public void read(SharedRead read) {
+			TopicFollowerTests.this.told.add(read);
+		}
+	};
+
 	private final TopicFollower follower = new TopicFollower(this.topic, new Sink(),
-			() -> new FollowPace(1000, 200, 100, 100, 350), this::later, () -> this.now, this.watch);
+			() -> new FollowPace(1000, 200, 100, 100, 350, 2000), this::later, () -> this.now, this.watch,
+			this.sharing);
 
 	@Test
 	void whatIsThereAndWhatFollowsIsHandedOn() {
@@ -110,6 +129,79 @@
 		assertThat(this.follower.ageNanos()).isEqualTo(7);
 	}
 
+	private static KeyedRecord record(String key, String value, long offset) {
+		return new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), offset);
+	}
+
+	private SharedRead shared(long from, long next, boolean whole, KeyedRecord... changes) {
+		return new SharedRead(this.topic.name(), from, next, List.of(changes), whole);
+	}
+
+	@Test
+	void whatWasReadIsToldToOthersWithoutWhatIsNotNew() {
+		this.topic.put("a", "1");
+		this.follower.start();
+		this.topic.put("a", "1");
+		assertThat(this.told).containsExactly(shared(1, 2, true));
+		runLater();
+		this.topic.put("a", "2");
+		assertThat(this.told.get(1).from()).isEqualTo(2);
+		assertThat(this.told.get(1).changes()).extracting(KeyedRecord::offset).containsExactly(2L);
+	}
+
+	@Test
+	void whileAnotherHostReadsTheStoreIsLeftAloneAsLongAsNewsAreFresh() {
+		this.follower.start();
+		this.fed = true;
+		this.topic.put("a", "1");
+		int calls = this.topic.reads();
+		this.now += 1_000_000_000L;
+		runLater();
+		assertThat(this.topic.reads()).isEqualTo(calls);
+		this.follower.shared(shared(1, 2, true, record("b", "2", 1)));
+		assertThat(this.seen).containsEntry("b", "2");
+		this.now += 1_500_000_000L;
+		runLater();
+		assertThat(this.topic.reads()).isEqualTo(calls);
+		this.now += 500_000_000L;
+		runLater();
+		assertThat(this.topic.reads()).isEqualTo(calls + 1);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "2,true", "1,false" })
+	void aStretchThatIsMissingOrNotWholeIsReadFromTheStore(long from, boolean whole) {
+		this.follower.start();
+		this.fed = true;
+		this.topic.put("a", "1");
+		runLater();
+		this.topic.put("b", "2");
+		int calls = this.topic.reads();
+		this.follower.shared(shared(from, 3, whole));
+		assertThat(this.topic.reads()).isEqualTo(calls + 1);
+		assertThat(this.seen).containsEntry("b", "2");
+	}
+
+	@Test
+	void whatIsOlderThanWhatIsKnownChangesNothing() {
+		this.topic.put("a", "1");
+		this.topic.put("a", "2");
+		this.follower.start();
+		this.follower.shared(shared(0, 1, true, record("a", "1", 0)));
+		assertThat(this.seen).containsEntry("a", "2");
+		assertThat(this.follower.next()).isEqualTo(2);
+	}
+
+	@Test
+	void aHostThatIsTurnedAwayByTheStoreKnowsWhatItIsTold() {
+		this.follower.start();
+		this.topic.down(true);
+		this.fed = true;
+		this.follower.shared(shared(0, 1, true, record("a", "1", 0)));
+		assertThat(this.seen).containsEntry("a", "1");
+		assertThat(this.returns).isEqualTo(1);
+	}
+
 	@Test
 	void aForgottenHistoryIsReadAnewAndKeysThatAreGoneAreDropped() {
 		this.topic.put("a", "1");
@@ -132,8 +224,8 @@
 		this.follower.start();
 		FakeTopic paced = new FakeTopic();
 		paced.renews(this.topic);
-		new TopicFollower(paced, new Sink(), () -> new FollowPace(100, 100, 100, 100, 100), this::later, () -> 1L,
-				this.watch)
+		new TopicFollower(paced, new Sink(), () -> new FollowPace(100, 100, 100, 100, 100, 100), this::later, () -> 1L,
+				this.watch, ReadSharing.NONE)
 			.start();
 		this.topic.forgetWaiting();
 		paced.down(true);
@@ -176,8 +268,8 @@
 	void aCallThatWasPutOffIsMadeAtOnceWhenAnotherTopicIsReadAgain() {
 		this.follower.start();
 		FakeTopic other = new FakeTopic();
-		new TopicFollower(other, new Sink(), () -> new FollowPace(100, 100, 100, 100, 100), this::later, () -> 1L,
-				this.watch)
+		new TopicFollower(other, new Sink(), () -> new FollowPace(100, 100, 100, 100, 100, 100), this::later, () -> 1L,
+				this.watch, ReadSharing.NONE)
 			.start();
 		this.topic.down(true);
 		other.down(true);
@@ -197,8 +289,8 @@
 	@Test
 	void aCallThatFailsAfterTheStoreAnsweredAnotherTopicIsMadeAgainSoon() {
 		FakeTopic other = new FakeTopic();
-		new TopicFollower(other, new Sink(), () -> new FollowPace(100, 100, 0, 100, 100), this::later, () -> this.now,
-				this.watch)
+		new TopicFollower(other, new Sink(), () -> new FollowPace(100, 100, 0, 100, 100, 100), this::later,
+				() -> this.now, this.watch, ReadSharing.NONE)
 			.start();
 		this.follower.start();
 		this.topic.down(true);
@@ -231,15 +323,15 @@
 	private final class Sink implements RecordSink {
 
 		@Override
-		public void take(KeyedRecord record) {
+		public boolean take(KeyedRecord record) {
 			if (record.key().equals("broken")) {
 				throw new IllegalStateException("can't be taken");
 			}
 			if (record.dropped()) {
-				TopicFollowerTests.this.seen.remove(record.key());
-				return;
+				return TopicFollowerTests.this.seen.remove(record.key()) != null;
 			}
-			TopicFollowerTests.this.seen.put(record.key(), new String(record.value(), StandardCharsets.UTF_8));
+			String value = new String(record.value(), StandardCharsets.UTF_8);
+			return !value.equals(TopicFollowerTests.this.seen.put(record.key(), value));
 		}
 
 		@Override
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/SimulatedFleet.java
@@ -0,0 +1,284 @@
+package io.sequoialink.gateway.relay;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import io.sequoialink.gateway.count.LabelledCounts;
+import io.sequoialink.gateway.feed.FollowPace;
+import io.sequoialink.gateway.feed.KeyedRecord;
+import io.sequoialink.gateway.feed.KeyedTopic;
+import io.sequoialink.gateway.feed.NewestPage;
+import io.sequoialink.gateway.feed.RecordSink;
+import io.sequoialink.gateway.feed.StoreFailure;
+import io.sequoialink.gateway.feed.StoreReply;
+import io.sequoialink.gateway.feed.StoreWatch;
+import io.sequoialink.gateway.feed.Tail;
+import io.sequoialink.gateway.feed.TopicFollower;
+
+/**
+ * Hosts that follow one topic of one store in simulated time, with faults. Confined to
+ * one thread.
+ */
+final class SimulatedFleet {
+
+	static final long BOUND_MILLIS = 2000;
+
+	private static final FollowPace PACE = new FollowPace(500, 500, 1400, 300, 600, 1600);
+
+	private static final long CALL_MILLIS = 5;
+
+	private final SplittableRandom random;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>();
+
+	private final List<KeyedRecord> log = new ArrayList<>();
+
+	private final Map<String, Host> hosts = new HashMap<>();
+
+	private final Set<String> unreachable = new HashSet<>();
+
+	private double lost;
+
+	private long sequence;
+
+	private long nowMillis = 1;
+
+	private int calls;
+
+	private long datagramBytes;
+
+	SimulatedFleet(int size, long seed) {
+		this.random = new SplittableRandom(seed);
+		for (int i = 0; i < size; i++) {
+			String name = String.format("h-%03d", i);
+			this.hosts.put(name,
+					new Host(new Peer(name, "zone-" + i % 4, new InetSocketAddress("10.0.0." + i % 250, 1000 + i))));
+		}
+		for (Host host : this.hosts.values()) {
+			this.hosts.values().forEach((other) -> host.relay.peer(other.self));
+			at(this.random.nextInt(300), host, host.follower::start);
+		}
+	}
+
+	// Work of a host that is frozen waits, that of a dead one is dropped.
+	private void at(long delayMillis, Host host, Runnable work) {
+		this.events.add(new Event(this.nowMillis + delayMillis, this.sequence++, () -> {
+			if (host == null) {
+				work.run();
+			}
+			else if (host.frozenUntil > this.nowMillis) {
+				at(host.frozenUntil - this.nowMillis, host, work);
+			}
+			else if (!host.dead) {
+				work.run();
+			}
+		}));
+	}
+
+	void run(long millis) {
+		long until = this.nowMillis + millis;
+		while (!this.events.isEmpty() && this.events.peek().atMillis <= until) {
+			Event event = this.events.poll();
+			this.nowMillis = event.atMillis;
+			event.work.run();
+		}
+		this.nowMillis = until;
+	}
+
+	void put(String key, String value) {
+		this.log.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), this.log.size()));
+	}
+
+	/**
+	 * Lets backend servers write again and again without anything new.
+	 */
+	void heartbeats(int servers) {
+		for (int i = 0; i < servers; i++) {
+			beat("server-" + i, i * 1200L / servers);
+		}
+	}
+
+	private void beat(String key, long delay) {
+		at(delay, null, () -> {
+			put(key, "ready");
+			beat(key, 1200);
+		});
+	}
+
+	/**
+	 * Writes a change and returns how long it takes until all sound hosts know it.
+	 */
+	long spread(String value) {
+		put("change", value);
+		long began = this.nowMillis;
+		while (this.hosts.values()
+			.stream()
+			.anyMatch((host) -> host.sound() && !value.equals(host.seen.get("change")))) {
+			run(10);
+			if (this.nowMillis - began > 20_000) {
+				break;
+			}
+		}
+		return this.nowMillis - began;
+	}
+
+	void kill(String name) {
+		this.hosts.get(name).dead = true;
+	}
+
+	void freeze(String name, long millis) {
+		this.hosts.get(name).frozenUntil = this.nowMillis + millis;
+	}
+
+	void cutFromStore(String name) {
+		this.unreachable.add(name);
+	}
+
+	void loseDatagrams(double share) {
+		this.lost = share;
+	}
+
+	int calls() {
+		return this.calls;
+	}
+
+	long datagramBytes() {
+		return this.datagramBytes;
+	}
+
+	/**
+	 * A piece of work at a time.
+	 */
+	private record Event(long atMillis, long order, Runnable work) implements Comparable<Event> {
+		@Override
+		public int compareTo(Event other) {
+			return (this.atMillis != other.atMillis) ? Long.compare(this.atMillis, other.atMillis)
+					: Long.compare(this.order, other.order);
+		}
+	}
+
+	/**
+	 * One host.
+	 */
+	private final class Host implements RecordSink {
+
+		private final Peer self;
+
+		private final ReadRelay relay;
+
+		private final TopicFollower follower;
+
+		private final Map<String, String> seen = new HashMap<>();
+
+		private boolean dead;
+
+		private long frozenUntil;
+
+		private Host(Peer self) {
+			this.self = self;
+			this.relay = new ReadRelay(self, this::send, (read) -> follower().shared(read), 4_000_000_000L,
+					() -> SimulatedFleet.this.nowMillis * 1_000_000L);
+			this.follower = new TopicFollower(new Store(), this, () -> PACE, (work, delay) -> at(delay, this, work),
+					() -> SimulatedFleet.this.nowMillis * 1_000_000L,
+					new StoreWatch(new LabelledCounts("topic", "outcome")), this.relay);
+		}
+
+		private TopicFollower follower() {
+			return this.follower;
+		}
+
+		private boolean sound() {
+			return !this.dead && this.frozenUntil <= SimulatedFleet.this.nowMillis
+					&& !SimulatedFleet.this.unreachable.contains(this.self.host());
+		}
+
+		private void send(InetSocketAddress to, byte[] datagram) {
+			SimulatedFleet.this.datagramBytes += datagram.length;
+			if (SimulatedFleet.this.random.nextDouble() < SimulatedFleet.this.lost) {
+				return;
+			}
+			SimulatedFleet.this.hosts.values()
+				.stream()
+				.filter((host) -> host.self.address().equals(to))
+				.forEach((host) -> at(1, host, () -> host.relay.received(this.self.address().getAddress(), datagram)));
+		}
+
+		@Override
+		public boolean take(KeyedRecord record) {
+			String value = new String(record.value(), StandardCharsets.UTF_8);
+			return !value.equals(this.seen.put(record.key(), value));
+		}
+
+		@Override
+		public void caughtUp(long end) {
+			// only the records matter here
+		}
+
+		/**
+		 * The store as this host reaches it.
+		 */
+		private final class Store implements KeyedTopic {
+
+			@Override
+			public String name() {
+				return "topic";
+			}
+
+			@Override
+			public void newest(Optional<String> after, Consumer<StoreReply<NewestPage>> reply) {
+				call(() -> {
+					Map<String, KeyedRecord> newest = new HashMap<>();
+					SimulatedFleet.this.log.forEach((record) -> newest.put(record.key(), record));
+					reply.accept(StoreReply.of(new NewestPage(List.copyOf(newest.values()), Optional.empty(),
+							SimulatedFleet.this.log.size())));
+				}, reply);
+			}
+
+			@Override
+			public void read(long from, int waitMillis, Consumer<StoreReply<Tail>> reply) {
+				call(() -> answer(from, waitMillis, reply), reply);
+			}
+
+			private void answer(long from, int waitMillis, Consumer<StoreReply<Tail>> reply) {
+				int end = SimulatedFleet.this.log.size();
+				if (from >= end && waitMillis > 0) {
+					at(10, Host.this, () -> answer(from, waitMillis - 10, reply));
+					return;
+				}
+				List<KeyedRecord> records = List.copyOf(SimulatedFleet.this.log.subList((int) from, end));
+				reply.accept(StoreReply.of(new Tail(records, end, end, false)));
+			}
+
+			private <T> void call(Runnable work, Consumer<StoreReply<T>> reply) {
+				SimulatedFleet.this.calls++;
+				boolean reached = !SimulatedFleet.this.unreachable.contains(Host.this.self.host());
+				at(CALL_MILLIS, Host.this, reached ? work : () -> reply
+					.accept(StoreReply.failed(new StoreFailure(StoreFailure.Kind.REFUSED, "cut off"))));
+			}
+
+			@Override
+			public void renewWaiting() {
+				// calls that wait are short here
+			}
+
+			@Override
+			public void append(String key, byte[] value, OptionalLong at, Consumer<StoreReply<Long>> reply) {
+				throw new UnsupportedOperationException("hosts do not write here");
+			}
+
+		}
+
+	}
+
+}
