Read at an even pace, hold datagrams that overtake each other, ask soon for a topic that may not exist yet

Tests: TopicFollowerTests (empty topic, pause, order), SharedReadingTests with datagrams that overtake each other. The test of waits after an outage puts a record first, since an empty topic is waited for shortly now; its bounds are the same.

--- a/entry/src/main/java/io/sequoialink/entry/StoreReading.java
+++ b/entry/src/main/java/io/sequoialink/entry/StoreReading.java
@@ -35,9 +35,10 @@
 	private static final double APPLY_PART = 0.7;
 
 	/**
-	 * How long the store may wait for servers, which write all the time, in milliseconds.
+	 * How long the store may wait for servers, in milliseconds; short beside the pause,
+	 * so that hosts which are told of each read need not read beside it.
 	 */
-	private static final int SERVERS_WAIT_MILLIS = 500;
+	private static final int SERVERS_WAIT_MILLIS = 100;
 
 	/**
 	 * Part of the time in which a leaving server must be noticed that may pass between
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FollowPace.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FollowPace.java
@@ -5,8 +5,8 @@
  *
  * @param waitMillis how long the store may wait for a record, in milliseconds
  * @param cautiousMillis how long it may wait for a while after an outage, when it may not
- * answer every call, in milliseconds
- * @param pauseMillis pause between two reads, in milliseconds
+ * answer every call, and while the topic is empty, in milliseconds
+ * @param pauseMillis least time between the beginnings of two reads, in milliseconds
  * @param retryMillis pause after a failed call, in milliseconds; doubled after each more
  * @param longestRetryMillis longest pause after failed calls, in milliseconds
  * @param restMillis longest time without news of the topic while another host reads, in
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -35,6 +37,12 @@
 
 	private static final int MAX_DOUBLINGS = 10;
 
+	/** Time in which datagrams of one read may overtake each other, in milliseconds. */
+	static final long REORDER_MILLIS = 100;
+
+	/** Stretches that are held at most. */
+	private static final int MAX_EARLY = 64;
+
 	private static final byte[] NO_VALUE = new byte[0];
 
 	private final KeyedTopic topic;
@@ -73,6 +81,8 @@
 
 	private Runnable planned;
 
+	private final NavigableMap<Long, SharedRead> early = new TreeMap<>();
+
 	private boolean noRest;
 
 	/**
@@ -219,8 +229,12 @@
 		}));
 	}
 
+	// A topic without records may not exist yet, and a call that waits for it may not
+	// hear
+	// of the first one.
 	private int waitMillis() {
-		boolean cautious = this.cautiousUntil != 0 && this.clock.getAsLong() - this.cautiousUntil < 0;
+		boolean cautious = this.next == 0
+				|| (this.cautiousUntil != 0 && this.clock.getAsLong() - this.cautiousUntil < 0);
 		return cautious ? this.pace.get().cautiousMillis() : this.pace.get().waitMillis();
 	}
 
@@ -239,23 +253,42 @@
 		if (!more) {
 			this.sink.caughtUp(this.next);
 		}
-		later(this::readTail, more ? 0 : this.pace.get().pauseMillis());
+		later(this::readTail, more ? 0 : pauseMillis());
+	}
+
+	// The time that the call waited counts, so that calls begin at an even pace.
+	private long pauseMillis() {
+		long waited = (this.clock.getAsLong() - this.askedAt) / NANOS_PER_MILLI;
+		return Math.max(0, this.pace.get().pauseMillis() - waited);
 	}
 
 	/**
-	 * Takes what another host read. A stretch that does not follow what is known makes
-	 * this host read itself.
+	 * Takes what another host read. What arrives out of order is held for a moment; a
+	 * stretch that stays missing, or is not whole, makes this host read itself.
 	 * @param read the stretch
 	 */
 	public void shared(SharedRead read) {
 		if (!this.whole || read.next() < this.next) {
 			return;
 		}
-		if (read.from() > this.next || !read.whole()) {
-			this.watch.called(this.topic.name(), "missed");
-			readNow();
+		if (!read.whole()) {
+			readMissing();
 			return;
 		}
+		if (read.from() > this.next) {
+			hold(read);
+			return;
+		}
+		follow(read);
+		while (!this.early.isEmpty() && this.early.firstKey() <= this.next) {
+			SharedRead held = this.early.pollFirstEntry().getValue();
+			if (held.next() > this.next) {
+				follow(held);
+			}
+		}
+	}
+
+	private void follow(SharedRead read) {
 		this.watch.called(this.topic.name(), "shared");
 		if (this.lostSince != 0) {
 			back(this.clock.getAsLong());
@@ -266,6 +299,28 @@
 		this.sink.caughtUp(this.next);
 	}
 
+	private void hold(SharedRead read) {
+		if (this.early.isEmpty()) {
+			this.timer.later(this::readUnlessFollowed, REORDER_MILLIS);
+		}
+		this.early.put(read.from(), read);
+		if (this.early.size() > MAX_EARLY) {
+			readMissing();
+		}
+	}
+
+	private void readUnlessFollowed() {
+		if (!this.early.isEmpty()) {
+			readMissing();
+		}
+	}
+
+	private void readMissing() {
+		this.watch.called(this.topic.name(), "missed");
+		this.early.clear();
+		readNow();
+	}
+
 	private void succeeded() {
 		this.failuresInRow = 0;
 		this.watch.called(this.topic.name(), "answered");
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -129,6 +129,26 @@
 		assertThat(this.follower.ageNanos()).isEqualTo(7);
 	}
 
+	// Hosts that waited for a topic which did not exist yet never heard of its first
+	// records.
+	@Test
+	void theStoreIsAskedToWaitLessWhileTheTopicIsEmpty() {
+		this.follower.start();
+		assertThat(this.topic.lastWait()).isEqualTo(200);
+		this.topic.put("a", "1");
+		runLater();
+		assertThat(this.topic.lastWait()).isEqualTo(1000);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "0,100", "60,40", "100,0", "900,0" })
+	void theTimeThatACallWaitedCountsTowardsThePause(long waitedMillis, long pauseMillis) {
+		this.follower.start();
+		this.now += waitedMillis * 1_000_000L;
+		this.topic.put("a", "1");
+		assertThat(this.delays).containsExactly(pauseMillis);
+	}
+
 	private static KeyedRecord record(String key, String value, long offset) {
 		return new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), offset);
 	}
@@ -170,7 +190,7 @@
 
 	@ParameterizedTest
 	@CsvSource({ "2,true", "1,false" })
-	void aStretchThatIsMissingOrNotWholeIsReadFromTheStore(long from, boolean whole) {
+	void aStretchThatStaysMissingOrIsNotWholeIsReadFromTheStore(long from, boolean whole) {
 		this.follower.start();
 		this.fed = true;
 		this.topic.put("a", "1");
@@ -178,10 +198,27 @@
 		this.topic.put("b", "2");
 		int calls = this.topic.reads();
 		this.follower.shared(shared(from, 3, whole));
+		runLater();
 		assertThat(this.topic.reads()).isEqualTo(calls + 1);
 		assertThat(this.seen).containsEntry("b", "2");
 	}
 
+	// Datagrams of one read overtake each other; each host read the store for it.
+	@Test
+	void stretchesThatArriveOutOfOrderAreFollowedWithoutACall() {
+		this.follower.start();
+		this.fed = true;
+		this.topic.put("a", "0");
+		int calls = this.topic.reads();
+		this.follower.shared(shared(3, 4, true, record("a", "3", 3)));
+		this.follower.shared(shared(2, 3, true, record("b", "2", 2)));
+		assertThat(this.seen).containsEntry("a", "0");
+		this.follower.shared(shared(1, 2, true, record("a", "1", 1)));
+		assertThat(this.seen).containsEntry("a", "3").containsEntry("b", "2");
+		runLater();
+		assertThat(this.topic.reads()).isEqualTo(calls);
+	}
+
 	@Test
 	void whatIsOlderThanWhatIsKnownChangesNothing() {
 		this.topic.put("a", "1");
@@ -239,6 +276,7 @@
 
 	@Test
 	void theStoreIsAskedToWaitLessForAWhileAfterAnOutage() {
+		this.topic.put("before", "1");
 		this.follower.start();
 		assertThat(this.topic.lastWait()).isEqualTo(1000);
 		this.topic.down(true);
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/SimulatedFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/SimulatedFleet.java
@@ -34,7 +34,7 @@
 
 	static final long BOUND_MILLIS = 2000;
 
-	private static final FollowPace PACE = new FollowPace(500, 500, 1400, 300, 600, 1600);
+	private static final FollowPace PACE = new FollowPace(100, 100, 1400, 300, 600, 1600);
 
 	private static final long CALL_MILLIS = 5;
 
@@ -211,7 +211,8 @@
 			SimulatedFleet.this.hosts.values()
 				.stream()
 				.filter((host) -> host.self.address().equals(to))
-				.forEach((host) -> at(1, host, () -> host.relay.received(this.self.address().getAddress(), datagram)));
+				.forEach((host) -> at(1 + SimulatedFleet.this.random.nextInt(3), host,
+						() -> host.relay.received(this.self.address().getAddress(), datagram)));
 		}
 
 		@Override
