--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -116,8 +116,12 @@
 
 	private final CountDownLatch idle = new CountDownLatch(1);
 
+	private final long createdNanos = System.nanoTime();
+
 	private volatile boolean draining;
 
+	private boolean wasReady;
+
 	/**
 	 * Creates a host that does not run yet.
 	 * @param settings its settings
@@ -224,11 +228,26 @@
 	}
 
 	private void tick() {
+		noteReadiness();
 		this.updates.sweep();
 		this.rollouts.tick();
 		this.crashes.tick();
 	}
 
+	private void noteReadiness() {
+		boolean now = ready();
+		if (now && !this.wasReady) {
+			logger.info(GatewayEvents.READY, this.settings.host(),
+					this.view.configuration().map(Configuration::version).orElse(0L), this.view.servers().size(),
+					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.createdNanos));
+		}
+		if (!now && this.wasReady) {
+			logger.info(GatewayEvents.NOT_READY, this.settings.host(),
+					this.draining ? "it drains" : "its view is gone");
+		}
+		this.wasReady = now;
+	}
+
 	private boolean ready() {
 		return !this.draining && this.updates.complete();
 	}
@@ -239,8 +258,8 @@
 	 * @param changed the settings
 	 */
 	void apply(EntrySettings changed) {
-		if (!changed.clients().equals(this.settings.clients())
-				|| !changed.readiness().equals(this.settings.readiness())) {
+		if (!changed.clients().equals(this.settings.clients()) || !changed.readiness().equals(this.settings.readiness())
+				|| !changed.peers().equals(this.settings.peers())) {
 			logger.warn(GatewayEvents.SETTINGS_NEED_RESTART);
 		}
 		this.settings = changed;
--- a/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
@@ -1,6 +1,7 @@
 package io.sequoialink.entry;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -61,6 +62,29 @@
 		}
 	}
 
+	@Test
+	void theLogTellsWhenTheHostBecomesReadyAndWhyItIsNotAnyMore() throws Exception {
+		try (StandinStore store = new StandinStore()) {
+			store.put("op", "config", "{\"version\":7,\"routes\":[],\"services\":[]}");
+			int readiness = freePort();
+			Process process = start(settings(store, readiness));
+			within(() -> out().contains("SL-3009"));
+			process.destroy();
+			assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+			assertThat(out()).contains("is ready: configuration 7, 0 backend servers")
+				.contains("is not ready any more: it drains");
+		}
+	}
+
+	private String out() {
+		try {
+			return Files.readString(this.directory.resolve("out"));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	// Each class that is loaded at a start delays a restart.
 	@Test
 	void theLibraryOfMetricsIsLoadedOnlyWhenTheyAreAskedFor() throws Exception {
--- /dev/null
+++ b/entry/src/test/java/io/sequoialink/entry/HostsThatReadForOneAnotherTests.java
@@ -0,0 +1,120 @@
+package io.sequoialink.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+import io.sequoialink.soak.StandinStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Two whole entry hosts over loopback before one stand-in of the store. Times are the
+ * platform's bounds, doubled for a busy machine.
+ */
+class HostsThatReadForOneAnotherTests {
+
+	private static final long APPLY_MILLIS = 4000;
+
+	private final InetAddress loopback = InetAddress.getLoopbackAddress();
+
+	private StandinStore store;
+
+	private EntryHost reader;
+
+	private EntryHost told;
+
+	private int readiness;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.store = new StandinStore();
+		configure(1);
+		this.reader = host("h1");
+		this.told = host("h2");
+		within(() -> metrics().contains("sequoialink_store_calls_total{outcome=\"shared\",topic=\"op\"}"));
+	}
+
+	@AfterEach
+	void stop() {
+		this.reader.stop();
+		this.told.stop();
+		this.store.close();
+	}
+
+	private EntryHost host(String name) throws Exception {
+		this.readiness = freePort();
+		EntryHost host = new EntryHost(new EntrySettings(name, "a", new InetSocketAddress(this.loopback, freePort()),
+				new InetSocketAddress(this.loopback, this.readiness), this.store.address(),
+				Optional.of(new InetSocketAddress(this.loopback, freeDatagramPort())),
+				new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
+		host.start();
+		return host;
+	}
+
+	private void configure(int version) {
+		this.store.put("op", "config", "{\"version\":" + version + ",\"routes\":[],\"services\":[]}");
+	}
+
+	@Test
+	void aHostThatIsToldTakesEachConfigurationInTime() {
+		for (int version = 2; version < 6; version++) {
+			String wanted = "sequoialink_configuration_version " + version + ".0";
+			configure(version);
+			within(() -> metrics().contains(wanted));
+		}
+	}
+
+	@Test
+	void aHostThatIsToldNoMoreReadsForItself() {
+		this.reader.stop();
+		configure(2);
+		within(() -> metrics().contains("sequoialink_configuration_version 2.0"));
+	}
+
+	private String metrics() {
+		try (InputStream in = URI.create("http://localhost:" + this.readiness + "/metrics").toURL().openStream()) {
+			return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static void within(BooleanSupplier holds) {
+		long until = System.nanoTime() + APPLY_MILLIS * 1_000_000L;
+		while (!holds.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("time allowed: %s ms", APPLY_MILLIS).isLessThan(until);
+			try {
+				Thread.sleep(50);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				throw new IllegalStateException(ex);
+			}
+		}
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private static int freeDatagramPort() throws IOException {
+		try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -53,6 +53,12 @@
 	/** A changed setting needs a restart. */
 	public static final String SETTINGS_NEED_RESTART = "SL-3007 a changed address of this host takes effect at its next start";
 
+	/** The host answers that it is ready. */
+	public static final String READY = "SL-3009 host {} is ready: configuration {}, {} backend servers, {} ms after its start";
+
+	/** The host answers that it is not ready any more. */
+	public static final String NOT_READY = "SL-3010 host {} is not ready any more: {}";
+
 	/** An operator ordered a roll-out. */
 	public static final String ROLLOUT_ORDERED = "SL-3301 roll-out of {} to {} within {} ms was ordered at offset {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -5,10 +5,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -40,9 +38,6 @@
 	/** Time in which datagrams of one read may overtake each other, in milliseconds. */
 	static final long REORDER_MILLIS = 100;
 
-	/** Stretches that are held at most. */
-	private static final int MAX_EARLY = 64;
-
 	private static final byte[] NO_VALUE = new byte[0];
 
 	private final KeyedTopic topic;
@@ -81,7 +76,7 @@
 
 	private Runnable planned;
 
-	private final NavigableMap<Long, SharedRead> early = new TreeMap<>();
+	private final EarlyReads early = new EarlyReads();
 
 	private boolean noRest;
 
@@ -279,12 +274,8 @@
 			hold(read);
 			return;
 		}
-		follow(read);
-		while (!this.early.isEmpty() && this.early.firstKey() <= this.next) {
-			SharedRead held = this.early.pollFirstEntry().getValue();
-			if (held.next() > this.next) {
-				follow(held);
-			}
+		for (Optional<SharedRead> next = Optional.of(read); next.isPresent(); next = this.early.following(this.next)) {
+			follow(next.get());
 		}
 	}
 
@@ -303,8 +294,7 @@
 		if (this.early.isEmpty()) {
 			this.timer.later(this::readUnlessFollowed, REORDER_MILLIS);
 		}
-		this.early.put(read.from(), read);
-		if (this.early.size() > MAX_EARLY) {
+		if (!this.early.hold(read)) {
 			readMissing();
 		}
 	}
