--- a/entry/src/main/java/io/sequoialink/entry/StoreReading.java
+++ b/entry/src/main/java/io/sequoialink/entry/StoreReading.java
@@ -68,10 +68,10 @@
 			30_000);
 
 	/**
-	 * Part of a bound up to which a host rests while another reads for it; the rest is
-	 * for its own call.
+	 * Part of a bound that what a host knows may be old while another reads for it; what
+	 * is left of the bound is for its own call.
 	 */
-	private static final double REST_PART = 0.8;
+	private static final double MAX_AGE_PART = 0.8;
 
 	private final StoreConnections store;
 
@@ -117,11 +117,11 @@
 	void start(EntrySettings.Bounds bounds) {
 		int wait = (int) (APPLY_PART * bounds.applyMillis());
 		FollowPace operator = new FollowPace(wait, wait, 0, RETRY_MILLIS, LONGEST_RETRY_MILLIS,
-				(int) (REST_PART * bounds.applyMillis()));
+				(int) (MAX_AGE_PART * bounds.applyMillis()));
 		follow(StoreTopic.operator(this.store), new OperatorRecords(this.updates), () -> operator);
 		int pause = (int) (LEAVING_PART * bounds.leavingMillis());
 		FollowPace servers = new FollowPace(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause, RETRY_MILLIS,
-				SERVERS_RETRY_MILLIS, (int) (REST_PART * bounds.leavingMillis()));
+				SERVERS_RETRY_MILLIS, (int) (MAX_AGE_PART * bounds.leavingMillis()));
 		follow(StoreTopic.servers(this.store), new ServerRecords(this.updates), () -> servers);
 		TopicFollower published = follow(StoreTopic.statuses(this.store), this.statuses,
 				() -> this.rolloutUnderWay.getAsBoolean() ? ROLLOUT_PACE : CRASH_PACE);
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FollowPace.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FollowPace.java
@@ -9,9 +9,9 @@
  * @param pauseMillis least time between the beginnings of two reads, in milliseconds
  * @param retryMillis pause after a failed call, in milliseconds; doubled after each more
  * @param longestRetryMillis longest pause after failed calls, in milliseconds
- * @param restMillis longest time without news of the topic while another host reads, in
- * milliseconds
+ * @param maxAgeMillis greatest age of what is known of the topic while another host
+ * reads, in milliseconds
  */
 public record FollowPace(int waitMillis, int cautiousMillis, int pauseMillis, int retryMillis, int longestRetryMillis,
-		int restMillis) {
+		int maxAgeMillis) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/ReadSharing.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/ReadSharing.java
@@ -8,7 +8,7 @@
 	/** Each host reads for itself. */
 	ReadSharing NONE = new ReadSharing() {
 		@Override
-		public boolean fed() {
+		public boolean anotherReads() {
 			return false;
 		}
 
@@ -22,7 +22,7 @@
 	 * Returns whether another host reads for this one at present.
 	 * @return whether this host need not read
 	 */
-	boolean fed();
+	boolean anotherReads();
 
 	/**
 	 * Notes what this host has read itself, for others.
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -78,7 +78,7 @@
 
 	private final EarlyReads early = new EarlyReads();
 
-	private boolean noRest;
+	private boolean forced;
 
 	/**
 	 * Creates a follower that does not read yet.
@@ -205,14 +205,14 @@
 		}
 	}
 
-	// Rests as long as another host reads and its news are fresh enough.
+	// Makes no call as long as another host reads and what is known is not too old.
 	private void readTail() {
-		long rest = this.pace.get().restMillis() - ageNanos() / NANOS_PER_MILLI;
-		if (rest > 0 && !this.noRest && this.lostSince == 0 && this.sharing.fed()) {
-			later(this::readTail, rest);
+		long unneeded = this.pace.get().maxAgeMillis() - ageNanos() / NANOS_PER_MILLI;
+		if (unneeded > 0 && !this.forced && this.lostSince == 0 && this.sharing.anotherReads()) {
+			later(this::readTail, unneeded);
 			return;
 		}
-		this.noRest = false;
+		this.forced = false;
 		callTail();
 	}
 
@@ -359,7 +359,7 @@
 	 */
 	public void readNow() {
 		if (this.planned != null) {
-			this.noRest = true;
+			this.forced = true;
 			this.planned.run();
 		}
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/ReadRelay.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/ReadRelay.java
@@ -20,10 +20,10 @@
  *
  * <p>
  * A host that reads for itself tells the others what it read; a host that is told by one
- * whose name is smaller than its own rests. So the host with the smallest name of those
- * that reach the store comes to read for all, without an agreement: two that read beside
- * each other only pay twice, and whoever hears nothing for a while reads for itself
- * again. In a large fleet hosts tell only those of their own zone.
+ * whose name is smaller than its own makes no calls. So the host with the smallest name
+ * of those that reach the store comes to read for all, without an agreement: two that
+ * read beside each other only pay twice, and whoever hears nothing for a while reads for
+ * itself again. In a large fleet hosts tell only those of their own zone.
  */
 public final class ReadRelay implements ReadSharing {
 
@@ -94,7 +94,7 @@
 	}
 
 	@Override
-	public boolean fed() {
+	public boolean anotherReads() {
 		if (this.reader != null && this.clock.getAsLong() - this.heardAt > this.silenceNanos) {
 			logger.info(GatewayEvents.READER_LOST, this.reader.host());
 			this.reader = null;
@@ -104,7 +104,7 @@
 
 	@Override
 	public void read(SharedRead read) {
-		if (fed()) {
+		if (anotherReads()) {
 			return;
 		}
 		List<byte[]> datagrams = new ArrayList<>();
@@ -143,7 +143,7 @@
 		if (peer.host().compareTo(this.self.host()) >= 0) {
 			return;
 		}
-		fed();
+		anotherReads();
 		boolean smaller = this.reader == null || peer.host().compareTo(this.reader.host()) <= 0;
 		if (!smaller) {
 			return;
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -31,14 +31,14 @@
 
 	private final List<Long> delays = new ArrayList<>();
 
-	private boolean fed;
+	private boolean anotherReads;
 
 	private final List<SharedRead> told = new ArrayList<>();
 
 	private final ReadSharing sharing = new ReadSharing() {
 		@Override
-		public boolean fed() {
-			return TopicFollowerTests.this.fed;
+		public boolean anotherReads() {
+			return TopicFollowerTests.this.anotherReads;
 		}
 
 		@Override
@@ -172,7 +172,7 @@
 	@Test
 	void whileAnotherHostReadsTheStoreIsLeftAloneAsLongAsNewsAreFresh() {
 		this.follower.start();
-		this.fed = true;
+		this.anotherReads = true;
 		this.topic.put("a", "1");
 		int calls = this.topic.reads();
 		this.now += 1_000_000_000L;
@@ -192,7 +192,7 @@
 	@CsvSource({ "2,true", "1,false" })
 	void aStretchThatStaysMissingOrIsNotWholeIsReadFromTheStore(long from, boolean whole) {
 		this.follower.start();
-		this.fed = true;
+		this.anotherReads = true;
 		this.topic.put("a", "1");
 		runLater();
 		this.topic.put("b", "2");
@@ -207,7 +207,7 @@
 	@Test
 	void stretchesThatArriveOutOfOrderAreFollowedWithoutACall() {
 		this.follower.start();
-		this.fed = true;
+		this.anotherReads = true;
 		this.topic.put("a", "0");
 		int calls = this.topic.reads();
 		this.follower.shared(shared(3, 4, true, record("a", "3", 3)));
@@ -233,7 +233,7 @@
 	void aHostThatIsTurnedAwayByTheStoreKnowsWhatItIsTold() {
 		this.follower.start();
 		this.topic.down(true);
-		this.fed = true;
+		this.anotherReads = true;
 		this.follower.shared(shared(0, 1, true, record("a", "1", 0)));
 		assertThat(this.seen).containsEntry("a", "1");
 		assertThat(this.returns).isEqualTo(1);
