Forget hosts that have not written their address for three hours

An address is written again each hour, one that is three hours old is forgotten by all and its record dropped by a host that reads for others.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -36,6 +36,7 @@
 import io.sequoialink.gateway.place.UsualPace;
 import io.sequoialink.gateway.relay.Peer;
 import io.sequoialink.gateway.relay.PeerAnnouncement;
+import io.sequoialink.gateway.relay.PeerDirectory;
 import io.sequoialink.gateway.relay.PeerSocket;
 import io.sequoialink.gateway.relay.ReadRelay;
 import io.sequoialink.gateway.rollout.RolloutWatch;
@@ -143,7 +144,7 @@
 		this.crashes = new CrashWatch(settings.host(), statuses, this::later, System::nanoTime);
 		this.relay = settings.peers().map(this::relay);
 		statuses.readInto(this.updates, this.crashes::take,
-				(peer) -> this.relay.ifPresent((known) -> known.peer(peer)));
+				this.relay.<PeerDirectory>map((known) -> known).orElse(PeerDirectory.NONE));
 		this.reading = new StoreReading(this.store, this.updates, statuses, this.rollouts::underWay, this::later,
 				new StoreWatch(this.counts.storeCalls()),
 				this.relay.<ReadSharing>map((known) -> known).orElse(ReadSharing.NONE));
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -98,6 +98,9 @@
 	/** This host's address could not be written. */
 	public static final String ADDRESS_NOT_WRITTEN = "SL-3504 could not write where this host takes datagrams, tries again: {}, {}";
 
+	/** A host has not written its address for long. */
+	public static final String PEER_FORGOTTEN = "SL-3505 host {} has not written where it takes datagrams for three hours and is forgotten";
+
 	private GatewayEvents() {
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/PeerAnnouncement.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/PeerAnnouncement.java
@@ -6,8 +6,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Makes this host's address known through the store, once, unless the store holds it from
- * an earlier life. Confined to the event loop.
+ * Makes this host's address known through the store: once, unless the store holds it from
+ * an earlier life, and each hour again, so that addresses of hosts which are gone for
+ * good can be dropped. Confined to the event loop.
  */
 public final class PeerAnnouncement {
 
@@ -15,6 +16,8 @@
 
 	private static final long RETRY_MILLIS = 2000;
 
+	private static final long AGAIN_MILLIS = 3_600_000;
+
 	private final ReadRelay relay;
 
 	private final PeerRecords records;
@@ -41,14 +44,26 @@
 	public void statusesRead() {
 		if (!this.begun) {
 			this.begun = true;
-			write();
+			if (!this.relay.known()) {
+				write();
+			}
+			this.timer.later(this::again, AGAIN_MILLIS);
 		}
 	}
 
-	private void write() {
-		if (this.relay.known()) {
-			return;
+	// One host drops what is too old for all.
+	private void again() {
+		write();
+		for (String host : this.relay.expire()) {
+			logger.info(GatewayEvents.PEER_FORGOTTEN, host);
+			if (!this.relay.anotherReads()) {
+				this.records.drop(host);
+			}
 		}
+		this.timer.later(this::again, AGAIN_MILLIS);
+	}
+
+	private void write() {
 		this.records.announce(this.relay.self(), (reply) -> reply.match((offset) -> {
 			// the record is read back like those of other hosts
 		}, (failure) -> {
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/PeerRecords.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/PeerRecords.java
@@ -7,7 +7,6 @@
 /**
  * Writes where a host takes datagrams. Called on the event loop.
  */
-@FunctionalInterface
 public interface PeerRecords {
 
 	/**
@@ -17,4 +16,10 @@
 	 */
 	void announce(Peer self, Consumer<StoreReply<Long>> reply);
 
+	/**
+	 * Drops the address of a host that has not written it for long.
+	 * @param host name of the host
+	 */
+	void drop(String host);
+
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/ReadRelay.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/ReadRelay.java
@@ -25,11 +25,16 @@
  * read beside each other only pay twice, and whoever hears nothing for a while reads for
  * itself again. In a large fleet hosts tell only those of their own zone.
  */
-public final class ReadRelay implements ReadSharing {
+public final class ReadRelay implements ReadSharing, PeerDirectory {
 
 	/** Hosts up to which one may read for all zones. */
 	static final int SMALL_FLEET = 32;
 
+	/** Time for which an address is used that is not written again, in nanoseconds. */
+	static final long KEPT_NANOS = 3 * 3_600_000_000_000L;
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
 	private static final Logger logger = LoggerFactory.getLogger(ReadRelay.class);
 
 	private final Peer self;
@@ -42,6 +47,8 @@
 
 	private final Map<String, Peer> peers = new HashMap<>();
 
+	private final Map<String, Long> writtenAt = new HashMap<>();
+
 	private long silenceNanos;
 
 	private Peer reader;
@@ -73,12 +80,32 @@
 		this.silenceNanos = nanos;
 	}
 
+	@Override
+	public void peer(Peer peer, long ageMillis) {
+		this.peers.put(peer.host(), peer);
+		this.writtenAt.put(peer.host(), this.clock.getAsLong() - ageMillis * NANOS_PER_MILLI);
+	}
+
+	@Override
+	public void gone(String host) {
+		this.peers.remove(host);
+		this.writtenAt.remove(host);
+	}
+
 	/**
-	 * Takes the address of a host.
-	 * @param peer the host
+	 * Forgets hosts that have not written their address for long.
+	 * @return their names
 	 */
-	public void peer(Peer peer) {
-		this.peers.put(peer.host(), peer);
+	List<String> expire() {
+		long oldest = this.clock.getAsLong() - KEPT_NANOS;
+		List<String> expired = new ArrayList<>();
+		this.writtenAt.forEach((host, at) -> {
+			if (at - oldest < 0) {
+				expired.add(host);
+			}
+		});
+		expired.forEach(this::gone);
+		return expired;
 	}
 
 	/**
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/PeerAnnouncementTests.java
@@ -0,0 +1,101 @@
+package io.sequoialink.gateway.relay;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.sequoialink.gateway.feed.StoreFailure;
+import io.sequoialink.gateway.feed.StoreReply;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PeerAnnouncementTests implements PeerRecords {
+
+	private static final long HOUR_NANOS = 3_600_000_000_000L;
+
+	private final Peer self = new Peer("h5", "a", new InetSocketAddress("10.0.0.5", 7340));
+
+	private final Deque<Runnable> later = new ArrayDeque<>();
+
+	private final List<Peer> written = new ArrayList<>();
+
+	private final List<String> dropped = new ArrayList<>();
+
+	private boolean refusing;
+
+	private long now = 100 * HOUR_NANOS;
+
+	private final ReadRelay relay = new ReadRelay(this.self, (to, datagram) -> {
+	}, (read) -> {
+	}, HOUR_NANOS, () -> this.now);
+
+	private final PeerAnnouncement announcement = new PeerAnnouncement(this.relay, this,
+			(work, delay) -> this.later.add(work));
+
+	@Override
+	public void announce(Peer peer, Consumer<StoreReply<Long>> reply) {
+		if (this.refusing) {
+			reply.accept(StoreReply.failed(new StoreFailure(StoreFailure.Kind.REFUSED, "busy")));
+			return;
+		}
+		this.written.add(peer);
+		reply.accept(StoreReply.of(1L));
+	}
+
+	@Override
+	public void drop(String host) {
+		this.dropped.add(host);
+	}
+
+	private void runLater() {
+		int runs = this.later.size();
+		for (int i = 0; i < runs; i++) {
+			this.later.pollFirst().run();
+		}
+	}
+
+	@Test
+	void anAddressIsWrittenOnceAndEachHourAgain() {
+		this.announcement.statusesRead();
+		this.announcement.statusesRead();
+		assertThat(this.written).containsExactly(this.self);
+		runLater();
+		assertThat(this.written).hasSize(2);
+	}
+
+	@Test
+	void anAddressThatTheStoreHoldsIsNotWrittenAtAStart() {
+		this.relay.peer(this.self, 1000);
+		this.announcement.statusesRead();
+		assertThat(this.written).isEmpty();
+	}
+
+	@Test
+	void anAddressThatCouldNotBeWrittenIsWrittenLater() {
+		this.refusing = true;
+		this.announcement.statusesRead();
+		this.refusing = false;
+		runLater();
+		assertThat(this.written).contains(this.self);
+	}
+
+	// Hosts are replaced every day; their addresses would be told of reads for ever.
+	@Test
+	void hostsThatAreGoneForGoodAreForgottenAndTheirRecordsDropped() {
+		this.relay.peer(new Peer("h7", "a", new InetSocketAddress("10.0.0.7", 7340)), 0);
+		this.announcement.statusesRead();
+		this.now += 2 * HOUR_NANOS;
+		this.relay.peer(new Peer("h8", "a", new InetSocketAddress("10.0.0.8", 7340)), 0);
+		this.relay.peer(this.self, 0);
+		runLater();
+		assertThat(this.dropped).isEmpty();
+		this.now += 2 * HOUR_NANOS;
+		runLater();
+		assertThat(this.dropped).containsExactly("h7");
+	}
+
+}
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/SimulatedFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/SimulatedFleet.java
@@ -66,7 +66,7 @@
 					new Host(new Peer(name, "zone-" + i % 4, new InetSocketAddress("10.0.0." + i % 250, 1000 + i))));
 		}
 		for (Host host : this.hosts.values()) {
-			this.hosts.values().forEach((other) -> host.relay.peer(other.self));
+			this.hosts.values().forEach((other) -> host.relay.peer(other.self, 0));
 			at(this.random.nextInt(300), host, host.follower::start);
 		}
 	}
