--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -129,14 +130,11 @@
 	 */
 	public EntryHost(EntrySettings settings) {
 		this.settings = settings;
-		HeaderDialect dialect = new HeaderDialect();
 		EntrySettings.Bounds bounds = settings.bounds();
 		this.store = new StoreConnections(settings.store(), this.loop);
 		StatusRecords statuses = new StatusRecords(StoreTopic.statuses(this.store));
 		SplittableRandom random = new SplittableRandom();
-		this.rollouts = new RolloutWatch(settings.host(),
-				new RolloutWatch.Options(bounds.exposureShare(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis())),
-				statuses, System::nanoTime, random);
+		this.rollouts = new RolloutWatch(settings.host(), options(bounds), statuses, System::nanoTime, random);
 		StartGate gate = new StartGate();
 		// on an order, calls that wait for crashes only are made again with shorter waits
 		this.updates = new FleetUpdates(this.view, this.rollouts, () -> readClosely(statuses), gate::open,
@@ -150,16 +148,20 @@
 				this.relay.<ReadSharing>map((known) -> known).orElse(ReadSharing.NONE));
 		this.relay.ifPresent((known) -> this.updates
 			.whenStatusesRead(new PeerAnnouncement(known, statuses, this::later)::statusesRead));
-		ServerTable servers = new ServerTable(this.view);
-		ReadingSpeed speed = new ReadingSpeed();
 		this.budget = new RepeatBudget(bounds.repeatRatio(), hostSlack(bounds),
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
-		Gateway gateway = new Gateway(gate, this.view, servers,
-				new LeastWorkChoice(servers, speed, settings.zone(), System::nanoTime, random),
+		this.front = new FrontServer(gateway(gate, random));
+	}
+
+	private Gateway gateway(StartGate gate, RandomGenerator random) {
+		HeaderDialect dialect = new HeaderDialect();
+		ServerTable servers = new ServerTable(this.view);
+		ReadingSpeed speed = new ReadingSpeed();
+		return new Gateway(gate, this.view, servers,
+				new LeastWorkChoice(servers, speed, this.settings.zone(), System::nanoTime, random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.strain, new WorkDensity(), this.rollouts,
 				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget, this.crashes,
 				this.counts, System::nanoTime);
-		this.front = new FrontServer(gateway);
 	}
 
 	/**
