--- a/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryHostTests.java
@@ -4,12 +4,12 @@
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 import com.sun.net.httpserver.HttpServer;
+import io.sequoialink.soak.FreePorts;
 import io.sequoialink.soak.StandinStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -54,8 +54,8 @@
 			exchange.close();
 		});
 		this.backend.start();
-		this.clients = freePort();
-		this.readiness = freePort();
+		this.clients = FreePorts.tcp();
+		this.readiness = FreePorts.tcp();
 		InetAddress loopback = InetAddress.getLoopbackAddress();
 		this.host = new EntryHost(new EntrySettings("h1", "a", new InetSocketAddress(loopback, this.clients),
 				new InetSocketAddress(loopback, this.readiness), this.store.address(), Optional.empty(),
@@ -250,10 +250,4 @@
 		}
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
 }
--- a/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.file.Files;
@@ -14,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
+import io.sequoialink.soak.FreePorts;
 import io.sequoialink.soak.StandinStore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -51,7 +50,7 @@
 	@Test
 	void everyLineOfTheLogIsJsonFromTheStartToTheStop() throws Exception {
 		try (StandinStore store = new StandinStore()) {
-			int readiness = freePort();
+			int readiness = FreePorts.tcp();
 			Process process = start(settings(store, readiness));
 			within(() -> answers(readiness));
 			process.destroy();
@@ -66,7 +65,7 @@
 	void theLogTellsWhenTheHostBecomesReadyAndWhyItIsNotAnyMore() throws Exception {
 		try (StandinStore store = new StandinStore()) {
 			store.put("op", "config", "{\"version\":7,\"routes\":[],\"services\":[]}");
-			int readiness = freePort();
+			int readiness = FreePorts.tcp();
 			Process process = start(settings(store, readiness));
 			within(() -> out().contains("SL-3009"));
 			process.destroy();
@@ -90,7 +89,7 @@
 	void theLibraryOfMetricsIsLoadedOnlyWhenTheyAreAskedFor() throws Exception {
 		Path loaded = this.directory.resolve("loaded");
 		try (StandinStore store = new StandinStore()) {
-			int readiness = freePort();
+			int readiness = FreePorts.tcp();
 			Process process = start(settings(store, readiness), "-Xlog:class+load:file=" + loaded);
 			within(() -> answers(readiness));
 			assertThat(Files.readString(loaded)).contains("io.sequoialink.entry.EntryHost")
@@ -107,11 +106,11 @@
 	void clientsCanConnectBeforeTheSettingsAreRead() throws Exception {
 		Path settings = this.directory.resolve("pipe");
 		assertThat(new ProcessBuilder("mkfifo", settings.toString()).start().waitFor()).isZero();
-		int clients = freePort();
+		int clients = FreePorts.tcp();
 		Process process = java("--listen", "127.0.0.1:" + clients, settings.toString());
 		try (StandinStore store = new StandinStore()) {
 			within(() -> connects(clients));
-			int readiness = freePort();
+			int readiness = FreePorts.tcp();
 			Files.writeString(settings, settings(store, clients, readiness));
 			within(() -> answers(readiness));
 			assertThat(status(clients, "/none")).isEqualTo(503);
@@ -131,7 +130,7 @@
 	}
 
 	private static String settings(StandinStore store, int readiness) throws IOException {
-		return settings(store, freePort(), readiness);
+		return settings(store, FreePorts.tcp(), readiness);
 	}
 
 	private static String settings(StandinStore store, int clients, int readiness) {
@@ -180,10 +179,4 @@
 			.doesNotContain("DEBUG");
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
 }
--- a/entry/src/test/java/io/sequoialink/entry/HostsThatReadForOneAnotherTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/HostsThatReadForOneAnotherTests.java
@@ -2,15 +2,14 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
+import io.sequoialink.soak.FreePorts;
 import io.sequoialink.soak.StandinStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -53,11 +52,12 @@
 	}
 
 	private EntryHost host(String name) throws Exception {
-		this.readiness = freePort();
-		EntryHost host = new EntryHost(new EntrySettings(name, "a", new InetSocketAddress(this.loopback, freePort()),
-				new InetSocketAddress(this.loopback, this.readiness), this.store.address(),
-				Optional.of(new InetSocketAddress(this.loopback, freeDatagramPort())),
-				new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
+		this.readiness = FreePorts.tcp();
+		EntryHost host = new EntryHost(
+				new EntrySettings(name, "a", new InetSocketAddress(this.loopback, FreePorts.tcp()),
+						new InetSocketAddress(this.loopback, this.readiness), this.store.address(),
+						Optional.of(new InetSocketAddress(this.loopback, FreePorts.udp())),
+						new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
 		host.start();
 		return host;
 	}
@@ -105,16 +105,4 @@
 		}
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
-	private static int freeDatagramPort() throws IOException {
-		try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
 }
--- a/entry/src/test/java/io/sequoialink/soak/HostProcess.java
+++ b/entry/src/test/java/io/sequoialink/soak/HostProcess.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.net.HttpURLConnection;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -31,11 +29,11 @@
 
 	private final LinkProxy storeLink;
 
-	private final int clients = freePort();
+	private final int clients = FreePorts.tcp();
 
-	private final int readiness = freePort();
+	private final int readiness = FreePorts.tcp();
 
-	private final int peers = freePort();
+	private final int peers = FreePorts.udp();
 
 	private Process process;
 
@@ -170,12 +168,6 @@
 		return this.process != null && this.process.isAlive();
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
 	@Override
 	public synchronized void close() throws IOException {
 		this.closed = true;
