--- a/entry/src/test/java/io/sequoialink/soak/SoakCommand.java
+++ b/entry/src/test/java/io/sequoialink/soak/SoakCommand.java
@@ -59,7 +59,7 @@
 		SoakOptions options = new SoakOptions(this.seed, (long) (this.minutes * MILLIS_OF_A_MINUTE), this.processes,
 				List.of("-jar", this.program.toAbsolutePath().toString()), directory.toAbsolutePath());
 		try (Soak soak = new Soak(options)) {
-			return report(soak.run());
+			return report(soak.run(), this.spec.commandLine().getOut());
 		}
 	}
 
@@ -71,8 +71,7 @@
 		}
 	}
 
-	private int report(SoakReport report) {
-		PrintWriter out = this.spec.commandLine().getOut();
+	static int report(SoakReport report, PrintWriter out) {
 		report.counts().forEach((name, count) -> out.println("  " + name + ": " + count));
 		report.violations().forEach((broken) -> out.println("  broken " + broken.rule() + ": " + broken.detail()));
 		out.println("seed " + report.seed() + ": "
--- a/entry/src/test/java/io/sequoialink/soak/SoakCommandTests.java
+++ b/entry/src/test/java/io/sequoialink/soak/SoakCommandTests.java
@@ -5,6 +5,7 @@
 import java.io.StringWriter;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 
 import io.sequoialink.entry.EntryMain;
 import org.junit.jupiter.api.Test;
@@ -32,6 +33,14 @@
 		assertThat(report.counts()).containsKeys("sent", "status 200");
 	}
 
+	@Test
+	void aBrokenPromiseIsToldAndFailsTheCommand() {
+		StringWriter out = new StringWriter();
+		SoakReport report = new SoakReport(9, Map.of("sent", 3), List.of(new Violation("TWICE", "q1")));
+		assertThat(SoakCommand.report(report, new PrintWriter(out))).isEqualTo(CommandLine.ExitCode.SOFTWARE);
+		assertThat(out.toString()).contains("broken TWICE: q1", "seed 9: promises were broken");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "--minutes=0", "--processes=1", "--processes=500", "--program=/nowhere.jar" })
 	void optionsThatMakeNoSenseAreRefused(String option) {
