Mend what a second reading found: archive without peers, counter of calls that were none, figures not measured

(2) sequoialink_store_calls counted reads that other hosts told of, which are no calls: a counter of their own, sequoialink_told_reads. (3) An address of clients in use ended the program with a stack trace: one line and exit 1 now (EntryMainTests failed before). Tests: both topics in SharedReadingTests, HostsThatReadForOneAnotherTests (no datagram socket; held before too). Whole tests passed.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -144,7 +144,7 @@
 		statuses.readInto(this.updates, this.crashes::take,
 				this.relay.<PeerDirectory>map((known) -> known).orElse(PeerDirectory.NONE));
 		this.reading = new StoreReading(this.store, this.updates, statuses, this.rollouts::underWay, this::later,
-				new StoreWatch(this.counts.storeCalls()),
+				new StoreWatch(this.counts.storeCalls(), this.counts.toldReads()),
 				this.relay.<ReadSharing>map((known) -> known).orElse(ReadSharing.NONE));
 		this.relay.ifPresent((known) -> this.updates
 			.whenStatusesRead(new PeerAnnouncement(known, statuses, this::later)::statusesRead));
--- a/entry/src/main/java/io/sequoialink/entry/EntryMain.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryMain.java
@@ -13,7 +13,7 @@
 
 /**
  * Entry point of an entry host. Exits with 2 and all errors if the settings can't be
- * used.
+ * used, with 1 if clients' address can't be.
  */
 public final class EntryMain {
 
@@ -31,6 +31,8 @@
 
 	private static final int INVALID_SETTINGS = 2;
 
+	private static final int ADDRESS_IN_USE = 1;
+
 	private EntryMain() {
 	}
 
@@ -40,7 +42,7 @@
 	 * the settings are read; then the path of the settings file, unless the environment
 	 * names it
 	 * @throws InterruptedException if interrupted while sockets are bound
-	 * @throws IOException if clients' address can't be used
+	 * @throws IOException if the rehearsal can't use loopback
 	 */
 	public static void main(String[] arguments) throws InterruptedException, IOException {
 		if (arguments.length == 1 && arguments[0].equals(REHEARSE)) {
@@ -48,18 +50,22 @@
 			return;
 		}
 		boolean listens = arguments.length > 1 && arguments[0].equals(LISTEN);
-		ServerSocketChannel early = listens ? early(arguments[1]) : null;
-		LogSetup.quiet();
 		try {
+			ServerSocketChannel early = listens ? early(arguments[1]) : null;
+			LogSetup.quiet();
 			start(settingsFile(arguments, listens ? 2 : 0), early);
 		}
 		catch (SettingsException ex) {
 			ex.errors().forEach(System.err::println);
 			System.exit(INVALID_SETTINGS);
 		}
+		catch (IOException ex) {
+			System.err.println("clients' address can't be used: " + ex.getMessage());
+			System.exit(ADDRESS_IN_USE);
+		}
 	}
 
-	// An address that can't be used is reported with the settings, which state it too.
+	// What is no address is left to the settings, which name clients' address too.
 	private static ServerSocketChannel early(String address) throws IOException {
 		Optional<InetSocketAddress> parsed = SocketAddresses.parse(address);
 		return parsed.isPresent() ? ListeningSocket.open(parsed.get()) : null;
--- a/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
+++ b/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
@@ -52,6 +52,8 @@
 		metrics.add(counter("sequoialink_requests", "Ended requests", this.counts.requests()));
 		metrics.add(counter("sequoialink_sends", "Ended sends to backend servers", this.counts.sends()));
 		metrics.add(counter("sequoialink_store_calls", "Calls to the platform's store", this.counts.storeCalls()));
+		metrics.add(counter("sequoialink_told_reads", "Reads of the store that other hosts told of",
+				this.counts.toldReads()));
 		metrics.add(firstParts());
 		this.gauges.forEach((gauge) -> metrics.add(gauge.snapshot()));
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/entry/src/main/java/io/sequoialink/entry/Rehearsal.java
+++ b/entry/src/main/java/io/sequoialink/entry/Rehearsal.java
@@ -20,7 +20,7 @@
 
 	private static final String SETTINGS = """
 			{"host":"rehearsal","zone":"none","clients":"127.0.0.1:%1$d","readiness":"127.0.0.1:%2$d",
-			"store":{"address":"127.0.0.1:%3$d"},
+			"peers":"127.0.0.1:%4$d","store":{"address":"127.0.0.1:%3$d"},
 			"bounds":{"stop_seconds":1,"leaving_millis":1000,"apply_millis":1000,"repeat_ratio":1,"repeat_slack":1,
 			"repeat_window_seconds":1,"exposure_share":0.1,"exposure_slack":1,"session_seconds":1}}""";
 
@@ -51,7 +51,7 @@
 	private static EntrySettings settings(int clients) throws IOException {
 		Path file = Files.createTempFile("sequoialink", ".json");
 		try {
-			Files.writeString(file, SETTINGS.formatted(clients, freePort(), freePort()));
+			Files.writeString(file, SETTINGS.formatted(clients, freePort(), freePort(), freePort()));
 			return SettingsReader.read(file);
 		}
 		catch (SettingsException ex) {
--- a/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/EntryMainTests.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.file.Files;
@@ -16,6 +18,8 @@
 import io.sequoialink.soak.StandinStore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -120,6 +124,21 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void anAddressThatIsInUseEndsTheProgramWithOneLine(boolean early) throws Exception {
+		try (StandinStore store = new StandinStore();
+				ServerSocket used = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+			int port = used.getLocalPort();
+			Path file = Files.writeString(this.directory.resolve("settings.json"),
+					settings(store, port, FreePorts.tcp()));
+			Process process = early ? java("--listen", "127.0.0.1:" + port, file.toString()) : java(file.toString());
+			assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+			assertThat(process.exitValue()).isEqualTo(1);
+			assertThat(out().lines()).containsExactly("clients' address can't be used: Address already in use");
+		}
+	}
+
 	private static boolean connects(int port) {
 		try (Socket socket = new Socket("127.0.0.1", port)) {
 			return socket.isConnected();
--- a/entry/src/test/java/io/sequoialink/entry/HostsThatReadForOneAnotherTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/HostsThatReadForOneAnotherTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -41,7 +42,7 @@
 		configure(1);
 		this.reader = host("h1");
 		this.told = host("h2");
-		within(() -> metrics().contains("sequoialink_store_calls_total{outcome=\"shared\",topic=\"op\"}"));
+		within(() -> metrics().contains("sequoialink_told_reads_total{outcome=\"followed\",topic=\"op\"}"));
 	}
 
 	@AfterEach
@@ -52,11 +53,15 @@
 	}
 
 	private EntryHost host(String name) throws Exception {
+		return host(name, FreePorts.udp());
+	}
+
+	private EntryHost host(String name, int datagrams) throws Exception {
 		this.readiness = FreePorts.tcp();
 		EntryHost host = new EntryHost(
 				new EntrySettings(name, "a", new InetSocketAddress(this.loopback, FreePorts.tcp()),
 						new InetSocketAddress(this.loopback, this.readiness), this.store.address(),
-						Optional.of(new InetSocketAddress(this.loopback, FreePorts.udp())),
+						Optional.of(new InetSocketAddress(this.loopback, datagrams)),
 						new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
 		host.start();
 		return host;
@@ -82,6 +87,17 @@
 		within(() -> metrics().contains("sequoialink_configuration_version 2.0"));
 	}
 
+	@Test
+	void aHostThatCannotTakeDatagramsReadsForItself() throws Exception {
+		try (DatagramSocket used = new DatagramSocket(0, this.loopback)) {
+			EntryHost alone = host("h3", used.getLocalPort());
+			configure(2);
+			within(() -> metrics().contains("sequoialink_configuration_version 2.0"));
+			assertThat(metrics()).doesNotContain("sequoialink_told_reads_total{");
+			alone.stop();
+		}
+	}
+
 	private String metrics() {
 		try (InputStream in = URI.create("http://localhost:" + this.readiness + "/metrics").toURL().openStream()) {
 			return new String(in.readAllBytes(), StandardCharsets.UTF_8);
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/StoreWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/StoreWatch.java
@@ -15,6 +15,8 @@
 
 	private final LabelledCounts calls;
 
+	private final LabelledCounts told;
+
 	private long answeredAt;
 
 	private boolean answeredOnce;
@@ -22,15 +24,21 @@
 	/**
 	 * Creates a watch without followers.
 	 * @param calls counts calls by topic and outcome
+	 * @param told counts stretches that other hosts told of, by topic and outcome
 	 */
-	public StoreWatch(LabelledCounts calls) {
+	public StoreWatch(LabelledCounts calls, LabelledCounts told) {
 		this.calls = calls;
+		this.told = told;
 	}
 
 	void called(String topic, String outcome) {
 		this.calls.add(topic, outcome);
 	}
 
+	void told(String topic, String outcome) {
+		this.told.add(topic, outcome);
+	}
+
 	void answered(long nowNanos) {
 		this.answeredAt = nowNanos;
 		this.answeredOnce = true;
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -280,7 +280,7 @@
 	}
 
 	private void follow(SharedRead read) {
-		this.watch.called(this.topic.name(), "shared");
+		this.watch.told(this.topic.name(), "followed");
 		if (this.lostSince != 0) {
 			back(this.clock.getAsLong());
 		}
@@ -306,7 +306,7 @@
 	}
 
 	private void readMissing() {
-		this.watch.called(this.topic.name(), "missed");
+		this.watch.told(this.topic.name(), "missed");
 		this.early.clear();
 		readNow();
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -27,7 +27,8 @@
 
 	private long now = 1;
 
-	private final StoreWatch watch = new StoreWatch(new LabelledCounts("topic", "outcome"));
+	private final StoreWatch watch = new StoreWatch(new LabelledCounts("topic", "outcome"),
+			new LabelledCounts("topic", "outcome"));
 
 	private final List<Long> delays = new ArrayList<>();
 
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/SimulatedFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/SimulatedFleet.java
@@ -27,14 +27,23 @@
 import io.sequoialink.gateway.feed.TopicFollower;
 
 /**
- * Hosts that follow one topic of one store in simulated time, with faults. Confined to
- * one thread.
+ * Hosts that follow the operator's and the servers' topic of one store in simulated time,
+ * with faults. Confined to one thread.
  */
 final class SimulatedFleet {
 
 	static final long BOUND_MILLIS = 2000;
 
-	private static final FollowPace PACE = new FollowPace(100, 100, 1400, 300, 600, 1600);
+	static final String SERVERS = "servers";
+
+	static final String OPERATOR = "op";
+
+	/** How a whole host reads the two topics, for bounds of 2 s. */
+	private static final Map<String, FollowPace> PACES = Map.of(SERVERS, new FollowPace(100, 100, 1400, 300, 600, 1600),
+			OPERATOR, new FollowPace(1400, 1400, 0, 300, 2400, 1600));
+
+	/** Headers of IP and UDP. */
+	private static final int HEADER_BYTES = 28;
 
 	private static final long CALL_MILLIS = 5;
 
@@ -42,7 +51,7 @@
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>();
 
-	private final List<KeyedRecord> log = new ArrayList<>();
+	private final Map<String, List<KeyedRecord>> logs = Map.of(SERVERS, new ArrayList<>(), OPERATOR, new ArrayList<>());
 
 	private final Map<String, Host> hosts = new HashMap<>();
 
@@ -58,16 +67,17 @@
 
 	private long datagramBytes;
 
-	SimulatedFleet(int size, long seed) {
+	SimulatedFleet(int size, int zones, long seed) {
 		this.random = new SplittableRandom(seed);
 		for (int i = 0; i < size; i++) {
 			String name = String.format("h-%03d", i);
-			this.hosts.put(name,
-					new Host(new Peer(name, "zone-" + i % 4, new InetSocketAddress("10.0.0." + i % 250, 1000 + i))));
+			this.hosts.put(name, new Host(
+					new Peer(name, "zone-" + i % zones, new InetSocketAddress("10.0.0." + i % 250, 1000 + i))));
 		}
+		put(OPERATOR, "config", "first");
 		for (Host host : this.hosts.values()) {
 			this.hosts.values().forEach((other) -> host.relay.peer(other.self, 0));
-			at(this.random.nextInt(300), host, host.follower::start);
+			at(this.random.nextInt(300), host, () -> host.followers.values().forEach(TopicFollower::start));
 		}
 	}
 
@@ -96,8 +106,9 @@
 		this.nowMillis = until;
 	}
 
-	void put(String key, String value) {
-		this.log.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), this.log.size()));
+	void put(String topic, String key, String value) {
+		List<KeyedRecord> log = this.logs.get(topic);
+		log.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), log.size()));
 	}
 
 	/**
@@ -111,7 +122,7 @@
 
 	private void beat(String key, long delay) {
 		at(delay, null, () -> {
-			put(key, "ready");
+			put(SERVERS, key, "ready");
 			beat(key, 1200);
 		});
 	}
@@ -119,8 +130,8 @@
 	/**
 	 * Writes a change and returns how long it takes until all sound hosts know it.
 	 */
-	long spread(String value) {
-		put("change", value);
+	long spread(String topic, String value) {
+		put(topic, "change", value);
 		long began = this.nowMillis;
 		while (this.hosts.values()
 			.stream()
@@ -177,7 +188,7 @@
 
 		private final ReadRelay relay;
 
-		private final TopicFollower follower;
+		private final Map<String, TopicFollower> followers = new HashMap<>();
 
 		private final Map<String, String> seen = new HashMap<>();
 
@@ -187,15 +198,13 @@
 
 		private Host(Peer self) {
 			this.self = self;
-			this.relay = new ReadRelay(self, this::send, (read) -> follower().shared(read), 4_000_000_000L,
-					() -> SimulatedFleet.this.nowMillis * 1_000_000L);
-			this.follower = new TopicFollower(new Store(), this, () -> PACE, (work, delay) -> at(delay, this, work),
-					() -> SimulatedFleet.this.nowMillis * 1_000_000L,
-					new StoreWatch(new LabelledCounts("topic", "outcome")), this.relay);
-		}
-
-		private TopicFollower follower() {
-			return this.follower;
+			this.relay = new ReadRelay(self, this::send, (read) -> this.followers.get(read.topic()).shared(read),
+					4_000_000_000L, () -> SimulatedFleet.this.nowMillis * 1_000_000L);
+			PACES.forEach((topic, pace) -> this.followers
+				.put(topic, new TopicFollower(new Store(topic), this, () -> pace,
+						(work, delay) -> at(delay, this, work), () -> SimulatedFleet.this.nowMillis * 1_000_000L,
+						new StoreWatch(new LabelledCounts("topic", "outcome"), new LabelledCounts("topic", "outcome")),
+						this.relay)));
 		}
 
 		private boolean sound() {
@@ -204,7 +213,7 @@
 		}
 
 		private void send(InetSocketAddress to, byte[] datagram) {
-			SimulatedFleet.this.datagramBytes += datagram.length;
+			SimulatedFleet.this.datagramBytes += datagram.length + HEADER_BYTES;
 			if (SimulatedFleet.this.random.nextDouble() < SimulatedFleet.this.lost) {
 				return;
 			}
@@ -231,18 +240,28 @@
 		 */
 		private final class Store implements KeyedTopic {
 
+			private final String topic;
+
+			private Store(String topic) {
+				this.topic = topic;
+			}
+
+			private List<KeyedRecord> log() {
+				return SimulatedFleet.this.logs.get(this.topic);
+			}
+
 			@Override
 			public String name() {
-				return "topic";
+				return this.topic;
 			}
 
 			@Override
 			public void newest(Optional<String> after, Consumer<StoreReply<NewestPage>> reply) {
 				call(() -> {
 					Map<String, KeyedRecord> newest = new HashMap<>();
-					SimulatedFleet.this.log.forEach((record) -> newest.put(record.key(), record));
-					reply.accept(StoreReply.of(new NewestPage(List.copyOf(newest.values()), Optional.empty(),
-							SimulatedFleet.this.log.size())));
+					log().forEach((record) -> newest.put(record.key(), record));
+					reply.accept(StoreReply
+						.of(new NewestPage(List.copyOf(newest.values()), Optional.empty(), log().size())));
 				}, reply);
 			}
 
@@ -252,12 +271,12 @@
 			}
 
 			private void answer(long from, int waitMillis, Consumer<StoreReply<Tail>> reply) {
-				int end = SimulatedFleet.this.log.size();
+				int end = log().size();
 				if (from >= end && waitMillis > 0) {
 					at(10, Host.this, () -> answer(from, waitMillis - 10, reply));
 					return;
 				}
-				List<KeyedRecord> records = List.copyOf(SimulatedFleet.this.log.subList((int) from, end));
+				List<KeyedRecord> records = List.copyOf(log().subList((int) from, end));
 				reply.accept(StoreReply.of(new Tail(records, end, end, false)));
 			}
 
