Let a scripted server that crashes refuse connections before it resets the old one

Cause: the stand-in, not the gateway. A socket that is closed while a thread waits in accept() takes connections until that thread has woken. The gateway asks a server that reset a connection for a new one within a millisecond, got it, and rightly counted no crash. Ruled out: a lost count in the watch (each of its tests with a scripted clock holds), the answer of the question coming after the fixed pause of 60 ms (it was a second weakness of the test).

Change: crash() waits for the accepting thread; the test waits until the count is what the runs make it instead of 60 ms, so it is stricter: every run must be counted. The soak's servers and links had the same race and use the same order now.

--- a/entry/src/test/java/io/sequoialink/soak/BackendStandin.java
+++ b/entry/src/test/java/io/sequoialink/soak/BackendStandin.java
@@ -44,6 +44,8 @@
 
 	private final ServerSocket listening;
 
+	private final Thread accepting;
+
 	private final LinkProxy link;
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -63,7 +65,7 @@
 		this.listening = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
 		this.link = new LinkProxy(
 				new InetSocketAddress(InetAddress.getLoopbackAddress(), this.listening.getLocalPort()));
-		Daemons.start("server", this::accept);
+		this.accepting = Daemons.start("server", this::accept);
 	}
 
 	String name() {
@@ -244,7 +246,7 @@
 	@Override
 	public void close() {
 		try {
-			this.listening.close();
+			Daemons.stopListening(this.listening, this.accepting);
 			this.link.close();
 			for (Socket socket : this.sockets) {
 				socket.setSoLinger(true, 0);
--- a/entry/src/test/java/io/sequoialink/soak/Daemons.java
+++ b/entry/src/test/java/io/sequoialink/soak/Daemons.java
@@ -1,5 +1,8 @@
 package io.sequoialink.soak;
 
+import java.io.IOException;
+import java.net.ServerSocket;
+
 /**
  * Threads that end with the process. Stateless.
  */
@@ -17,6 +20,20 @@
 		return thread;
 	}
 
+	/**
+	 * Closes a listening socket and waits until it takes no more connections: it takes
+	 * them until the thread that waits in {@code accept} has woken.
+	 */
+	static void stopListening(ServerSocket listening, Thread accepting) throws IOException {
+		listening.close();
+		try {
+			accepting.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	static void sleep(long millis) {
 		try {
 			Thread.sleep(Math.max(0, millis));
--- a/entry/src/test/java/io/sequoialink/soak/LinkProxy.java
+++ b/entry/src/test/java/io/sequoialink/soak/LinkProxy.java
@@ -27,6 +27,8 @@
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
+	private final Thread accepting;
+
 	private volatile InetSocketAddress target;
 
 	private volatile Mode mode = Mode.PASS;
@@ -34,7 +36,7 @@
 	LinkProxy(InetSocketAddress target) throws IOException {
 		this.target = target;
 		this.listening = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
-		Daemons.start("link", this::accept);
+		this.accepting = Daemons.start("link", this::accept);
 	}
 
 	int port() {
@@ -135,7 +137,7 @@
 
 	@Override
 	public void close() throws IOException {
-		this.listening.close();
+		Daemons.stopListening(this.listening, this.accepting);
 		this.sockets.forEach(LinkProxy::reset);
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CrashingRequestTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CrashingRequestTests.java
@@ -24,6 +24,12 @@
 		}
 	};
 
+	/**
+	 * Time in which a question to a living server is answered, for checks that nothing
+	 * follows.
+	 */
+	private static final long NOTHING_MORE_MILLIS = 60;
+
 	private static GatewayFixture fleet() throws Exception {
 		return GatewayFixture.before(CRASHES_ON_BAD, CRASHES_ON_BAD, CRASHES_ON_BAD, CRASHES_ON_BAD, CRASHES_ON_BAD,
 				CRASHES_ON_BAD);
@@ -35,7 +41,7 @@
 			// some of these only meet servers that are down
 			for (int i = 0; i < 8; i++) {
 				fixture.exchange("/safe/bad", "");
-				settle();
+				settle(fixture);
 			}
 			String answer = fixture.exchange("/safe/bad", "");
 			assertThat(RawHttp.status(answer)).isEqualTo(503);
@@ -49,7 +55,7 @@
 		try (GatewayFixture fixture = fleet()) {
 			for (int i = 0; i < 3; i++) {
 				assertThat(RawHttp.status(fixture.exchange("/once/bad", ""))).isEqualTo(502);
-				settle();
+				settle(fixture);
 			}
 			assertThat(RawHttp.status(fixture.exchange("/once/bad", ""))).isEqualTo(503);
 			assertThat(fixture.runs()).isEqualTo(3);
@@ -69,7 +75,7 @@
 		try (GatewayFixture fixture = fleet()) {
 			for (int i = 0; i < 4; i++) {
 				fixture.exchange("/once/bad", "");
-				settle();
+				settle(fixture);
 			}
 			assertThat(RawHttp.status(fixture.exchange("/once/good", ""))).isEqualTo(200);
 			assertThat(RawHttp.status(fixture.exchange("/safe/bad2", ""))).isEqualTo(200);
@@ -83,7 +89,7 @@
 		try (GatewayFixture fixture = GatewayFixture.before(resets, resets)) {
 			for (int i = 0; i < 5; i++) {
 				assertThat(RawHttp.status(fixture.exchange(path, ""))).isEqualTo(502);
-				settle();
+				Thread.sleep(NOTHING_MORE_MILLIS);
 			}
 			fixture.onLoop(() -> assertThat(fixture.crashes().any()).isFalse());
 		}
@@ -115,9 +121,10 @@
 		}
 	}
 
-	// The question whether a server still takes connections is answered after the client.
-	private static void settle() throws InterruptedException {
-		Thread.sleep(60);
+	// The question whether a server still takes connections is answered after the client;
+	// each run of the request that crashes servers ends with one crash.
+	private static void settle(GatewayFixture fixture) throws InterruptedException {
+		within(() -> fixture.crashesOfFirstPublished() == fixture.runs());
 	}
 
 	private static void within(java.util.function.BooleanSupplier holds) throws InterruptedException {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -158,6 +158,18 @@
 		return this.crashes;
 	}
 
+	/**
+	 * Returns how many crashes the gateway counts for the content that it published
+	 * first.
+	 */
+	int crashesOfFirstPublished() {
+		if (this.published.isEmpty()) {
+			return 0;
+		}
+		long content = this.published.get(0).contents().get(0).content();
+		return this.loops.submit(() -> this.crashes.crashes(content)).syncUninterruptibly().getNow();
+	}
+
 	List<HostCrashes> published() {
 		return this.published;
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -27,12 +28,13 @@
 
 	private final CountDownLatch callerLeft = new CountDownLatch(1);
 
+	private final Thread accepting = new Thread(this::accept, "scripted");
+
 	ScriptedServer(Script script) throws IOException {
 		this.script = script;
 		this.listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-		Thread accepting = new Thread(this::accept, "scripted");
-		accepting.setDaemon(true);
-		accepting.start();
+		this.accepting.setDaemon(true);
+		this.accepting.start();
 	}
 
 	int port() {
@@ -83,6 +85,21 @@
 		}
 	}
 
+	/**
+	 * Takes no more connections. A closed socket takes them until the thread that waits
+	 * in {@code accept} has woken, so this waits for the thread.
+	 */
+	private void refuseConnections() throws IOException {
+		this.listening.close();
+		try {
+			this.accepting.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new InterruptedIOException("interrupted while the server stopped to listen");
+		}
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.listening.close();
@@ -174,7 +191,7 @@
 		 * Resets the connection and takes no more of them, as a process that died.
 		 */
 		void crash() throws IOException {
-			ScriptedServer.this.listening.close();
+			refuseConnections();
 			reset();
 		}
 
