Hold the permitted exposure by the schedule of a roll-out, whatever the answers say

Cause: only answers held the rise from 0.52 to 0.83 of the duration back; the rule counts requests, not answers. Ruled out: finding the badness by more load on few servers (no bad answer in the logs at the whole load either).

Change: the share is a quarter of the permitted one, then rises to all within 0.03 of the duration, so late that the plan is 0.8 of the permitted exposure. Judging is done some times a second instead of at each request (sums over all hosts for each choice before).

CanaryScheduleTests' cases of the held rise state the same bounds by e-value: 4 bad of 12 and 8 of 20 hold it as before, 2 of 8 of a reference of 0.05 do not (BadAnswerTestTests).

--- a/decision/src/main/java/io/sequoialink/decision/rollout/AnswerCounts.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/AnswerCounts.java
@@ -20,14 +20,6 @@
 		return new AnswerCounts(this.answers + 1, this.bad + (wasBad ? 1 : 0));
 	}
 
-	/**
-	 * Returns the share of bad answers.
-	 * @return the share, 0 if there were no answers
-	 */
-	public double badShare() {
-		return (this.answers > 0) ? (double) this.bad / this.answers : 0;
-	}
-
 	/**
 	 * Returns the sum of two counts.
 	 * @param other the other counts
--- a/decision/src/main/java/io/sequoialink/decision/rollout/BadAnswerTest.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/BadAnswerTest.java
@@ -8,6 +8,12 @@
  */
 public final class BadAnswerTest {
 
+	/**
+	 * Logarithm of the e-value that is enough once a verdict is due: as many to one as
+	 * speak for "worse" then.
+	 */
+	private static final double PROBABLE = Math.log(10);
+
 	private final SequentialTests tests;
 
 	private final double threshold;
@@ -42,6 +48,17 @@
 		return score(tested, reference) >= this.threshold;
 	}
 
+	/**
+	 * Returns whether a version is more likely worse than not, for the time at which a
+	 * verdict is due. To be looked at only then, since the threshold is low.
+	 * @param tested answers of the version
+	 * @param reference answers of the version that it would replace
+	 * @return whether the e-value is at least 10
+	 */
+	public boolean probablyWorse(AnswerCounts tested, AnswerCounts reference) {
+		return score(tested, reference) >= PROBABLE;
+	}
+
 	private static Evidence evidence(AnswerCounts counts) {
 		long[] values = new long[Evidence.SIZE];
 		values[Evidence.STARTED] = counts.answers();
--- a/decision/src/test/java/io/sequoialink/decision/rollout/BadAnswerTestTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/rollout/BadAnswerTestTests.java
@@ -45,6 +45,45 @@
 		assertThat(stopped).isLessThanOrEqualTo(6);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "0.004, 12", "0.03, 12", "0.14, 12", "0.14, 40" })
+	void aVersionAsGoodAsItsReferenceIsSeldomProbablyWorse(double usual, int answers) {
+		int wrong = 0;
+		for (int seed = 0; seed < 300; seed++) {
+			Random random = new Random(seed);
+			wrong += this.test.probablyWorse(draw(answers, usual, random), draw(280, usual, random)) ? 1 : 0;
+		}
+		assertThat(wrong).isLessThanOrEqualTo(3);
+	}
+
+	// What held the rise back while the share of bad answers decided it holds it back
+	// still; one or two of few do not any more.
+	@ParameterizedTest
+	@CsvSource({ "20, 8, 200, 10, true", "12, 4, 200, 10, true", "8, 2, 200, 10, false", "20, 3, 200, 10, false" })
+	void manyBadAnswersHoldAVersionBack(int answers, int bad, int references, int badReferences, boolean held) {
+		assertThat(this.test.probablyWorse(new AnswerCounts(answers, bad), new AnswerCounts(references, badReferences)))
+			.isEqualTo(held);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "12, 0.4, 0.85", "12, 0.6, 0.99" })
+	void aBadVersionWithFewAnswersIsMostlyProbablyWorse(int answers, double share, double found) {
+		int right = 0;
+		for (int seed = 0; seed < 300; seed++) {
+			Random random = new Random(seed);
+			right += this.test.probablyWorse(draw(answers, share, random), draw(280, 0.02, random)) ? 1 : 0;
+		}
+		assertThat(right / 300.0).isGreaterThanOrEqualTo(found);
+	}
+
+	private static AnswerCounts draw(int answers, double badShare, Random random) {
+		AnswerCounts drawn = AnswerCounts.NONE;
+		for (int i = 0; i < answers; i++) {
+			drawn = drawn.with(random.nextDouble() < badShare);
+		}
+		return drawn;
+	}
+
 	private int answersUntilVerdict(double usual, double share, Random random, int most) {
 		AnswerCounts reference = AnswerCounts.NONE;
 		AnswerCounts tested = AnswerCounts.NONE;
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -1,11 +1,8 @@
 package io.sequoialink.gateway.rollout;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 
-import io.sequoialink.decision.rollout.AnswerCounts;
 import io.sequoialink.decision.rollout.BadAnswerTest;
 import io.sequoialink.decision.rollout.CanarySchedule;
 import io.sequoialink.gateway.fleet.Found;
@@ -30,7 +27,9 @@
 
 	private final CanarySchedule schedule;
 
-	private final BadAnswerTest test;
+	private final SharedEvidence evidence;
+
+	private Judgement judgement = Judgement.NONE;
 
 	private long began;
 
@@ -40,12 +39,6 @@
 
 	private long confirmedAt;
 
-	private final Map<String, RouteEvidence> own = new HashMap<>();
-
-	private final Map<String, HostEvidence> others = new HashMap<>();
-
-	private boolean publishedOwn;
-
 	private final Set<Long> ownKept = new HashSet<>();
 
 	private final Set<Long> kept = new HashSet<>();
@@ -63,7 +56,7 @@
 		this.host = host;
 		this.order = order;
 		this.schedule = schedule;
-		this.test = test;
+		this.evidence = new SharedEvidence(host, test);
 		this.began = beganNanos;
 		this.confirmedAt = beganNanos;
 	}
@@ -182,8 +175,7 @@
 	}
 
 	private double allowedProgress(long nowNanos) {
-		RouteEvidence all = total(sums());
-		return this.schedule.allowed(progress(nowNanos), all.target(), all.reference());
+		return this.schedule.allowed(progress(nowNanos), this.judgement.answers(), this.judgement.probablyWorse());
 	}
 
 	private static double position(long pinKey) {
@@ -212,6 +204,15 @@
 		return nowNanos - this.began;
 	}
 
+	/**
+	 * Returns the time until the roll-out is to have ended.
+	 * @param nowNanos monotonic time
+	 * @return nanoseconds, negative after the deadline
+	 */
+	long untilDeadlineNanos(long nowNanos) {
+		return this.order.value().durationMillis() * 1_000_000L - ageNanos(nowNanos);
+	}
+
 	/**
 	 * Notes an answer.
 	 * @param route route of the request
@@ -219,7 +220,7 @@
 	 * @param bad whether it was a failure or several times slower than usual
 	 */
 	public void answered(String route, boolean ofTarget, boolean bad) {
-		this.own.put(route, this.own.getOrDefault(route, RouteEvidence.NONE).with(ofTarget, bad));
+		this.evidence.answered(route, ofTarget, bad);
 	}
 
 	/**
@@ -229,13 +230,7 @@
 	 */
 	public void take(HostEvidence evidence) {
 		this.kept.addAll(evidence.kept());
-		if (!evidence.host().equals(this.host)) {
-			this.others.put(evidence.host(), evidence);
-		}
-		else if (!this.publishedOwn) {
-			this.publishedOwn = true;
-			evidence.routes().forEach((route, counts) -> this.own.merge(route, counts, RouteEvidence::plus));
-		}
+		this.evidence.take(evidence);
 	}
 
 	/**
@@ -243,7 +238,7 @@
 	 * @return the evidence
 	 */
 	public HostEvidence publish() {
-		this.publishedOwn = true;
+		this.evidence.published();
 		return ownEvidence();
 	}
 
@@ -252,52 +247,22 @@
 	 * @return the evidence
 	 */
 	public HostEvidence ownEvidence() {
-		return new HostEvidence(this.order.value().service(), this.host, this.order.offset(), this.own, this.ownKept);
+		return new HostEvidence(this.order.value().service(), this.host, this.order.offset(), this.evidence.own(),
+				this.ownKept);
 	}
 
 	/**
-	 * Judges the version by what all hosts saw.
-	 * @return whether the version is to be rolled back
+	 * Judges the version by what all hosts saw. What sessions are given goes by the last
+	 * judgement, since it costs more than a request may.
+	 * @param nowNanos monotonic time
+	 * @return whether the version is to be rolled back: its answers speak against it, or
+	 * they probably do when the old versions could be stopped, so that no version is left
+	 * undecided
 	 */
-	public boolean worse() {
-		Map<String, RouteEvidence> sums = sums();
-		RouteEvidence all = total(sums);
-		if (sums.size() > 1 && sums.values().stream().anyMatch(this::worse)) {
-			return true;
-		}
-		return mixedWorse(sums, all);
-	}
-
-	private Map<String, RouteEvidence> sums() {
-		Map<String, RouteEvidence> sums = new HashMap<>(this.own);
-		for (HostEvidence other : this.others.values()) {
-			other.routes().forEach((route, counts) -> sums.merge(route, counts, RouteEvidence::plus));
-		}
-		return sums;
-	}
-
-	private static RouteEvidence total(Map<String, RouteEvidence> sums) {
-		return sums.values().stream().reduce(RouteEvidence.NONE, RouteEvidence::plus);
-	}
-
-	private boolean worse(RouteEvidence route) {
-		return this.test.worse(route.target(), route.reference());
-	}
-
-	// Judges all routes together. The reference is weighted by the routes of the tested
-	// answers, since routes differ in their usual share of bad answers.
-	private boolean mixedWorse(Map<String, RouteEvidence> sums, RouteEvidence all) {
-		double expected = 0;
-		long referenceAnswers = 0;
-		for (RouteEvidence route : sums.values()) {
-			AnswerCounts reference = route.reference();
-			double share = (reference.answers() == 0) ? 0 : (double) reference.bad() / reference.answers();
-			expected += share * route.target().answers();
-			referenceAnswers += reference.answers();
-		}
-		long answers = Math.max(1, all.target().answers());
-		long bad = Math.round(expected / answers * referenceAnswers);
-		return this.test.worse(all.target(), new AnswerCounts(referenceAnswers, bad));
+	boolean judge(long nowNanos) {
+		this.judgement = this.evidence.judge();
+		boolean due = this.schedule.mayComplete(progress(nowNanos));
+		return this.judgement.worse() || (due && this.judgement.probablyWorse());
 	}
 
 	/**
@@ -322,7 +287,7 @@
 	 * answered at all
 	 */
 	public boolean mayComplete(long nowNanos) {
-		boolean answered = total(sums()).target().answers() > 0;
+		boolean answered = this.judgement.answers() > 0;
 		return answered && !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
@@ -33,6 +33,14 @@
 	 */
 	private static final long MAX_DELAY_NANOS = 1_500_000_000L;
 
+	/** Shortest bound of that delay, near the deadline. */
+	private static final long MIN_DELAY_NANOS = 200_000_000L;
+
+	/**
+	 * Part of the time to the deadline that the delay may take; the rest is for writes.
+	 */
+	private static final int DELAY_OF_TIME_LEFT = 4;
+
 	/**
 	 * Time for the read before a state is written; if it brings nothing, nothing was
 	 * written meanwhile.
@@ -92,7 +100,9 @@
 		long now = this.clock.getAsLong();
 		HostEvidence own = this.canary.ownEvidence();
 		boolean urgent = own.targetBad() > this.publishedBad || this.canary.ownKept() > this.publishedKept;
-		boolean news = urgent || own.targetAnswers() >= this.publishedAnswers + EVIDENCE_STEP;
+		// other hosts' writes of what went well would make the last verdict fail
+		boolean welcome = !this.canary.mayComplete(now);
+		boolean news = urgent || (welcome && own.targetAnswers() >= this.publishedAnswers + EVIDENCE_STEP);
 		if (!news || now - this.evidenceAt < evidencePause(urgent, hosts)) {
 			return;
 		}
@@ -153,7 +163,7 @@
 		if (this.wanted != state) {
 			this.wanted = state;
 			this.refreshed = false;
-			this.notBefore = now + this.random.nextLong(MAX_DELAY_NANOS);
+			this.notBefore = now + delay(now);
 		}
 		if (now - this.notBefore < 0) {
 			return;
@@ -169,12 +179,19 @@
 		append(state, knownEnd, now);
 	}
 
+	private long delay(long now) {
+		long left = this.canary.untilDeadlineNanos(now);
+		long longest = (left > 0) ? Math.min(MAX_DELAY_NANOS, left / DELAY_OF_TIME_LEFT) : MAX_DELAY_NANOS;
+		return this.random.nextLong(Math.max(MIN_DELAY_NANOS, longest));
+	}
+
 	private void append(RolloutState state, long knownEnd, long now) {
 		RolloutStatus status = new RolloutStatus(order().service(), order().target(), state,
 				this.canary.order().offset(), this.canary.ageNanos(now) / NANOS_PER_MILLI);
 		this.records.status(status, OptionalLong.of(knownEnd), (reply) -> {
 			this.writing = false;
-			this.notBefore = this.clock.getAsLong() + this.random.nextLong(MAX_DELAY_NANOS);
+			long answered = this.clock.getAsLong();
+			this.notBefore = answered + delay(answered);
 			reply.match((offset) -> logger.info(GatewayEvents.ROLLOUT_WRITTEN, order().service(), order().target(),
 					state, offset), (failure) -> stateNotWritten(state, failure));
 		});
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -90,8 +90,9 @@
 		if (known != null && known.order().offset() >= order.offset()) {
 			return;
 		}
-		Canary canary = new Canary(this.host, order, new CanarySchedule(this.options.permittedShare()),
-				new BadAnswerTest(RolloutSettings.defaults()), this.clock.getAsLong());
+		CanarySchedule schedule = new CanarySchedule(this.options.permittedShare(), order.value().durationMillis());
+		Canary canary = new Canary(this.host, order, schedule, new BadAnswerTest(RolloutSettings.defaults()),
+				this.clock.getAsLong());
 		this.canaries.put(order.value().service(), canary);
 		this.publishers.put(order.value().service(),
 				new RolloutPublisher(canary, this.records, this.clock, this.random));
@@ -263,7 +264,8 @@
 	}
 
 	private void tick(Canary canary, RolloutPublisher publisher) {
-		if (!canary.stopped() && canary.worse()) {
+		boolean worse = canary.judge(this.clock.getAsLong());
+		if (worse && !canary.stopped()) {
 			canary.stop();
 			logger.warn(GatewayEvents.ROLLOUT_STOPPED, canary.order().value().service(),
 					canary.order().value().target(), canary.ownEvidence().targetBad(),
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -65,6 +65,39 @@
 		assertThat((double) fleet.exposed()).isLessThan(0.15 * fleet.requests() + 30);
 	}
 
+	// A version may be bad only where no host sees it, or after its completion.
+	@ParameterizedTest
+	@CsvSource({ "1, 8, 0.15, 45", "2, 8, 0.15, 90", "3, 65, 0.0975, 290", "4, 6, 0.15, 30" })
+	void aVersionWhoseBadAnswersNobodySeesKeepsTheExposureToo(long seed, int size, double permitted, double load) {
+		RolloutFleet fleet = new RolloutFleet(seed, size, 0.004, load).permitting(permitted).lasting(3_000);
+		fleet.prepare(6_000);
+		long before = fleet.requests();
+		fleet.order(DURATION);
+		fleet.run(DURATION);
+		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.COMPLETED);
+		assertThat((double) fleet.exposed()).isLessThan(permitted * (fleet.requests() - before) + 30);
+	}
+
+	// The plain service of a small site has 13 requests a second.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void aBadVersionWithFewRequestsIsRolledBackByItsDeadline(long seed) {
+		RolloutFleet fleet = new RolloutFleet(seed, 6, 0.5, 13);
+		fleet.order(DURATION);
+		fleet.run(DURATION);
+		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.ROLLED_BACK);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1, 0.12", "2, 0.12", "3, 0.2", "4, 0.2", "13, 0.12", "13, 0.2" })
+	void aVersionThatAFewAnswersSpeakAgainstIsNotLeftUndecided(long seed, double badShare) {
+		RolloutFleet fleet = new RolloutFleet(seed, 6, badShare, 13);
+		fleet.order(DURATION);
+		fleet.run(DURATION);
+		assertThat(fleet.states()).hasSize(2);
+		assertThat(fleet.states().get(1)).isIn(RolloutState.COMPLETED, RolloutState.ROLLED_BACK);
+	}
+
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3 })
 	void aVerdictIsReachedThoughHostsDieAndStartAgain(long seed) {
@@ -103,6 +136,19 @@
 		assertThat((double) fleet.exposed()).isLessThan(0.15 * fleet.requests() + 30);
 	}
 
+	// Each host has something to tell of a version that all sessions have just moved to.
+	// The verdict is due 800 ms before the deadline; it takes a delay of 200 ms, a read
+	// and a write.
+	@ParameterizedTest
+	@CsvSource({ "1, 6, 50", "2, 6, 90", "3, 8, 50", "4, 8, 90", "5, 8, 90", "6, 8, 200", "7, 30, 200", "8, 65, 290" })
+	void theLastVerdictIsNotHeldUpByWhatHostsTellOfManyAnswers(long seed, int size, double load) {
+		RolloutFleet fleet = new RolloutFleet(seed, size, 0.004, load).writingTakes(150);
+		fleet.prepare(6_000);
+		fleet.order(DURATION);
+		fleet.run(DURATION - 350);
+		assertThat(fleet.states()).endsWith(RolloutState.COMPLETED);
+	}
+
 	// Servers of the new version that never come up must not cost the old ones.
 	@Test
 	void aVersionThatHasAnsweredNothingIsNeverCompleted() {
