Make up for sends that reach no server; ask sooner for what was decided of a roll-out; say when a stream's time was over

A host had read configuration and servers 0.2 s after its start but was ready 2.7 s after it: its calls for the topic of published states failed three times and were made again after 0.3, 0.6 and 1.2 s. `explain` gave "cut" as the cause of streams whose time was over.

Cause: a refused connection counted like a send that reached a server (the users' bound counts servers reached, and repeats that arrive). Ruled out for the readiness: waiting for the other topics, which were read at once.

Change: up to six sends that reach no server are made up for by other servers while time is left and one is untried, without the budget of repeats; the state machine's exploration has the input UNREACHED. While a roll-out is under way failed reads of the states are made again after 0.6 s at the latest.

--- a/entry/src/main/java/io/sequoialink/entry/StoreReading.java
+++ b/entry/src/main/java/io/sequoialink/entry/StoreReading.java
@@ -56,9 +56,10 @@
 
 	/**
 	 * All hosts publish while a roll-out is under way, so each reads what came together
-	 * in a while instead of one record after the other.
+	 * in a while instead of one record after the other. After a failed call it asks again
+	 * soon: a host that starts is not ready before it knows what was decided.
 	 */
-	private static final FollowPace ROLLOUT_PACE = new FollowPace(1000, 1000, 1500, RETRY_MILLIS, LONGEST_RETRY_MILLIS,
+	private static final FollowPace ROLLOUT_PACE = new FollowPace(1000, 1000, 1500, RETRY_MILLIS, SERVERS_RETRY_MILLIS,
 			2800);
 
 	/**
@@ -124,10 +125,19 @@
 				SERVERS_RETRY_MILLIS, (int) (MAX_AGE_PART * bounds.leavingMillis()));
 		follow(StoreTopic.servers(this.store), new ServerRecords(this.updates), () -> servers);
 		TopicFollower published = follow(StoreTopic.statuses(this.store), this.statuses,
-				() -> this.rolloutUnderWay.getAsBoolean() ? ROLLOUT_PACE : CRASH_PACE);
+				() -> statusPace(this.rolloutUnderWay.getAsBoolean()));
 		this.statuses.readNowWith(published::readNow);
 	}
 
+	/**
+	 * Returns how often what hosts published is read.
+	 * @param rolloutUnderWay whether a roll-out is under way
+	 * @return the pace
+	 */
+	static FollowPace statusPace(boolean rolloutUnderWay) {
+		return rolloutUnderWay ? ROLLOUT_PACE : CRASH_PACE;
+	}
+
 	/**
 	 * Takes what another host read.
 	 * @param read what it read
--- a/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
@@ -7,11 +7,18 @@
  * <p>
  * Invariants: a request that may not be repeated is never sent again unless every earlier
  * send was stated as not run; {@link Next#REFUSE} is returned only while {@link #ran()}
- * is {@link Ran#NO}; no request is sent more than the allowed number of times; after a
- * final step every input returns {@link Next#NOTHING}.
+ * is {@link Ran#NO}; no request reaches more servers than allowed, and at most
+ * {@link #MAX_UNREACHED} sends that reach none are made besides; after a final step every
+ * input returns {@link Next#NOTHING}.
  */
 public final class RequestFlow {
 
+	/**
+	 * Sends that reach no server and do not count, so that a request does not try all
+	 * servers of a fleet that is down.
+	 */
+	static final int MAX_UNREACHED = 6;
+
 	private enum Phase {
 
 		WAITING, SENT, ANSWERING, DONE
@@ -28,6 +35,8 @@
 
 	private int attempts;
 
+	private int unreached;
+
 	private boolean answerBegun;
 
 	private boolean failureKept;
@@ -47,14 +56,34 @@
 	 * @throws IllegalStateException if no send is allowed now
 	 */
 	public void sent() {
-		if (this.phase != Phase.WAITING || this.attempts >= this.maxAttempts
-				|| (!this.repeatable && this.ran != Ran.NO)) {
+		if (this.phase != Phase.WAITING || !sendsLeft() || (!this.repeatable && this.ran != Ran.NO)) {
 			throw new IllegalStateException("send in phase " + this.phase + " after " + this.attempts + " attempts");
 		}
 		this.attempts++;
 		this.phase = Phase.SENT;
 	}
 
+	/**
+	 * The present send reached no server and another one is to be tried instead of it.
+	 * Only while {@link #mayTryInstead()}.
+	 * @return what to do
+	 */
+	public Next unreached() {
+		if (this.phase != Phase.SENT) {
+			return Next.NOTHING;
+		}
+		this.unreached++;
+		return again(true);
+	}
+
+	/**
+	 * Returns whether a send that reached no server may be made up for by another.
+	 * @return whether such sends are left
+	 */
+	public boolean mayTryInstead() {
+		return this.unreached < MAX_UNREACHED;
+	}
+
 	/**
 	 * The present send ended, and the request was not run by it.
 	 * @param repeatAllowed whether time and budget allow another send
@@ -102,7 +131,7 @@
 	 * @return what to do: to send again, or nothing if no send is left
 	 */
 	public Next dropped() {
-		if (this.phase != Phase.SENT || this.answerBegun || !this.repeatable || this.attempts >= this.maxAttempts) {
+		if (this.phase != Phase.SENT || this.answerBegun || !this.repeatable || !sendsLeft()) {
 			return Next.NOTHING;
 		}
 		this.ran = Ran.YES;
@@ -111,7 +140,7 @@
 	}
 
 	private Next again(boolean allowed) {
-		if (allowed && this.attempts < this.maxAttempts) {
+		if (allowed && sendsLeft()) {
 			this.phase = Phase.WAITING;
 			return Next.SEND;
 		}
@@ -195,7 +224,7 @@
 
 	/**
 	 * Returns how often the request was sent.
-	 * @return number of sends
+	 * @return number of sends, those that reached no server included
 	 */
 	public int attempts() {
 		return this.attempts;
@@ -206,7 +235,7 @@
 	 * @return whether sends are left
 	 */
 	public boolean sendsLeft() {
-		return this.attempts < this.maxAttempts;
+		return this.attempts - this.unreached < this.maxAttempts;
 	}
 
 	/**
@@ -215,7 +244,7 @@
 	 * @return whether a send can be spared
 	 */
 	public boolean canSpareSend() {
-		int left = this.maxAttempts - this.attempts;
+		int left = this.maxAttempts - (this.attempts - this.unreached);
 		return left > 1 || (left == 1 && this.maxAttempts == 2);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -284,7 +284,10 @@
 		if (loss == SendLoss.DISCONNECTED && this.verdict != Verdict.NOT_RUN && !wellUnderWay()) {
 			this.exchange.disconnected(this.server, this.begun);
 		}
-		if (loss == SendLoss.NOT_CONNECTED || statedNotRun) {
+		if (loss == SendLoss.NOT_CONNECTED) {
+			this.exchange.unreached("server " + serverId() + ": " + loss);
+		}
+		else if (statedNotRun) {
 			this.exchange.notRun("server " + serverId() + ": " + loss);
 		}
 		else {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -274,6 +274,16 @@
 		perform(this.flow.notRun(mayRepeat()));
 	}
 
+	/**
+	 * A send reached no server. Another server is tried instead, which is no repeat.
+	 * @param why what was seen
+	 */
+	void unreached(String why) {
+		this.reason = why;
+		boolean instead = this.flow.mayTryInstead() && remainingMillis() >= MIN_SEND_MILLIS && anotherServer();
+		perform(instead ? this.flow.unreached() : this.flow.notRun(mayRepeat()));
+	}
+
 	/**
 	 * A send ended without a whole answer.
 	 * @param why what was seen
@@ -418,7 +428,11 @@
 		if (this.flow.done()) {
 			return;
 		}
-		perform(this.flow.timedOut());
+		Next next = this.flow.timedOut();
+		if (next == Next.CUT) {
+			this.reason = "time over";
+		}
+		perform(next);
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
@@ -19,8 +19,8 @@
 
 	private enum Input {
 
-		SENT, NOT_RUN, NOT_RUN_LAST, BROKEN, BROKEN_LAST, FAILED, FAILED_LAST, DROPPED, ANSWERING, ANSWERED, NO_ROOM,
-		TIMED_OUT, CLIENT_GONE
+		SENT, UNREACHED, NOT_RUN, NOT_RUN_LAST, BROKEN, BROKEN_LAST, FAILED, FAILED_LAST, DROPPED, ANSWERING, ANSWERED,
+		NO_ROOM, TIMED_OUT, CLIENT_GONE
 
 	}
 
@@ -102,6 +102,25 @@
 		assertThat(flow.canSpareSend()).isEqualTo(spare);
 	}
 
+	// A request was refused within 2 ms after three servers that took no connection,
+	// though others would have served it.
+	@ParameterizedTest
+	@CsvSource({ "true, 1", "true, 3", "false, 2" })
+	void sendsThatReachNoServerDoNotCountUpToABound(boolean repeatable, int maxAttempts) {
+		RequestFlow flow = new RequestFlow(repeatable, maxAttempts);
+		int instead = 0;
+		flow.sent();
+		while (flow.mayTryInstead()) {
+			instead++;
+			assertThat(flow.unreached()).isEqualTo(Next.SEND);
+			flow.sent();
+		}
+		assertThat(instead).isEqualTo(RequestFlow.MAX_UNREACHED);
+		assertThat(flow.ran()).isEqualTo(Ran.NO);
+		assertThat(flow.sendsLeft()).isEqualTo(maxAttempts > 1);
+		assertThat(flow.notRun(false)).isEqualTo(Next.REFUSE);
+	}
+
 	@Test
 	void anAnswerIsNotDroppedOnceTheClientHasAPart() {
 		RequestFlow flow = new RequestFlow(true, 3);
@@ -153,6 +172,7 @@
 		private boolean apply(Input input) {
 			return switch (input) {
 				case SENT -> send();
+				case UNREACHED -> unreached();
 				case NOT_RUN, NOT_RUN_LAST -> end(input == Input.NOT_RUN, false, Input.NOT_RUN);
 				case BROKEN, BROKEN_LAST -> end(input == Input.BROKEN, true, Input.BROKEN);
 				case FAILED, FAILED_LAST -> end(input == Input.FAILED, true, Input.FAILED);
@@ -175,6 +195,15 @@
 			return true;
 		}
 
+		private boolean unreached() {
+			if (!this.inFlight || this.partSeen || !this.flow.mayTryInstead()) {
+				return false;
+			}
+			this.inFlight = false;
+			this.sends--;
+			return step(this.flow.unreached());
+		}
+
 		private boolean end(boolean repeatAllowed, boolean ran, Input kind) {
 			if (!this.inFlight || (kind != Input.BROKEN && this.partSeen)) {
 				return false;
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
@@ -112,6 +112,20 @@
 		}
 	}
 
+	// Three servers that took no connection were a refusal within 2 ms, though others
+	// would have served the request.
+	@ParameterizedTest
+	@ValueSource(strings = { "/safe/x", "/once/x", "/stream/x" })
+	void serversThatTakeNoConnectionCostARequestNothingWhileOneServes(String path) throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.before(GOOD, GOOD, GOOD, GOOD, GOOD, GOOD)) {
+			for (int number = 1; number <= 5; number++) {
+				fixture.server(number).refuseConnections();
+			}
+			assertThat(RawHttp.status(fixture.exchange(path, ""))).isEqualTo(200);
+			assertThat(fixture.runs()).isEqualTo(1);
+		}
+	}
+
 	@Test
 	void whatNoServerRanIsRefusedWithATimeToComeBack() throws Exception {
 		ScriptedServer.Script full = (call) -> call.whole(503, "not-run: 1\r\n", "full");
--- a/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
@@ -89,7 +89,7 @@
 	 * Takes no more connections. A closed socket takes them until the thread that waits
 	 * in {@code accept} has woken, so this waits for the thread.
 	 */
-	private void refuseConnections() throws IOException {
+	void refuseConnections() throws IOException {
 		this.listening.close();
 		try {
 			this.accepting.join();
--- a/gateway/src/test/java/io/sequoialink/gateway/http/SessionLogTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/SessionLogTests.java
@@ -74,6 +74,12 @@
 		call.endChunks();
 	}
 
+	private static void endless(ScriptedServer.Call call) throws IOException {
+		call.streamHead("");
+		event(call, 1);
+		call.waitUntilCallerLeaves();
+	}
+
 	static Stream<Arguments> requests() {
 		ScriptedServer.Script fails = (call) -> call.whole(500, "seal: s\r\n", "broken");
 		ScriptedServer.Script full = (call) -> call.whole(503, "not-run: 1\r\n", "");
@@ -92,6 +98,7 @@
 				request("stream-that-may-not-be-repeated-cut", "/firm/x", "", cuts),
 				request("doubtful-answer-dropped", "/sized/x", "", SessionLogTests::sized, SessionLogTests::sized),
 				request("out-of-time", "/brief/x", "", ScriptedServer.Call::waitUntilCallerLeaves),
+				request("stream-out-of-time", "/firm/x", "key: k\r\ndeadline: 300\r\n", SessionLogTests::endless),
 				request("no-route", "/none/x", "", SessionLogTests::whole),
 				request("unknown-key", "/safe/x", "key: other\r\n", SessionLogTests::whole),
 				request("no-server", "/safe/x", ""));
