--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -1,22 +1,13 @@
 package io.sequoialink.gateway.http;
 
-import java.util.HashSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpVersion;
-import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.flow.Next;
@@ -26,10 +17,6 @@
 import io.sequoialink.gateway.place.PlaceRequest;
 import io.sequoialink.gateway.place.Placed;
 import io.sequoialink.gateway.place.ServerState;
-import io.sequoialink.gateway.rollout.VersionGroup;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-import org.slf4j.event.Level;
 
 /**
  * Carries one request from its receipt to its final answer, as {@link RequestFlow}
@@ -37,8 +24,6 @@
  */
 final class Exchange {
 
-	private static final Logger logger = LoggerFactory.getLogger(Exchange.class);
-
 	/** Time below which another send would not be answered, in milliseconds. */
 	private static final long MIN_SEND_MILLIS = 30;
 
@@ -55,8 +40,6 @@
 
 	private final RequestFacts facts;
 
-	private final Set<String> tried = new HashSet<>();
-
 	private Admission admission;
 
 	private RequestFlow flow;
@@ -73,14 +56,10 @@
 
 	private boolean begun;
 
-	private String lastEvent;
-
-	private PromptShape prompt;
+	private Dispatch dispatch;
 
 	private ModelChoice models;
 
-	private long pinKey;
-
 	private String reason = "";
 
 	private ContentSuspicion suspicion;
@@ -127,15 +106,13 @@
 	private void admitted() {
 		Route route = route();
 		this.flow = new RequestFlow(route.repeatable(), route.maxAttempts());
-		this.lastEvent = this.facts.lastEvent().orElse(null);
 		long allowed = Math.min(this.facts.deadlineMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
 		this.deadlineNanos = this.request.receivedNanos() + allowed * NANOS_PER_MILLI;
 		this.deadlineTimer = this.client.schedule(this::deadlineOver, remainingMillis());
 		this.gateway.budget().request(service(), now());
-		this.pinKey = Hashing.wyhashFinal4().hashStream().putString(pinName()).getAsLong();
-		this.prompt = PromptShape.of(this.facts);
 		this.suspicion = new ContentSuspicion(this.gateway, this.request, accountLabel());
 		this.models = new ModelChoice(this.gateway, this.admission, this.facts, this.request.receivedNanos());
+		this.dispatch = new Dispatch(this.gateway, this.request, this.facts, this.admission, this.models);
 	}
 
 	private Route route() {
@@ -146,10 +123,6 @@
 		return this.admission.service();
 	}
 
-	private String pinName() {
-		return this.facts.session().or(this.facts::id).orElse("");
-	}
-
 	private void send() {
 		if (remainingMillis() < MIN_SEND_MILLIS) {
 			this.reason = "too little time left";
@@ -162,7 +135,7 @@
 			perform(this.flow.noRoom());
 			return;
 		}
-		PlaceRequest wanted = wanted();
+		PlaceRequest wanted = this.dispatch.wanted();
 		Optional<Placed> placed = this.gateway.choice().choose(wanted);
 		if (placed.isEmpty()) {
 			this.reason = "no server of " + service() + " for versions " + wanted.versions();
@@ -186,37 +159,12 @@
 		this.gateway.counts().first().add(routeLabel(), millis);
 	}
 
-	private PlaceRequest wanted() {
-		VersionGroup versions = this.gateway.rollouts()
-			.choose(service(), this.pinKey, this.facts.session().isPresent());
-		EngineWork work = this.prompt.work(this.models.name().orElse(""));
-		return new PlaceRequest(service(), versions, this.gateway.rollouts().target(service()),
-				this.gateway.rollouts().share(service()), work, this.tried);
-	}
-
-	// A session lasts from the end of its last request on, not from its beginning.
-	private void sessionGoesOn() {
-		if (this.facts.session().isPresent()) {
-			this.gateway.rollouts().active(this.attempt.server().entry().version(), this.pinKey);
-		}
-	}
-
-	private boolean anotherServer() {
-		return this.gateway.choice()
-			.choose(wanted())
-			.filter((placed) -> !this.tried.contains(placed.server().entry().id()))
-			.isPresent();
-	}
-
 	private void send(Placed placed, EngineWork work) {
 		ServerState server = placed.server();
 		this.flow.sent();
-		this.tried.add(server.entry().id());
-		if (this.facts.session().isPresent()) {
-			this.gateway.rollouts().sent(service(), server.entry().version(), this.pinKey);
-		}
+		FullHttpRequest message = this.dispatch.messageFor(server, remainingMillis());
 		this.attempt = new Attempt(this, placed, work);
-		BackendSend send = new BackendSend(this.facts.id().orElseThrow(), outgoing(server), this.attempt);
+		BackendSend send = new BackendSend(this.facts.id().orElseThrow(), message, this.attempt);
 		this.attempt.begin(send);
 		boolean onlyNew = !route().repeatable();
 		this.gateway.pool().send(server.entry(), send, onlyNew);
@@ -244,27 +192,10 @@
 	 * Sends the request again after an answer was dropped.
 	 */
 	void sendInstead() {
-		this.tried.clear();
+		this.dispatch.tryAllAgain();
 		perform(this.flow.dropped());
 	}
 
-	private FullHttpRequest outgoing(ServerState server) {
-		HttpHeaders headers = ConnectionHeaders.without(this.request.headers());
-		this.gateway.dialect()
-			.dispatch(headers, new DispatchFacts(server.entry().id(), remainingMillis(), accountName(),
-					this.models.chosen(), this.models.rank(), Optional.ofNullable(this.lastEvent)));
-		ByteBuf body = this.request.body().retainedDuplicate();
-		if (body.isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-		}
-		return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.request.method(), this.request.target(), body,
-				headers, new DefaultHttpHeaders());
-	}
-
-	private Optional<String> accountName() {
-		return this.admission.account().map(ClientAccount::name);
-	}
-
 	/**
 	 * A send ended, and the request was not run by it.
 	 * @param why what was seen
@@ -280,7 +211,8 @@
 	 */
 	void unreached(String why) {
 		this.reason = why;
-		boolean instead = this.flow.mayTryInstead() && remainingMillis() >= MIN_SEND_MILLIS && anotherServer();
+		boolean instead = this.flow.mayTryInstead() && remainingMillis() >= MIN_SEND_MILLIS
+				&& this.dispatch.anotherServer();
 		perform(instead ? this.flow.unreached() : this.flow.notRun(mayRepeat()));
 	}
 
@@ -299,7 +231,7 @@
 	 */
 	boolean mayLeaveSilent() {
 		return route().repeatable() && this.flow.sendsLeft() && remainingMillis() >= MIN_SEND_MILLIS
-				&& this.gateway.budget().hasRoom(service(), now()) && anotherServer();
+				&& this.gateway.budget().hasRoom(service(), now()) && this.dispatch.anotherServer();
 	}
 
 	/**
@@ -362,8 +294,8 @@
 			noteFirst();
 			this.client.answerHead(status, ConnectionHeaders.without(headers));
 		}
-		lastId.ifPresent((id) -> this.lastEvent = id);
-		sessionGoesOn();
+		lastId.ifPresent(this.dispatch::handedOn);
+		this.dispatch.sessionGoesOn(this.attempt.server());
 		if (this.attempt.wellUnderWay()) {
 			this.suspicion.harmless();
 		}
@@ -454,28 +386,22 @@
 		String server = (this.attempt != null) ? this.attempt.serverLabel() : "none";
 		if (this.attempt != null) {
 			this.attempt.cancel();
-			sessionGoesOn();
+			this.dispatch.sessionGoesOn(this.attempt.server());
 		}
 		dropFailure();
 		this.request.release();
-		String ran = ((this.flow != null) ? this.flow.ran() : Ran.NO).name().toLowerCase(Locale.ROOT);
-		this.gateway.counts().requests().add(routeLabel(), accountLabel(), outcome, ran);
-		logEnd(status, outcome, server);
+		Ran ran = (this.flow != null) ? this.flow.ran() : Ran.NO;
+		int sends = (this.flow != null) ? this.flow.attempts() : 0;
+		long millis = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
+		new FinalLine(id(), accountLabel(), routeLabel()).write(this.gateway.counts(),
+				new FinalLine.End(status, ran, sends, server, millis, outcome, this.reason));
 	}
 
 	private String accountLabel() {
-		return (this.admission != null) ? accountName().orElse("none") : "none";
-	}
-
-	private void logEnd(int status, String outcome, String server) {
-		String detail = this.reason.isEmpty() ? outcome : outcome + " (" + this.reason + ")";
-		Object ran = (this.flow != null) ? this.flow.ran() : Ran.NO;
-		int sends = (this.flow != null) ? this.flow.attempts() : 0;
-		long millis = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
-		Level level = (status >= 200 && status < 300) ? Level.INFO : Level.WARN;
-		logger.atLevel(level)
-			.log(GatewayEvents.REQUEST_ENDED, this.facts.id().orElse("unnamed"), accountLabel(), routeLabel(), status,
-					ran, sends, server, millis, detail);
+		if (this.admission == null) {
+			return "none";
+		}
+		return this.admission.account().map(ClientAccount::name).orElse("none");
 	}
 
 	private String routeLabel() {
