Refuse early what has run nowhere though servers take no connection

What can still be refused looks for other servers for one second; what ran already goes on looking, since the alternative is a cut or an unknown outcome. Ruled out: telling refused connections from timed-out ones, as both say that nothing was sent. Test: RequestFlowTests.whatCanBeRefusedDoesNotLookForServersForLong.

--- a/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
@@ -19,6 +19,12 @@
 	 */
 	static final int MAX_UNREACHED = 6;
 
+	/**
+	 * Time after a request's receipt in which such sends are made for one that has not
+	 * run anywhere, in milliseconds: it can be refused, and that early.
+	 */
+	static final long MAX_LOOKING_MILLIS = 1000;
+
 	private enum Phase {
 
 		WAITING, SENT, ANSWERING, DONE
@@ -65,7 +71,7 @@
 
 	/**
 	 * The present send reached no server and another one is to be tried instead of it.
-	 * Only while {@link #mayTryInstead()}.
+	 * Only while {@link #mayTryInstead(long)}.
 	 * @return what to do
 	 */
 	public Next unreached() {
@@ -78,10 +84,12 @@
 
 	/**
 	 * Returns whether a send that reached no server may be made up for by another.
+	 * @param sinceReceiptMillis time since the request was received, in milliseconds
 	 * @return whether such sends are left
 	 */
-	public boolean mayTryInstead() {
-		return this.unreached < MAX_UNREACHED;
+	public boolean mayTryInstead(long sinceReceiptMillis) {
+		boolean early = this.ran != Ran.NO || sinceReceiptMillis <= MAX_LOOKING_MILLIS;
+		return early && this.unreached < MAX_UNREACHED;
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -211,7 +211,8 @@
 	 */
 	void unreached(String why) {
 		this.reason = why;
-		boolean instead = this.flow.mayTryInstead() && remainingMillis() >= MIN_SEND_MILLIS
+		long sinceReceipt = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
+		boolean instead = this.flow.mayTryInstead(sinceReceipt) && remainingMillis() >= MIN_SEND_MILLIS
 				&& this.dispatch.anotherServer();
 		perform(instead ? this.flow.unreached() : this.flow.notRun(mayRepeat()));
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
@@ -110,7 +110,7 @@
 		RequestFlow flow = new RequestFlow(repeatable, maxAttempts);
 		int instead = 0;
 		flow.sent();
-		while (flow.mayTryInstead()) {
+		while (flow.mayTryInstead(RequestFlow.MAX_LOOKING_MILLIS)) {
 			instead++;
 			assertThat(flow.unreached()).isEqualTo(Next.SEND);
 			flow.sent();
@@ -121,6 +121,16 @@
 		assertThat(flow.notRun(false)).isEqualTo(Next.REFUSE);
 	}
 
+	@Test
+	void whatCanBeRefusedDoesNotLookForServersForLong() {
+		RequestFlow flow = new RequestFlow(true, 3);
+		flow.sent();
+		assertThat(flow.mayTryInstead(RequestFlow.MAX_LOOKING_MILLIS + 1)).isFalse();
+		flow.broken(true);
+		flow.sent();
+		assertThat(flow.mayTryInstead(RequestFlow.MAX_LOOKING_MILLIS + 1)).isTrue();
+	}
+
 	@Test
 	void anAnswerIsNotDroppedOnceTheClientHasAPart() {
 		RequestFlow flow = new RequestFlow(true, 3);
@@ -196,7 +206,7 @@
 		}
 
 		private boolean unreached() {
-			if (!this.inFlight || this.partSeen || !this.flow.mayTryInstead()) {
+			if (!this.inFlight || this.partSeen || !this.flow.mayTryInstead(0)) {
 				return false;
 			}
 			this.inFlight = false;
