--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -145,7 +145,7 @@
 		this.settings = settings;
 		EntrySettings.Bounds bounds = settings.bounds();
 		this.store = new StoreConnections(settings.store(), this.loop);
-		StatusRecords statuses = new StatusRecords(StoreTopic.statuses(this.store));
+		StatusRecords statuses = new StatusRecords(StoreTopic.statuses(this.store), System::currentTimeMillis);
 		SplittableRandom random = new SplittableRandom();
 		this.rollouts = new RolloutWatch(settings.host(), options(bounds), statuses, System::nanoTime, random);
 		StartGate gate = new StartGate();
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -95,6 +95,12 @@
 	/** This host could not write what it saw of crashes. */
 	public static final String CRASHES_NOT_WRITTEN = "SL-3403 could not write which contents are suspect, tries again: {}, {}";
 
+	/** A server that broke off under a request was looked at and had not crashed. */
+	public static final String NOT_A_CRASH = "SL-3404 content {}: server {} broke off while it ran it, not taken for a crash: {}";
+
+	/** The store holds a record of a host that is older than one read before. */
+	public static final String RECORD_OVERTAKEN = "SL-3405 record {} at offset {} is older than one that was read before it";
+
 	/** Another host reads the store for this one. */
 	public static final String READER_FOUND = "SL-3501 host {} reads the store for this one, told of {} up to offset {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
@@ -67,10 +69,10 @@
 	/**
 	 * Finds out whether a server takes no connections at all, as after a crash.
 	 * @param server the server
-	 * @param refused run if a new connection is refused
+	 * @param found takes why a new connection failed, empty if it stood
 	 */
-	void probe(ServerEntry server, Runnable refused) {
-		connections(server).probe(refused);
+	void probe(ServerEntry server, Consumer<Optional<Throwable>> found) {
+		connections(server).probe(found);
 	}
 
 	private ServerConnections connections(ServerEntry server) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ContentSuspicion.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ContentSuspicion.java
@@ -1,11 +1,17 @@
 package io.sequoialink.gateway.http;
 
+import java.net.ConnectException;
+
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ConnectTimeoutException;
 import io.sequoialink.decision.crash.CrashVerdict;
+import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.place.ServerState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Tells whether requests of one content crash the servers that run them. Confined to the
@@ -14,6 +20,8 @@
  */
 final class ContentSuspicion {
 
+	private static final Logger logger = LoggerFactory.getLogger(ContentSuspicion.class);
+
 	/** Sends of one client attempt that may end with a crash. */
 	private static final int MAX_CRASHED_SENDS = 2;
 
@@ -74,7 +82,18 @@
 		long suspect = content();
 		long lostNanos = this.gateway.clock().getAsLong();
 		String incarnation = server.entry().id() + '@' + server.entry().bornMillis();
-		this.gateway.pool().probe(server.entry(), () -> crashes().crashed(suspect, incarnation, sentNanos, lostNanos));
+		this.gateway.pool().probe(server.entry(), (failure) -> {
+			if (failure.filter(ContentSuspicion::refused).isPresent()) {
+				crashes().crashed(suspect, incarnation, sentNanos, lostNanos);
+				return;
+			}
+			logger.info(GatewayEvents.NOT_A_CRASH, Long.toHexString(suspect), incarnation,
+					failure.map(Throwable::toString).orElse("it takes connections"));
+		});
+	}
+
+	private static boolean refused(Throwable failure) {
+		return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
@@ -1,16 +1,16 @@
 package io.sequoialink.gateway.http;
 
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ConnectTimeoutException;
 
 /**
  * Connections of this host to one backend server. Confined to the event loop. At most one
@@ -29,7 +29,7 @@
 
 	private final Deque<BackendConnection> idle = new ArrayDeque<>();
 
-	private final List<Runnable> probing = new ArrayList<>();
+	private final List<Consumer<Optional<Throwable>>> probing = new ArrayList<>();
 
 	private int open;
 
@@ -87,28 +87,22 @@
 
 	/**
 	 * Finds out whether the server takes no connections at all, as after a crash.
-	 * @param refused run if a new connection is refused
+	 * @param found takes why a new connection failed, empty if it stood
 	 */
-	void probe(Runnable refused) {
-		this.probing.add(refused);
+	void probe(Consumer<Optional<Throwable>> found) {
+		this.probing.add(found);
 		if (this.probing.size() > 1) {
 			return;
 		}
 		Bootstrap attempt = this.bootstrap.clone().handler(new ChannelInboundHandlerAdapter());
 		attempt.connect(this.address).addListener((ChannelFuture connecting) -> {
-			List<Runnable> waiting = List.copyOf(this.probing);
+			List<Consumer<Optional<Throwable>>> waiting = List.copyOf(this.probing);
 			this.probing.clear();
-			if (refused(connecting.cause())) {
-				waiting.forEach(Runnable::run);
-			}
+			waiting.forEach((waiter) -> waiter.accept(Optional.ofNullable(connecting.cause())));
 			connecting.channel().close();
 		});
 	}
 
-	private static boolean refused(Throwable cause) {
-		return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-	}
-
 	/**
 	 * Takes a connection back after a complete answer.
 	 * @param connection the connection
