--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -23,7 +23,9 @@
  * Every host publishes what it saw and judges the sum. The first to reach a verdict
  * writes it on the condition that nothing was written since it last read, so that a
  * verdict is never overwritten unseen; a random delay keeps the others from trying at the
- * same moment. Any host may die or be cut off at any time.
+ * same moment. A host publishes nothing of what it saw before it has read once what it
+ * published in an earlier life, which is added. Any host may die or be cut off at any
+ * time.
  */
 public final class RolloutWatch {
 
@@ -56,6 +58,8 @@
 
 	private long knownEnd;
 
+	private boolean readOnce;
+
 	/**
 	 * Creates a watch that knows no roll-out.
 	 * @param host name of this host
@@ -151,6 +155,7 @@
 	 */
 	public void read(long end) {
 		this.knownEnd = end;
+		this.readOnce = true;
 		long now = this.clock.getAsLong();
 		this.canaries.values().forEach((canary) -> canary.confirmed(now));
 		this.publishers.values().forEach((publisher) -> publisher.wasRead(end));
@@ -271,7 +276,9 @@
 					canary.order().value().target(), canary.ownEvidence().targetBad(),
 					canary.ownEvidence().targetAnswers());
 		}
-		publisher.publishEvidence(this.evidences.size());
+		if (this.readOnce) {
+			publisher.publishEvidence(this.evidences.size());
+		}
 		publisher.decide(this.knownEnd);
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -1,6 +1,19 @@
 package io.sequoialink.gateway.rollout;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.sequoialink.decision.rollout.AnswerCounts;
+import io.sequoialink.gateway.feed.StoreReply;
+import io.sequoialink.gateway.fleet.Found;
+import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutState;
+import io.sequoialink.gateway.fleet.RolloutStatus;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -183,4 +196,43 @@
 		assertThat(fleet.states()).containsOnlyOnce(RolloutState.ROLLED_BACK);
 	}
 
+	// The same fault as in the incident BUDGET: bad answers that a host had told were
+	// lost when it started again and published before its first read.
+	@Test
+	void aHostThatStartsAgainTakesBackNoAnswerThatItTold() {
+		List<HostEvidence> published = new ArrayList<>();
+		RolloutWatch watch = new RolloutWatch("h1", new RolloutWatch.Options(0.15, 0), recordsInto(published),
+				() -> 10_000_000_000L, new Random(1));
+		watch.order(new Found<>(new RolloutOrder("s", "v2", DURATION), 7));
+		watch.answered("s", "v2", "r", true);
+		watch.tick();
+		assertThat(published).isEmpty();
+		RouteEvidence before = new RouteEvidence(new AnswerCounts(9, 5), new AnswerCounts(0, 0));
+		watch.evidence(new HostEvidence("s", "h1", 7, Map.of("r", before), Set.of()));
+		watch.read(9);
+		watch.tick();
+		assertThat(published).hasSize(1);
+		assertThat(published.get(0).targetBad()).isEqualTo(6);
+		assertThat(published.get(0).targetAnswers()).isEqualTo(10);
+	}
+
+	private static RolloutRecords recordsInto(List<HostEvidence> published) {
+		return new RolloutRecords() {
+			@Override
+			public void status(RolloutStatus status, OptionalLong at, Consumer<StoreReply<Long>> reply) {
+				// not looked at
+			}
+
+			@Override
+			public void evidence(HostEvidence evidence, Consumer<StoreReply<Long>> reply) {
+				published.add(evidence);
+			}
+
+			@Override
+			public void readNow() {
+				// nothing to read
+			}
+		};
+	}
+
 }
