--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -86,6 +86,9 @@
 	/** A roll-out ended. */
 	public static final String ROLLOUT_ENDED = "SL-3305 roll-out of {} to {} is {}, read at offset {}";
 
+	/** What a state of a roll-out is written on. */
+	public static final String ROLLOUT_JUDGED = "SL-3307 roll-out of {} to {}: {} for {} bad of {} answers of it, {} of {} of the old versions, told by {} hosts; score {}";
+
 	/** A server crashed while it ran a request. */
 	public static final String CONTENT_SUSPECT = "SL-3401 content {} is suspect: server {} crashed while it ran it, {} crashes known, this one {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -265,6 +265,14 @@
 		return this.judgement.worse() || (due && this.judgement.probablyWorse());
 	}
 
+	/**
+	 * Returns the last judgement.
+	 * @return what the answers said then
+	 */
+	Judgement judgement() {
+		return this.judgement;
+	}
+
 	/**
 	 * Stops this host from giving the version new work.
 	 */
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
@@ -163,6 +163,7 @@
 		if (this.wanted != state) {
 			this.wanted = state;
 			this.refreshed = false;
+			logJudgement(state);
 			this.notBefore = now + delay(now);
 		}
 		if (now - this.notBefore < 0) {
@@ -179,6 +180,16 @@
 		append(state, knownEnd, now);
 	}
 
+	private void logJudgement(RolloutState state) {
+		if (state == RolloutState.ACTIVE) {
+			return;
+		}
+		Judgement seen = this.canary.judgement();
+		logger.info(GatewayEvents.ROLLOUT_JUDGED, order().service(), order().target(), state, seen.tested().bad(),
+				seen.tested().answers(), seen.reference().bad(), seen.reference().answers(), seen.hosts(),
+				Math.round(10 * seen.score()) / 10.0);
+	}
+
 	private long delay(long now) {
 		long left = this.canary.untilDeadlineNanos(now);
 		long longest = (left > 0) ? Math.min(MAX_DELAY_NANOS, left / DELAY_OF_TIME_LEFT) : MAX_DELAY_NANOS;
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/SharedEvidence.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/SharedEvidence.java
@@ -78,8 +78,8 @@
 		AnswerCounts reference = mixedReference(sums, tested.answers());
 		boolean onOneRoute = sums.size() > 1
 				&& sums.values().stream().anyMatch((route) -> this.test.worse(route.target(), route.reference()));
-		return new Judgement(tested.answers(), onOneRoute || this.test.worse(tested, reference),
-				this.test.probablyWorse(tested, reference));
+		return new Judgement(tested, reference, this.others.size() + 1, this.test.score(tested, reference),
+				onOneRoute || this.test.worse(tested, reference), this.test.probablyWorse(tested, reference));
 	}
 
 	private Map<String, RouteEvidence> sums() {
