Leave servers whose bytes never end

Line ends, heads, fields, chunk sizes and whole bodies were bounded already. Now: 1 MB on a connection without a piece of use ends it, as does a stream of 2 MB in which no event ends; answers that are held until they are whole may take 32 MB together, so that eight that never end can't take a small host's memory (each up to 8 MB before, without a sum). The same class elsewhere: bytes of clients (their heads and bodies) are bounded by the front, answers of the store to 8 MB.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -31,6 +31,7 @@
 import io.sequoialink.gateway.http.BackendPool;
 import io.sequoialink.gateway.http.FrontServer;
 import io.sequoialink.gateway.http.Gateway;
+import io.sequoialink.gateway.http.HeldAnswers;
 import io.sequoialink.gateway.http.ListeningSocket;
 import io.sequoialink.gateway.http.ReadinessServer;
 import io.sequoialink.gateway.http.StartGate;
@@ -180,7 +181,7 @@
 				new LeastWorkChoice(this.servers, speed, this.settings.zone(), System::nanoTime, random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.strain, new WorkDensity(), this.rollouts,
 				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect, this.budget, this.crashes,
-				this.counts, System::nanoTime);
+				new HeldAnswers(), this.counts, System::nanoTime);
 	}
 
 	private void heard(ServerEntry server, ServerWord word) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -27,6 +27,9 @@
 	/** Most bytes of an answer that is handed on as a whole. */
 	private static final int MAX_WHOLE_BYTES = 8 << 20;
 
+	/** Most bytes of a stream, as of comments, in which no event ends. */
+	private static final int MAX_EVENTLESS_BYTES = 2 << 20;
+
 	private static final int MISDIRECTED = 421;
 
 	private static final int UNAVAILABLE = 503;
@@ -74,6 +77,10 @@
 
 	private boolean over;
 
+	private int heldBytes;
+
+	private int eventlessBytes;
+
 	Attempt(Exchange exchange, Placed placed, EngineWork work) {
 		this.exchange = exchange;
 		this.server = placed.server();
@@ -241,18 +248,18 @@
 			return;
 		}
 		if (this.events == null) {
-			this.whole.addComponent(true, data);
-			if (this.whole.readableBytes() > MAX_WHOLE_BYTES) {
-				breakOff("answer too long");
-			}
+			hold(data);
 			return;
 		}
 		this.server.heard(this.exchange.now());
+		int before = this.events.events();
+		this.eventlessBytes += data.readableBytes();
 		ByteBuf ready = this.events.take(data);
+		this.eventlessBytes = (this.events.events() > before) ? 0 : this.eventlessBytes;
 		this.pace.events(this.events.events(), millisSince(this.headAt));
-		if (this.events.overflown()) {
+		if (this.events.overflown() || this.eventlessBytes > MAX_EVENTLESS_BYTES) {
 			ready.release();
-			breakOff("event too long");
+			breakOff("event too long, or none in many bytes");
 			return;
 		}
 		if (ready.isReadable()) {
@@ -260,6 +267,16 @@
 		}
 	}
 
+	private void hold(ByteBuf data) {
+		int bytes = data.readableBytes();
+		this.whole.addComponent(true, data);
+		this.heldBytes += bytes;
+		boolean room = this.exchange.gateway().heldAnswers().take(bytes);
+		if (!room || this.heldBytes > MAX_WHOLE_BYTES) {
+			breakOff("answer too long, " + this.heldBytes + " bytes");
+		}
+	}
+
 	@Override
 	public void ended() {
 		if (this.over) {
@@ -392,6 +409,8 @@
 
 	private void finish() {
 		this.over = true;
+		this.exchange.gateway().heldAnswers().give(this.heldBytes);
+		this.heldBytes = 0;
 		noteBegun();
 		this.server.ended();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -32,6 +32,8 @@
 
 	private final WireDialect dialect;
 
+	private final UselessBytes useless = new UselessBytes(this::close);
+
 	private Channel channel;
 
 	private BackendSend current;
@@ -61,7 +63,9 @@
 		return new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(Channel opened) {
-				opened.pipeline().addLast(new HttpRequestEncoder(), new Decoder(), BackendConnection.this);
+				opened.pipeline()
+					.addLast(new HttpRequestEncoder(), BackendConnection.this.useless, new Decoder(),
+							BackendConnection.this);
 			}
 		};
 	}
@@ -91,6 +95,7 @@
 			return;
 		}
 		this.current = send;
+		this.useless.begin();
 		this.headSeen = false;
 		this.dropping = false;
 		var request = send.handOver(this.channel);
@@ -162,6 +167,7 @@
 		}
 		ByteBuf data = content.content();
 		if (data.isReadable()) {
+			this.useless.begin();
 			this.current.listener().data(data.retain());
 		}
 		if (last && this.current != null && !this.current.over()) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/EventSplitter.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/EventSplitter.java
@@ -31,7 +31,7 @@
 	 * @return whole events, empty if none has ended; the caller releases it
 	 */
 	ByteBuf take(ByteBuf data) {
-		ByteBuf all = this.rest.isReadable() ? Unpooled.wrappedBuffer(this.rest, data) : data;
+		ByteBuf all = this.rest.isReadable() ? joined(this.rest, data) : data;
 		this.rest = Unpooled.EMPTY_BUFFER;
 		int end = endOfWholeEvents(all);
 		if (end == all.readerIndex()) {
@@ -46,6 +46,15 @@
 		return whole;
 	}
 
+	// One buffer, since each further piece would be searched through all before it.
+	private static ByteBuf joined(ByteBuf rest, ByteBuf data) {
+		ByteBuf all = Unpooled.buffer(rest.readableBytes() + data.readableBytes());
+		all.writeBytes(rest).writeBytes(data);
+		rest.release();
+		data.release();
+		return all;
+	}
+
 	private int endOfWholeEvents(ByteBuf all) {
 		int end = all.readerIndex();
 		int lineStart = end;
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Gateway.java
@@ -32,11 +32,12 @@
  * @param dialect names of headers
  * @param budget budget of repeats
  * @param crashes keeps requests that crash servers from more of them
+ * @param heldAnswers memory of answers that are held until they are whole
  * @param counts what the host has done
  * @param clock monotonic time in nanoseconds
  */
 public record Gateway(StartGate gate, FleetView view, ServerTable servers, ServerChoice choice,
 		ConfidenceCascade cascade, Strain strain, WorkDensity density, RolloutWatch rollouts, ReadingSpeed speed,
 		UsualPace pace, BackendPool pool, WireDialect dialect, RepeatBudget budget, CrashWatch crashes,
-		GatewayCounts counts, LongSupplier clock) {
+		HeldAnswers heldAnswers, GatewayCounts counts, LongSupplier clock) {
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -71,6 +71,8 @@
 
 	private final GatewayCounts counts = new GatewayCounts();
 
+	private final HeldAnswers held = new HeldAnswers();
+
 	private final FrontServer front;
 
 	private final ServerTable table;
@@ -90,7 +92,8 @@
 				observed(new LeastWorkChoice(this.table, speed, "z", System::nanoTime, new SplittableRandom(1))),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(), rollouts,
 				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect,
-				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashes, this.counts, System::nanoTime);
+				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashes, this.held, this.counts,
+				System::nanoTime);
 		this.front = new FrontServer(gateway);
 	}
 
@@ -185,6 +188,10 @@
 		}
 	}
 
+	HeldAnswers held() {
+		return this.held;
+	}
+
 	GatewayCounts counts() {
 		return this.counts;
 	}
