--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -27,9 +27,6 @@
 	/** Most bytes of an answer that is handed on as a whole. */
 	private static final int MAX_WHOLE_BYTES = 8 << 20;
 
-	/** Most bytes of a stream, as of comments, in which no event ends. */
-	private static final int MAX_EVENTLESS_BYTES = 2 << 20;
-
 	private static final int MISDIRECTED = 421;
 
 	private static final int UNAVAILABLE = 503;
@@ -79,15 +76,13 @@
 
 	private int heldBytes;
 
-	private int eventlessBytes;
-
 	Attempt(Exchange exchange, Placed placed, EngineWork work) {
 		this.exchange = exchange;
 		this.server = placed.server();
 		this.workMillis = placed.workMillis();
 		this.work = work;
 		this.begun = exchange.now();
-		this.pace = new PaceJudgement(exchange, this.server, work);
+		this.pace = exchange.paceOf(this.server, work);
 	}
 
 	void begin(BackendSend sending) {
@@ -97,6 +92,25 @@
 		this.server.sent(this.workMillis);
 		notices().sent(this.server.entry());
 		this.exchange.schedule(this::checkSilence, patience(this.expectedMillis));
+		this.pace.slowWithoutHeadMillis().ifPresent((millis) -> this.exchange.schedule(this::checkBeginning, millis));
+	}
+
+	// Only a server that is heard of is slow; others may be dead or cut off.
+	private void checkBeginning() {
+		if (!this.answering) {
+			this.server.onceHeardSince(this.begun, this.pace::slow);
+		}
+	}
+
+	private void checkEvents() {
+		if (this.over || this.pace.judged()) {
+			return;
+		}
+		if (this.pace.tooFewEvents(millisSince(this.headAt))) {
+			this.server.onceHeardSince(this.headAt + 1, this.pace::slow);
+			return;
+		}
+		this.exchange.schedule(this::checkEvents, PaceJudgement.NEXT_LOOK_MILLIS);
 	}
 
 	ServerState server() {
@@ -125,7 +139,8 @@
 		if (this.exchange.streaming()) {
 			return Patience.stream(expectedMillis, remaining);
 		}
-		return Patience.plain(this.exchange.gateway().pace().usual(this.pace.kind()), remaining);
+		return Patience.plain(this.exchange.gateway().pace().usual(this.exchange.paceKinds(this.work).whole()),
+				remaining);
 	}
 
 	// A server that sends nothing at all while others are waited for is avoided; work
@@ -198,6 +213,8 @@
 
 	private void beginStream(AnswerFacts facts) {
 		this.events = new EventSplitter();
+		this.pace.head(millisSince(this.begun));
+		this.exchange.schedule(this::checkEvents, PaceJudgement.FIRST_LOOK_MILLIS);
 		learnFromHead(facts);
 		if (facts.confidence().isPresent() && this.exchange.dropFor(facts.confidence().getAsInt())) {
 			cancel();
@@ -252,12 +269,9 @@
 			return;
 		}
 		this.server.heard(this.exchange.now());
-		int before = this.events.events();
-		this.eventlessBytes += data.readableBytes();
 		ByteBuf ready = this.events.take(data);
-		this.eventlessBytes = (this.events.events() > before) ? 0 : this.eventlessBytes;
 		this.pace.events(this.events.events(), millisSince(this.headAt));
-		if (this.events.overflown() || this.eventlessBytes > MAX_EVENTLESS_BYTES) {
+		if (this.events.overflown()) {
 			ready.release();
 			breakOff("event too long, or none in many bytes");
 			return;
--- a/gateway/src/main/java/io/sequoialink/gateway/http/EventSplitter.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/EventSplitter.java
@@ -15,6 +15,9 @@
 	/** Most bytes of one event; beyond it the stream counts as broken. */
 	static final int MAX_EVENT_BYTES = 1 << 20;
 
+	/** Most bytes of a stream in which no event with an id ends. */
+	static final int MAX_EVENTLESS_BYTES = 2 << 20;
+
 	private static final byte LINE_END = '\n';
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
@@ -25,15 +28,20 @@
 
 	private int events;
 
+	private int bytesSinceEvent;
+
 	/**
 	 * Takes bytes and returns those that end whole events.
 	 * @param data bytes of the stream; ownership passes to this splitter
 	 * @return whole events, empty if none has ended; the caller releases it
 	 */
 	ByteBuf take(ByteBuf data) {
+		int before = this.events;
+		this.bytesSinceEvent += data.readableBytes();
 		ByteBuf all = this.rest.isReadable() ? joined(this.rest, data) : data;
 		this.rest = Unpooled.EMPTY_BUFFER;
 		int end = endOfWholeEvents(all);
+		this.bytesSinceEvent = (this.events > before) ? 0 : this.bytesSinceEvent;
 		if (end == all.readerIndex()) {
 			this.rest = all;
 			return Unpooled.EMPTY_BUFFER;
@@ -122,11 +130,12 @@
 	}
 
 	/**
-	 * Returns whether an event is longer than is accepted.
+	 * Returns whether an event is longer than is accepted, or none with an id has ended
+	 * in many bytes, as of comments.
 	 * @return whether the stream counts as broken
 	 */
 	boolean overflown() {
-		return this.rest.readableBytes() > MAX_EVENT_BYTES;
+		return this.rest.readableBytes() > MAX_EVENT_BYTES || this.bytesSinceEvent > MAX_EVENTLESS_BYTES;
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -439,16 +439,37 @@
 	 * @param server server that gave it
 	 * @param bad whether it was a failure or several times slower than usual
 	 */
-	void judged(ServerState server, boolean bad) {
+	private void judged(ServerState server, boolean bad) {
 		this.gateway.rollouts().answered(service(), server.entry().version(), route().name(), bad);
 	}
 
+	/**
+	 * Returns the judgement of a send by its pace.
+	 * @param server server that it goes to
+	 * @param work work that it is
+	 * @return the judgement, which notes its verdict
+	 */
+	PaceJudgement paceOf(ServerState server, EngineWork work) {
+		return new PaceJudgement(this.gateway.pace(), paceKinds(work), () -> onTrial(server),
+				(bad) -> judged(server, bad));
+	}
+
+	/**
+	 * Returns among which times those of a send count.
+	 * @param work work that it is
+	 * @return service and model of an engine's answer, else the route
+	 */
+	PaceJudgement.Kinds paceKinds(EngineWork work) {
+		String whole = work.engine() ? service() + '/' + work.model() : route().name();
+		return new PaceJudgement.Kinds(whole, route().name() + " beginning", streaming());
+	}
+
 	/**
 	 * Returns whether a server's version is the one that its service is moved to.
 	 * @param server the server
 	 * @return whether the version is on trial
 	 */
-	boolean onTrial(ServerState server) {
+	private boolean onTrial(ServerState server) {
 		return server.entry().version().equals(this.gateway.rollouts().target(service()));
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
@@ -1,6 +1,8 @@
 package io.sequoialink.gateway.place;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -22,6 +24,9 @@
 
 	private static final int FAILURES_BEFORE_AVOIDANCE = 2;
 
+	/** Work that waits at most until the server is heard of again. */
+	private static final int MAX_ONCE_HEARD = 64;
+
 	private final long incarnation;
 
 	private ServerEntry entry;
@@ -53,6 +58,8 @@
 
 	private boolean heardOnce;
 
+	private final List<Runnable> onceHeard = new ArrayList<>();
+
 	/**
 	 * Creates the state of a server that has received nothing yet.
 	 * @param entry what the server says of itself
@@ -226,6 +233,25 @@
 	public void heard(long nowNanos) {
 		this.heardAt = nowNanos;
 		this.heardOnce = true;
+		if (!this.onceHeard.isEmpty()) {
+			List<Runnable> due = List.copyOf(this.onceHeard);
+			this.onceHeard.clear();
+			due.forEach(Runnable::run);
+		}
+	}
+
+	/**
+	 * Runs work if the server is heard of again: at once if it was since a time.
+	 * @param sinceNanos earliest monotonic time that counts
+	 * @param work the work; forgotten with the server, and if too much of it waits
+	 */
+	public void onceHeardSince(long sinceNanos, Runnable work) {
+		if (heardSince(sinceNanos)) {
+			work.run();
+		}
+		else if (this.onceHeard.size() < MAX_ONCE_HEARD) {
+			this.onceHeard.add(work);
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/UsualPace.java
@@ -33,6 +33,16 @@
 		return mean != null && mean.count >= MIN_ANSWERS && millis > SLOW_TIMES * mean.millis();
 	}
 
+	/**
+	 * Returns from which time on an answer is slow.
+	 * @param kind what kind of time it is
+	 * @return milliseconds, empty before enough is known
+	 */
+	public OptionalDouble slowFrom(String kind) {
+		OptionalDouble usual = usual(kind);
+		return usual.isPresent() ? OptionalDouble.of(SLOW_TIMES * usual.getAsDouble()) : usual;
+	}
+
 	/**
 	 * Returns the usual time.
 	 * @param kind what kind of time it is
