--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -440,7 +440,7 @@
 	 * @param bad whether it was a failure or several times slower than usual
 	 */
 	private void judged(ServerState server, boolean bad) {
-		this.gateway.rollouts().answered(service(), server.entry().version(), route().name(), bad);
+		this.gateway.rollouts().answered(service(), server.entry().version(), route().name(), bad, streaming());
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -21,6 +21,12 @@
 	/** Sessions that a host makes known at most, so that its record stays small. */
 	private static final int MAX_KEPT = 200;
 
+	/**
+	 * Judged answers without which a version is not completed: of one that is bad half of
+	 * the time, fewer would too often be good, and completion can't be taken back.
+	 */
+	static final int MIN_ANSWERS = 8;
+
 	private final String host;
 
 	private final Found<RolloutOrder> order;
@@ -218,9 +224,11 @@
 	 * @param route route of the request
 	 * @param ofTarget whether the new version gave it
 	 * @param bad whether it was a failure or several times slower than usual
+	 * @param streamed whether it was a stream
+	 * @param nowNanos monotonic time
 	 */
-	public void answered(String route, boolean ofTarget, boolean bad) {
-		this.evidence.answered(route, ofTarget, bad);
+	public void answered(String route, boolean ofTarget, boolean bad, boolean streamed, long nowNanos) {
+		this.evidence.answered(route, ofTarget, bad, streamed, nowNanos);
 	}
 
 	/**
@@ -260,6 +268,7 @@
 	 * undecided
 	 */
 	boolean judge(long nowNanos) {
+		this.evidence.settle(nowNanos);
 		this.judgement = this.evidence.judge();
 		boolean due = this.schedule.mayComplete(progress(nowNanos));
 		return this.judgement.worse() || (due && this.judgement.probablyWorse());
@@ -291,12 +300,12 @@
 	/**
 	 * Returns whether the old versions may be stopped.
 	 * @param nowNanos monotonic time
-	 * @return whether it is time, nothing speaks against it and the new version has
-	 * answered at all
+	 * @return whether it is time, nothing speaks against it and enough answers of the new
+	 * version were judged
 	 */
 	public boolean mayComplete(long nowNanos) {
-		boolean answered = this.judgement.answers() > 0;
-		return answered && !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
+		boolean known = this.judgement.answers() >= MIN_ANSWERS;
+		return known && !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
@@ -61,6 +61,12 @@
 	 */
 	private static final int EVIDENCE_STEP = 4;
 
+	/**
+	 * Answers of the new version, of all hosts, below which each one is published: where
+	 * traffic is thin, hosts see one or two each.
+	 */
+	private static final int FEW_ANSWERS = 12;
+
 	private final Canary canary;
 
 	private final RolloutRecords records;
@@ -102,7 +108,8 @@
 		boolean urgent = own.targetBad() > this.publishedBad || this.canary.ownKept() > this.publishedKept;
 		// other hosts' writes of what went well would make the last verdict fail
 		boolean welcome = !this.canary.mayComplete(now);
-		boolean news = urgent || (welcome && own.targetAnswers() >= this.publishedAnswers + EVIDENCE_STEP);
+		boolean few = this.canary.judgement().answers() < FEW_ANSWERS;
+		boolean news = urgent || (welcome && own.targetAnswers() >= this.publishedAnswers + (few ? 1 : EVIDENCE_STEP));
 		if (!news || now - this.evidenceAt < evidencePause(urgent, hosts)) {
 			return;
 		}
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutWatch.java
@@ -241,11 +241,13 @@
 	 * @param version version of the backend server
 	 * @param route route of the request
 	 * @param bad whether it was a failure or several times slower than usual
+	 * @param streamed whether it was a stream
 	 */
-	public void answered(String service, String version, String route, boolean bad) {
+	public void answered(String service, String version, String route, boolean bad, boolean streamed) {
 		Canary canary = this.canaries.get(service);
 		if (canary != null && !canary.ended()) {
-			canary.answered(route, version.equals(canary.order().value().target()), bad);
+			canary.answered(route, version.equals(canary.order().value().target()), bad, streamed,
+					this.clock.getAsLong());
 		}
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/SharedEvidence.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/SharedEvidence.java
@@ -1,5 +1,7 @@
 package io.sequoialink.gateway.rollout;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -12,6 +14,13 @@
  */
 final class SharedEvidence {
 
+	/**
+	 * Time after which a good stream counts, in nanoseconds: longer than it takes to see
+	 * that one is slow, so that many new sends don't look good at first because the quick
+	 * ones end first.
+	 */
+	static final long GOOD_COUNTS_AFTER_NANOS = 2_500_000_000L;
+
 	private final String host;
 
 	private final BadAnswerTest test;
@@ -20,6 +29,8 @@
 
 	private final Map<String, HostEvidence> others = new HashMap<>();
 
+	private final Deque<GoodStream> recentGood = new ArrayDeque<>();
+
 	private boolean publishedOwn;
 
 	SharedEvidence(String host, BadAnswerTest test) {
@@ -32,11 +43,34 @@
 	 * @param route route of the request
 	 * @param ofTarget whether the new version gave it
 	 * @param bad whether it was a failure or several times slower than usual
+	 * @param streamed whether it was a stream, which takes a while to be seen as slow
+	 * @param nowNanos monotonic time
 	 */
-	void answered(String route, boolean ofTarget, boolean bad) {
+	void answered(String route, boolean ofTarget, boolean bad, boolean streamed, long nowNanos) {
+		if (bad || !streamed) {
+			count(route, ofTarget, bad);
+		}
+		else {
+			this.recentGood.addLast(new GoodStream(route, ofTarget, nowNanos));
+		}
+	}
+
+	private void count(String route, boolean ofTarget, boolean bad) {
 		this.own.put(route, this.own.getOrDefault(route, RouteEvidence.NONE).with(ofTarget, bad));
 	}
 
+	/**
+	 * Counts the good streams that are old enough.
+	 * @param nowNanos monotonic time
+	 */
+	void settle(long nowNanos) {
+		while (!this.recentGood.isEmpty()
+				&& nowNanos - this.recentGood.peekFirst().atNanos() >= GOOD_COUNTS_AFTER_NANOS) {
+			GoodStream good = this.recentGood.pollFirst();
+			count(good.route(), good.ofTarget(), false);
+		}
+	}
+
 	/**
 	 * Takes what a host saw. What this host published in an earlier life is added to what
 	 * it sees now.
@@ -105,4 +139,14 @@
 		return new AnswerCounts(referenceAnswers, bad);
 	}
 
+	/**
+	 * A good stream that does not count yet. Immutable.
+	 *
+	 * @param route route of the request
+	 * @param ofTarget whether the new version gave it
+	 * @param atNanos monotonic time of its verdict
+	 */
+	private record GoodStream(String route, boolean ofTarget, long atNanos) {
+	}
+
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
@@ -201,7 +201,7 @@
 		this.requests++;
 		this.exposed += target ? 1 : 0;
 		boolean bad = this.random.nextDouble() < (target ? this.badShare : 0.004);
-		host.watch.answered("s", version, "r", bad);
+		host.watch.answered("s", version, "r", bad, true);
 	}
 
 	private void countMoves(String before, String version) {
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -9,6 +9,8 @@
 import java.util.function.Consumer;
 
 import io.sequoialink.decision.rollout.AnswerCounts;
+import io.sequoialink.decision.rollout.BadAnswerTest;
+import io.sequoialink.decision.rollout.RolloutSettings;
 import io.sequoialink.gateway.feed.StoreReply;
 import io.sequoialink.gateway.fleet.Found;
 import io.sequoialink.gateway.fleet.RolloutOrder;
@@ -196,15 +198,63 @@
 		assertThat(fleet.states()).containsOnlyOnce(RolloutState.ROLLED_BACK);
 	}
 
+	// EXPOSURE on hasty: a slow version was completed on one judged answer.
+	@ParameterizedTest
+	@CsvSource({ "0, false", "1, false", "7, false", "8, true" })
+	void aVersionIsCompletedOnlyOnEnoughJudgedAnswers(int answers, boolean completed) {
+		List<RolloutState> states = new ArrayList<>();
+		long[] now = { 1 };
+		RolloutRecords records = recordsInto(new ArrayList<>(), states);
+		RolloutWatch watch = new RolloutWatch("h1", new RolloutWatch.Options(0.15, 0), records, () -> now[0],
+				new Random(1));
+		watch.order(new Found<>(new RolloutOrder("s", "v2", DURATION), 7));
+		for (int i = 0; i < answers; i++) {
+			watch.answered("s", "v2", "r", false, true);
+		}
+		while (now[0] < DURATION * 1_000_000L) {
+			now[0] += RolloutFleet.STEP;
+			watch.read(9);
+			watch.tick();
+		}
+		assertThat(states.contains(RolloutState.COMPLETED)).isEqualTo(completed);
+	}
+
+	// EXPOSURE on hasty: when all requests go to a version, the quick ones end first.
+	@Test
+	void aGoodStreamCountsOnlyWhenASlowOneWouldHaveBeenSeen() {
+		SharedEvidence evidence = new SharedEvidence("h1", new BadAnswerTest(RolloutSettings.defaults()));
+		evidence.answered("r", true, false, true, 0);
+		evidence.answered("r", true, true, true, 0);
+		evidence.settle(SharedEvidence.GOOD_COUNTS_AFTER_NANOS - 1);
+		assertThat(evidence.judge().tested()).isEqualTo(new AnswerCounts(1, 1));
+		evidence.settle(SharedEvidence.GOOD_COUNTS_AFTER_NANOS);
+		assertThat(evidence.judge().tested()).isEqualTo(new AnswerCounts(2, 1));
+	}
+
+	// EXPOSURE on hasty: six hosts saw one to three answers each and told none of them.
+	@Test
+	void eachAnswerIsToldWhileFewAreKnown() {
+		List<HostEvidence> published = new ArrayList<>();
+		long[] now = { 10_000_000_000L };
+		RolloutWatch watch = new RolloutWatch("h1", new RolloutWatch.Options(0.15, 0),
+				recordsInto(published, new ArrayList<>()), () -> now[0], new Random(1));
+		watch.order(new Found<>(new RolloutOrder("s", "v2", DURATION), 7));
+		watch.read(9);
+		watch.answered("s", "v2", "r", false, true);
+		now[0] += SharedEvidence.GOOD_COUNTS_AFTER_NANOS;
+		watch.tick();
+		assertThat(published).hasSize(1);
+	}
+
 	// The same fault as in the incident BUDGET: bad answers that a host had told were
 	// lost when it started again and published before its first read.
 	@Test
 	void aHostThatStartsAgainTakesBackNoAnswerThatItTold() {
 		List<HostEvidence> published = new ArrayList<>();
-		RolloutWatch watch = new RolloutWatch("h1", new RolloutWatch.Options(0.15, 0), recordsInto(published),
-				() -> 10_000_000_000L, new Random(1));
+		RolloutWatch watch = new RolloutWatch("h1", new RolloutWatch.Options(0.15, 0),
+				recordsInto(published, new ArrayList<>()), () -> 10_000_000_000L, new Random(1));
 		watch.order(new Found<>(new RolloutOrder("s", "v2", DURATION), 7));
-		watch.answered("s", "v2", "r", true);
+		watch.answered("s", "v2", "r", true, true);
 		watch.tick();
 		assertThat(published).isEmpty();
 		RouteEvidence before = new RouteEvidence(new AnswerCounts(9, 5), new AnswerCounts(0, 0));
@@ -216,11 +266,12 @@
 		assertThat(published.get(0).targetAnswers()).isEqualTo(10);
 	}
 
-	private static RolloutRecords recordsInto(List<HostEvidence> published) {
+	private static RolloutRecords recordsInto(List<HostEvidence> published, List<RolloutState> states) {
 		return new RolloutRecords() {
 			@Override
 			public void status(RolloutStatus status, OptionalLong at, Consumer<StoreReply<Long>> reply) {
-				// not looked at
+				states.add(status.state());
+				reply.accept(StoreReply.of(9L));
 			}
 
 			@Override
