Await more answers of a version while those known leave doubt (EXPOSURE on hasty)

Between 'speaks against' (2.3) and 'completed' was nothing: the eighth answer decided. Change: above a score of 0.5 a version is not completed yet; more answers come, past the deadline if need be. Evidence: aVersionIsCompletedOnlyOnEnoughJudgedAnswersThatLeaveLittleDoubt (2 bad of 8) failed before.

--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -27,6 +27,12 @@
 	 */
 	static final int MIN_ANSWERS = 8;
 
+	/**
+	 * Score up to which a version is completed: above it more answers are awaited, past
+	 * the deadline if need be, until they clear the version or speak against it.
+	 */
+	static final double MOST_DOUBT = 0.5;
+
 	private final String host;
 
 	private final Found<RolloutOrder> order;
@@ -300,11 +306,11 @@
 	/**
 	 * Returns whether the old versions may be stopped.
 	 * @param nowNanos monotonic time
-	 * @return whether it is time, nothing speaks against it and enough answers of the new
-	 * version were judged
+	 * @return whether it is time, enough answers of the new version were judged and they
+	 * leave little doubt
 	 */
 	public boolean mayComplete(long nowNanos) {
-		boolean known = this.judgement.answers() >= MIN_ANSWERS;
+		boolean known = this.judgement.answers() >= MIN_ANSWERS && this.judgement.score() <= MOST_DOUBT;
 		return known && !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -200,8 +200,8 @@
 
 	// EXPOSURE on hasty: a slow version was completed on one judged answer.
 	@ParameterizedTest
-	@CsvSource({ "0, false", "1, false", "7, false", "8, true" })
-	void aVersionIsCompletedOnlyOnEnoughJudgedAnswers(int answers, boolean completed) {
+	@CsvSource({ "0, 0, false", "1, 0, false", "7, 0, false", "8, 0, true", "8, 2, false", "30, 1, true" })
+	void aVersionIsCompletedOnlyOnEnoughJudgedAnswersThatLeaveLittleDoubt(int answers, int bad, boolean completed) {
 		List<RolloutState> states = new ArrayList<>();
 		long[] now = { 1 };
 		RolloutRecords records = recordsInto(new ArrayList<>(), states);
@@ -209,7 +209,10 @@
 				new Random(1));
 		watch.order(new Found<>(new RolloutOrder("s", "v2", DURATION), 7));
 		for (int i = 0; i < answers; i++) {
-			watch.answered("s", "v2", "r", false, true);
+			watch.answered("s", "v2", "r", i < bad, true);
+		}
+		for (int i = 0; i < 200; i++) {
+			watch.answered("s", "v1", "r", i < 10, true);
 		}
 		while (now[0] < DURATION * 1_000_000L) {
 			now[0] += RolloutFleet.STEP;
