Let a wait count only if its server is heard of within a second, and doubt keep no version undecided

Found by reading the change once more: a server whose link is cut is heard of when the cut ends, and all that waited for it would have spoken against its version at once; and a version whose answers differ a little from its reference's could have stayed undecided for ever. Change: a wait counts only if its server is heard of by one second after it was found slow; from twice the duration on, doubt (a score above 0.5 and below what rolls back) completes a version. Each has a test that failed before (the first by the case of a second later).

--- a/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Attempt.java
@@ -98,7 +98,7 @@
 	// Only a server that is heard of is slow; others may be dead or cut off.
 	private void checkBeginning() {
 		if (!this.answering) {
-			this.server.onceHeardSince(this.begun, this.pace::slow);
+			this.server.onceHeardSince(this.begun, this.exchange.now(), this.pace::slow);
 		}
 	}
 
@@ -107,7 +107,7 @@
 			return;
 		}
 		if (this.pace.tooFewEvents(millisSince(this.headAt))) {
-			this.server.onceHeardSince(this.headAt + 1, this.pace::slow);
+			this.server.onceHeardSince(this.headAt + 1, this.exchange.now(), this.pace::slow);
 			return;
 		}
 		this.exchange.schedule(this::checkEvents, PaceJudgement.NEXT_LOOK_MILLIS);
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
@@ -24,6 +24,9 @@
 
 	private static final int FAILURES_BEFORE_AVOIDANCE = 2;
 
+	/** Time for which work waits until the server is heard of, in nanoseconds. */
+	static final long AWAITED_NANOS = 1_000_000_000L;
+
 	/** Work that waits at most until the server is heard of again. */
 	private static final int MAX_ONCE_HEARD = 64;
 
@@ -58,7 +61,7 @@
 
 	private boolean heardOnce;
 
-	private final List<Runnable> onceHeard = new ArrayList<>();
+	private final List<Awaiting> onceHeard = new ArrayList<>();
 
 	/**
 	 * Creates the state of a server that has received nothing yet.
@@ -234,23 +237,25 @@
 		this.heardAt = nowNanos;
 		this.heardOnce = true;
 		if (!this.onceHeard.isEmpty()) {
-			List<Runnable> due = List.copyOf(this.onceHeard);
+			List<Awaiting> due = List.copyOf(this.onceHeard);
 			this.onceHeard.clear();
-			due.forEach(Runnable::run);
+			due.stream().filter((work) -> nowNanos - work.untilNanos() <= 0).forEach((work) -> work.work().run());
 		}
 	}
 
 	/**
-	 * Runs work if the server is heard of again: at once if it was since a time.
+	 * Runs work if the server is heard of within {@link #AWAITED_NANOS}: at once if it
+	 * was since a time. One that is heard of later was cut off or stood still.
 	 * @param sinceNanos earliest monotonic time that counts
+	 * @param nowNanos monotonic time
 	 * @param work the work; forgotten with the server, and if too much of it waits
 	 */
-	public void onceHeardSince(long sinceNanos, Runnable work) {
+	public void onceHeardSince(long sinceNanos, long nowNanos, Runnable work) {
 		if (heardSince(sinceNanos)) {
 			work.run();
 		}
 		else if (this.onceHeard.size() < MAX_ONCE_HEARD) {
-			this.onceHeard.add(work);
+			this.onceHeard.add(new Awaiting(nowNanos + AWAITED_NANOS, work));
 		}
 	}
 
@@ -281,4 +286,13 @@
 		return this.avoidedUntil != 0 && nowNanos - this.avoidedUntil < 0;
 	}
 
+	/**
+	 * Work that waits until the server is heard of. Immutable.
+	 *
+	 * @param untilNanos monotonic time up to which it is worth running
+	 * @param work the work
+	 */
+	private record Awaiting(long untilNanos, Runnable work) {
+	}
+
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -33,6 +33,12 @@
 	 */
 	static final double MOST_DOUBT = 0.5;
 
+	/**
+	 * Parts of the duration after which doubt keeps no version undecided: what many
+	 * answers can't tell from its reference is about as good.
+	 */
+	private static final double LONGEST_DOUBT = 2;
+
 	private final String host;
 
 	private final Found<RolloutOrder> order;
@@ -310,7 +316,8 @@
 	 * leave little doubt
 	 */
 	public boolean mayComplete(long nowNanos) {
-		boolean known = this.judgement.answers() >= MIN_ANSWERS && this.judgement.score() <= MOST_DOUBT;
+		boolean doubtful = this.judgement.score() > MOST_DOUBT && progress(nowNanos) < LONGEST_DOUBT;
+		boolean known = this.judgement.answers() >= MIN_ANSWERS && !doubtful;
 		return known && !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/PaceJudgementTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/PaceJudgementTests.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -108,18 +107,18 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(booleans = { true, false })
-	void aWaitSaysSomethingOnlyOnceItsServerIsHeardOf(boolean heard) {
+	@CsvSource({ "0, 0", "7, 1", "1000000007, 0" })
+	void aWaitSaysSomethingOnlyIfItsServerIsHeardOfSoon(long heardNanos, int bad) {
 		ServerState server = new ServerState(
 				new ServerEntry("s1", "svc", new InetSocketAddress("127.0.0.1", 1), "z", "v2", 8, false, 0, 0));
 		server.heard(5);
-		server.onceHeardSince(6, send(STREAM)::slow);
+		server.onceHeardSince(6, 6, send(STREAM)::slow);
 		assertThat(this.verdicts).isEmpty();
-		if (heard) {
-			server.heard(7);
-			server.heard(8);
+		if (heardNanos > 0) {
+			server.heard(heardNanos);
+			server.heard(heardNanos + 1);
 		}
-		assertThat(this.verdicts).hasSize(heard ? 1 : 0);
+		assertThat(this.verdicts).hasSize(bad);
 	}
 
 	@Test
@@ -127,7 +126,7 @@
 		ServerState server = new ServerState(
 				new ServerEntry("s1", "svc", new InetSocketAddress("127.0.0.1", 1), "z", "v2", 8, false, 0, 0));
 		server.heard(7);
-		server.onceHeardSince(6, send(STREAM)::slow);
+		server.onceHeardSince(6, 8, send(STREAM)::slow);
 		assertThat(this.verdicts).containsExactly(true);
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutWatchTests.java
@@ -214,12 +214,36 @@
 		for (int i = 0; i < 200; i++) {
 			watch.answered("s", "v1", "r", i < 10, true);
 		}
-		while (now[0] < DURATION * 1_000_000L) {
+		runUntilDeadline(watch, now);
+		assertThat(states.contains(RolloutState.COMPLETED)).isEqualTo(completed);
+	}
+
+	@Test
+	void doubtKeepsNoVersionUndecidedForLong() {
+		List<RolloutState> states = new ArrayList<>();
+		long[] now = { 1 };
+		RolloutWatch watch = new RolloutWatch("h1", new RolloutWatch.Options(0.15, 0),
+				recordsInto(new ArrayList<>(), states), () -> now[0], new Random(1));
+		watch.order(new Found<>(new RolloutOrder("s", "v2", DURATION), 7));
+		for (int i = 0; i < 200; i++) {
+			watch.answered("s", "v1", "r", i < 10, true);
+		}
+		for (int i = 0; i < 8; i++) {
+			watch.answered("s", "v2", "r", i < 2, true);
+		}
+		runUntilDeadline(watch, now);
+		runUntilDeadline(watch, now);
+		runUntilDeadline(watch, now);
+		assertThat(states).contains(RolloutState.COMPLETED);
+	}
+
+	private static void runUntilDeadline(RolloutWatch watch, long[] now) {
+		long until = now[0] + DURATION * 1_000_000L;
+		while (now[0] < until) {
 			now[0] += RolloutFleet.STEP;
 			watch.read(9);
 			watch.tick();
 		}
-		assertThat(states.contains(RolloutState.COMPLETED)).isEqualTo(completed);
 	}
 
 	// EXPOSURE on hasty: when all requests go to a version, the quick ones end first.
