Golden lines: a look at a lost connection comes beside the request's own lines

The line comes from the probe of the server, before or after the request's final line. The golden files stay as they are for the other lines, in their order; each lost connection must now have exactly one look with its exact text, for which the test waits, so nothing that was checked is checked less.

--- a/gateway/src/test/java/io/sequoialink/gateway/http/SessionLogTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/SessionLogTests.java
@@ -28,6 +28,8 @@
 
 	private static final String FINAL_LINE = "SL-3101";
 
+	private static final String NOT_A_CRASH = "SL-3404";
+
 	private final Logger logger = (Logger) LoggerFactory.getLogger("io.sequoialink.gateway.http");
 
 	private final ListAppender<ILoggingEvent> lines = new ListAppender<>();
@@ -116,21 +118,42 @@
 				GatewayFixture.Client client = fixture.connect()) {
 			String key = headers.isEmpty() ? "key: k\r\n" : headers;
 			client.raw("GET " + path + " HTTP/1.1\r\nHost: h.example\r\nid: r1\r\n" + key + "\r\n");
-			awaitFinalLine();
+			awaitLines();
 		}
 		List<String> told = this.lines.list.stream().map(ILoggingEvent::getFormattedMessage).toList();
 		assertThat(told.stream().filter((line) -> line.startsWith(FINAL_LINE))).hasSize(1);
-		assertThat(told.stream().map(SessionLogTests::withoutTimes)).containsExactlyElementsOf(golden(name));
+		assertThat(told.stream().filter((line) -> !line.startsWith(NOT_A_CRASH)).map(SessionLogTests::withoutTimes))
+			.containsExactlyElementsOf(golden(name));
+		assertOnlyLostConnectionsWereLookedInto(told);
+	}
+
+	// Whether a server crashed is found out beside the request, so the line comes before
+	// or after its final one.
+	private static void assertOnlyLostConnectionsWereLookedInto(List<String> told) {
+		List<String> looks = told.stream().filter((line) -> line.startsWith(NOT_A_CRASH)).toList();
+		assertThat(looks).allMatch((line) -> line.matches(NOT_A_CRASH
+				+ " content [0-9a-f]+: server s[12]@0 broke off while it ran it, not taken for a crash: it takes connections"));
+		assertThat((long) looks.size()).isEqualTo(lostConnections(told));
 	}
 
-	private void awaitFinalLine() throws InterruptedException {
+	private void awaitLines() throws InterruptedException {
 		long until = System.nanoTime() + 10_000_000_000L;
-		while (List.copyOf(this.lines.list).stream().noneMatch((line) -> line.getMessage().startsWith(FINAL_LINE))) {
-			assertThat(System.nanoTime()).as("a final line within 10 s").isLessThan(until);
+		while (!allTold()) {
+			assertThat(System.nanoTime()).as("a final line and all looks within 10 s").isLessThan(until);
 			Thread.sleep(10);
 		}
 	}
 
+	private boolean allTold() {
+		List<String> told = List.copyOf(this.lines.list).stream().map(ILoggingEvent::getFormattedMessage).toList();
+		long looks = told.stream().filter((line) -> line.startsWith(NOT_A_CRASH)).count();
+		return told.stream().anyMatch((line) -> line.startsWith(FINAL_LINE)) && looks == lostConnections(told);
+	}
+
+	private static long lostConnections(List<String> told) {
+		return told.stream().filter((line) -> line.contains("ended: DISCONNECTED")).count();
+	}
+
 	// The first server is drawn.
 	private static String withoutTimes(String line) {
 		return line.replaceAll("\\b\\d+ ms", "N ms").replaceAll("\\bs[12]\\b", "S");
