--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -104,6 +104,9 @@
 	/** The store holds a record of a host that is older than one read before. */
 	public static final String RECORD_OVERTAKEN = "SL-3405 record {} at offset {} is older than one that was read before it";
 
+	/** The newer record could not be written after an older one. */
+	public static final String RECORD_NOT_WRITTEN_AGAIN = "SL-3406 could not write record {} again, tries at the next read: {}, {}";
+
 	/** Another host reads the store for this one. */
 	public static final String READER_FOUND = "SL-3501 host {} reads the store for this one, told of {} up to offset {}";
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/EndlessBytesTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/EndlessBytesTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -53,6 +54,16 @@
 		}
 	}
 
+	@Test
+	void anAnswerForWhichNoMemoryIsLeftIsBrokenOffAndGivesBackWhatItHeld() throws Exception {
+		ScriptedServer.Script script = (call) -> call.whole(200, "seal: s\r\n", "hello");
+		try (GatewayFixture fixture = GatewayFixture.before(script)) {
+			fixture.onLoop(() -> fixture.held().take((int) HeldAnswers.MAX_BYTES));
+			assertThat(RawHttp.status(fixture.exchange("/once/x", ""))).isEqualTo(502);
+			fixture.onLoop(() -> assertThat(fixture.held().bytes()).isEqualTo(HeldAnswers.MAX_BYTES));
+		}
+	}
+
 	private static String exchange(GatewayFixture fixture, Endless kind) {
 		try {
 			return fixture.exchange(kind.path, "");
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
 import io.sequoialink.gateway.count.GatewayCounts;
 import io.sequoialink.gateway.crash.CrashWatch;
 import io.sequoialink.gateway.crash.HostCrashes;
+import io.sequoialink.gateway.feed.StoreReply;
 import io.sequoialink.gateway.fleet.BackendService;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.ClientLimits;
@@ -32,6 +34,7 @@
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ModelCost;
 import io.sequoialink.gateway.fleet.RequestKind;
+import io.sequoialink.gateway.fleet.RolloutStatus;
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.fleet.WeightedService;
@@ -43,6 +46,8 @@
 import io.sequoialink.gateway.place.ServerNotices;
 import io.sequoialink.gateway.place.ServerTable;
 import io.sequoialink.gateway.place.UsualPace;
+import io.sequoialink.gateway.rollout.HostEvidence;
+import io.sequoialink.gateway.rollout.RolloutRecords;
 import io.sequoialink.gateway.rollout.RolloutWatch;
 
 /**
@@ -73,6 +78,13 @@
 
 	private final HeldAnswers held = new HeldAnswers();
 
+	private final UsualPace pace = new UsualPace();
+
+	private final List<HostEvidence> evidence = new CopyOnWriteArrayList<>();
+
+	private final RolloutWatch rollouts = new RolloutWatch("h", new RolloutWatch.Options(0.1, 0), records(),
+			System::nanoTime, new SplittableRandom(1));
+
 	private final FrontServer front;
 
 	private final ServerTable table;
@@ -86,12 +98,10 @@
 				new ServerNotices(System::nanoTime, new SplittableRandom(3), NoticeListener.NONE),
 				new FleetSightings());
 		ReadingSpeed speed = new ReadingSpeed();
-		RolloutWatch rollouts = new RolloutWatch("h", new RolloutWatch.Options(0.1, 0), null, System::nanoTime,
-				new SplittableRandom(1));
 		Gateway gateway = new Gateway(this.gate, this.view, this.table,
 				observed(new LeastWorkChoice(this.table, speed, "z", System::nanoTime, new SplittableRandom(1))),
-				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(), rollouts,
-				speed, new UsualPace(), new BackendPool(this.loops, dialect), dialect,
+				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new Strain(), new WorkDensity(),
+				this.rollouts, speed, this.pace, new BackendPool(this.loops, dialect), dialect,
 				new RepeatBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashes, this.held, this.counts,
 				System::nanoTime);
 		this.front = new FrontServer(gateway);
@@ -188,6 +198,37 @@
 		}
 	}
 
+	private RolloutRecords records() {
+		return new RolloutRecords() {
+			@Override
+			public void status(RolloutStatus status, OptionalLong at, Consumer<StoreReply<Long>> reply) {
+				reply.accept(StoreReply.of(1L));
+			}
+
+			@Override
+			public void evidence(HostEvidence seen, Consumer<StoreReply<Long>> reply) {
+				GatewayFixture.this.evidence.add(seen);
+			}
+
+			@Override
+			public void readNow() {
+				// nothing to read
+			}
+		};
+	}
+
+	RolloutWatch rollouts() {
+		return this.rollouts;
+	}
+
+	List<HostEvidence> evidence() {
+		return this.evidence;
+	}
+
+	UsualPace pace() {
+		return this.pace;
+	}
+
 	HeldAnswers held() {
 		return this.held;
 	}
