--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -17,6 +17,7 @@
 import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.decision.limits.LatencyPressure;
 import io.sequoialink.decision.limits.RequestCostRatio;
+import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.decision.retry.RetryBudget;
 import io.sequoialink.gateway.GatewayEvents;
@@ -39,6 +40,7 @@
 import io.sequoialink.gateway.place.LowestLatencyBalancer;
 import io.sequoialink.gateway.place.PrefillSpeed;
 import io.sequoialink.gateway.place.ResponseNotice;
+import io.sequoialink.gateway.place.ServerLimitTable;
 import io.sequoialink.gateway.place.ServerNoticeTable;
 import io.sequoialink.gateway.place.ServerState;
 import io.sequoialink.gateway.place.ServerTable;
@@ -122,6 +124,8 @@
 
 	private final SharedServerNotices sharedNotices = new SharedServerNotices();
 
+	private final ServerLimits serverLimits = new ServerLimits();
+
 	private final Optional<ServerNoticeGossip> noticeGossip;
 
 	private final ServerTable servers;
@@ -166,7 +170,8 @@
 		this.crashes = new CrashCoordinator(settings.host(), statuses, this::schedule, System::nanoTime,
 				() -> readStatusesNow(statuses));
 		this.servers = new ServerTable(this.fleetView,
-				new ServerNoticeTable(System::nanoTime, random, this::recordServerNotice), this.sharedNotices);
+				new ServerNoticeTable(System::nanoTime, random, this::recordServerNotice), this.sharedNotices,
+				new ServerLimitTable(this.serverLimits));
 		this.readForwarder = settings.peers().map(this::createReadForwarder);
 		this.noticeGossip = this.readForwarder.map((forwarder) -> new ServerNoticeGossip(this.sharedNotices, forwarder,
 				this.peerSocket, settings.sightingBytesPerSecond(), this.servers::displayName, System::nanoTime,
@@ -279,6 +284,9 @@
 				new MetricsPage.Gauge("sequoialink_servers_signalled",
 						"Backend servers that said to some host of late that they leave or want to be spared",
 						() -> this.sharedNotices.countAvoided(System.nanoTime())),
+				new MetricsPage.Gauge("sequoialink_servers_limited",
+						"Backend servers known to take a limited number of requests from all hosts together",
+						this.serverLimits::count),
 				new MetricsPage.Gauge("sequoialink_sighting_bytes", "Bytes sent to tell hosts of backend servers",
 						() -> this.noticeGossip.map(ServerNoticeGossip::bytesSent).orElse(0L)),
 				new MetricsPage.Gauge("sequoialink_strain", "How hard pressed the engines are, from 0 to 1",
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -33,6 +33,9 @@
 	 */
 	public static final String SERVER_NOTICE_REPORTED = "SL-3107 server {} is used only as a last resort for now, reported by the host at {}: shutting down: {}, back-off requested: {}";
 
+	/** A server named a limit in a response, another one, or none any more. */
+	public static final String SERVER_LIMIT = "SL-3108 server {} of {} takes {} requests a second from all hosts together, according to its response to request {}; before: {}";
+
 	/** A new configuration was read and applied. */
 	public static final String CONFIGURATION_APPLIED = "SL-3201 configuration {} is in force, read at offset {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -176,7 +176,7 @@
 
 	@Override
 	public void lateHead(int responseStatus, ResponseMetadata metadata) {
-		recordNotice(responseStatus, metadata);
+		recordNotice(responseStatus, metadata, Long.MIN_VALUE / 2);
 	}
 
 	@Override
@@ -186,7 +186,7 @@
 		this.headAt = this.exchange.now();
 		this.server.bytesReceived(this.headAt);
 		markResponseStarted();
-		recordNotice(responseStatus, metadata);
+		recordNotice(responseStatus, metadata, this.startedAt);
 		metadata.load().ifPresent((load) -> this.server.report(load.running(), load.waiting(), this.exchange.now()));
 		this.verdict = classify(responseStatus, responseHeaders, metadata);
 		if (this.verdict == Verdict.NONE) {
@@ -203,7 +203,7 @@
 
 	// Status 421 (misdirected request) comes from a different server than the one
 	// addressed, so its notices must not be attributed to the addressed server.
-	private void recordNotice(int responseStatus, ResponseMetadata metadata) {
+	private void recordNotice(int responseStatus, ResponseMetadata metadata, long sentNanos) {
 		if (responseStatus == MISDIRECTED) {
 			return;
 		}
@@ -213,6 +213,12 @@
 		if (!backoffRequested) {
 			notices().responseStarted(this.server.entry());
 		}
+		if (metadata.signed() || metadata.notExecuted()) {
+			this.exchange.gateway()
+				.servers()
+				.limits()
+				.received(this.server, metadata.limit(), this.exchange.id(), sentNanos, this.exchange.now());
+		}
 	}
 
 	private ServerNoticeTable notices() {
@@ -225,6 +231,7 @@
 		this.exchange.schedule(this::checkEventRate, LatencyCheck.FIRST_CHECK_MILLIS);
 		recordPromptCache(metadata);
 		if (metadata.confidence().isPresent() && this.exchange.tryEscalate(metadata.confidence().getAsInt())) {
+			logEnd("dropped for a larger model");
 			cancel();
 			this.exchange.sendToLargerModel();
 		}
@@ -415,6 +422,10 @@
 
 	private void logFailedEnd(String detail) {
 		count(outcome());
+		logEnd(detail);
+	}
+
+	private void logEnd(String detail) {
 		logger.info(GatewayEvents.ATTEMPT_ENDED, this.exchange.id(), this.exchange.attempts(), serverId(), detail,
 				Exchange.millis(this.exchange.now() - this.startedAt));
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import io.sequoialink.decision.limits.NamedLimit;
 import io.sequoialink.gateway.place.ResponseNotice;
 
 /**
@@ -15,7 +16,8 @@
  * @param confidence the model's confidence in its answer, from 0 to 100
  * @param notice the server's notice about future requests; its back-off time is only
  * valid with status 503
+ * @param limit what it says of the requests that the server takes from all hosts together
  */
 public record ResponseMetadata(Optional<String> requestId, boolean signed, boolean notExecuted,
-		Optional<ServerLoad> load, OptionalInt confidence, ResponseNotice notice) {
+		Optional<ServerLoad> load, OptionalInt confidence, ResponseNotice notice, NamedLimit limit) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
@@ -23,6 +23,8 @@
 
 	private final SharedServerNotices sharedNotices;
 
+	private final ServerLimitTable limits;
+
 	private final Map<String, ServerState> states = new HashMap<>();
 
 	/**
@@ -30,11 +32,14 @@
 	 * @param view contains the registrations of the servers
 	 * @param notices notices that servers sent to this host
 	 * @param sharedNotices notices that all hosts exchange
+	 * @param limits limits that servers named in their responses
 	 */
-	public ServerTable(FleetView view, ServerNoticeTable notices, SharedServerNotices sharedNotices) {
+	public ServerTable(FleetView view, ServerNoticeTable notices, SharedServerNotices sharedNotices,
+			ServerLimitTable limits) {
 		this.view = view;
 		this.notices = notices;
 		this.sharedNotices = sharedNotices;
+		this.limits = limits;
 	}
 
 	/**
@@ -53,6 +58,14 @@
 		return this.sharedNotices;
 	}
 
+	/**
+	 * Returns the limits that servers named in their responses.
+	 * @return table of limits
+	 */
+	public ServerLimitTable limits() {
+		return this.limits;
+	}
+
 	/**
 	 * Returns the usable servers of a service.
 	 * @param service name of the service
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -21,6 +21,7 @@
 import io.sequoialink.decision.cascade.ConfidenceCascade;
 import io.sequoialink.decision.limits.LatencyPressure;
 import io.sequoialink.decision.limits.RequestCostRatio;
+import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.decision.retry.RetryBudget;
 import io.sequoialink.gateway.count.GatewayMetrics;
@@ -44,6 +45,7 @@
 import io.sequoialink.gateway.place.PrefillSpeed;
 import io.sequoialink.gateway.place.ResponseNoticeListener;
 import io.sequoialink.gateway.place.SelectedServer;
+import io.sequoialink.gateway.place.ServerLimitTable;
 import io.sequoialink.gateway.place.ServerNoticeTable;
 import io.sequoialink.gateway.place.ServerTable;
 import io.sequoialink.gateway.rollout.HostRolloutReport;
@@ -98,7 +100,7 @@
 		TestHeaderMapping headerMapping = new TestHeaderMapping();
 		this.table = new ServerTable(this.view,
 				new ServerNoticeTable(System::nanoTime, new SplittableRandom(3), ResponseNoticeListener.NONE),
-				new SharedServerNotices());
+				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()));
 		PrefillSpeed speed = new PrefillSpeed();
 		GatewayContext gateway = new GatewayContext(this.gate, this.view, this.table,
 				observed(new LowestLatencyBalancer(this.table, speed, "z", System::nanoTime, new SplittableRandom(1))),
--- a/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.sequoialink.decision.limits.NamedLimit;
 import io.sequoialink.gateway.place.ResponseNotice;
 
 /**
@@ -33,8 +34,11 @@
 	@Override
 	public ResponseMetadata readResponse(HttpHeaders headers) {
 		return new ResponseMetadata(text(headers, "id"), headers.contains("seal"), headers.contains("not-run"),
-				Optional.empty(), number(headers, "confidence"), new ResponseNotice("1".equals(headers.get("leaving")),
-						number(headers, "spare").stream().asLongStream().findFirst()));
+				Optional.empty(), number(headers, "confidence"),
+				new ResponseNotice("1".equals(headers.get("leaving")),
+						number(headers, "spare").stream().asLongStream().findFirst()),
+				headers.contains("limit") ? NamedLimit.of(Double.parseDouble(headers.get("limit")))
+						: NamedLimit.ABSENT);
 	}
 
 	@Override
--- a/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
@@ -29,7 +30,7 @@
 	private ServerTable table() {
 		return new ServerTable(this.view,
 				new ServerNoticeTable(() -> this.now, new SplittableRandom(7), ResponseNoticeListener.NONE),
-				new SharedServerNotices());
+				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()));
 	}
 
 	private long now = 100 * SECOND;
--- a/gateway/src/test/java/io/sequoialink/gateway/place/ServerNoticeTableTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/ServerNoticeTableTests.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
+import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
@@ -34,7 +35,8 @@
 
 	private final SharedServerNotices sharedNotices = new SharedServerNotices();
 
-	private final ServerTable table = new ServerTable(this.view, this.notices, this.sharedNotices);
+	private final ServerTable table = new ServerTable(this.view, this.notices, this.sharedNotices,
+			new ServerLimitTable(new ServerLimits()));
 
 	private final LowestLatencyBalancer balancer = new LowestLatencyBalancer(this.table, new PrefillSpeed(), "a",
 			() -> this.now, new SplittableRandom(5));
