--- a/entry/src/test/java/io/sequoialink/entry/ServerNoticePropagationTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/ServerNoticePropagationTests.java
@@ -1,17 +1,10 @@
 package io.sequoialink.entry;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 import com.sun.net.httpserver.HttpServer;
-import io.sequoialink.soak.FreePorts;
 import io.sequoialink.soak.SimulatedStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,9 +26,9 @@
 
 	private HttpServer backend;
 
-	private Host contacted;
+	private LoopbackHost contacted;
 
-	private Host informed;
+	private LoopbackHost informed;
 
 	@BeforeEach
 	void start() throws Exception {
@@ -57,8 +50,8 @@
 		this.store.put("servers", "i-1",
 				"{\"service\":\"svc\",\"address\":\"127.0.0.1:" + this.backend.getAddress().getPort()
 						+ "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"born\":5}");
-		this.contacted = host("h1");
-		this.informed = host("h2");
+		this.contacted = LoopbackHost.start("h1", this.store);
+		this.informed = LoopbackHost.start("h2", this.store);
 		within(() -> this.informed.metrics()
 			.contains("sequoialink_told_reads_total{outcome=\"followed\",topic=\"op\"}"));
 	}
@@ -71,20 +64,9 @@
 		this.store.close();
 	}
 
-	private Host host(String name) throws Exception {
-		int clients = FreePorts.tcp();
-		int readiness = FreePorts.tcp();
-		EntryHost host = new EntryHost(new EntrySettings(name, "a", new InetSocketAddress(this.loopback, clients),
-				new InetSocketAddress(this.loopback, readiness), this.store.address(),
-				Optional.of(new InetSocketAddress(this.loopback, FreePorts.udp())), 8000,
-				new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
-		host.start();
-		return new Host(host, clients, readiness);
-	}
-
 	@Test
 	void shutdownNoticeSentToOneHostReachesTheOther() throws Exception {
-		within(() -> this.contacted.metrics().contains("sequoialink_ready 1.0"));
+		within(this.contacted::ready);
 		assertThat(this.informed.metrics()).contains("sequoialink_servers_signalled 0.0");
 		assertThat(this.contacted.get("/a/x")).isEqualTo(200);
 		within(() -> this.informed.metrics().contains("sequoialink_servers_signalled 1.0"));
@@ -108,30 +90,4 @@
 		}
 	}
 
-	/**
-	 * A host and the ports on which it listens. Immutable.
-	 */
-	private record Host(EntryHost host, int clients, int readiness) {
-
-		int get(String path) throws IOException {
-			HttpURLConnection connection = (HttpURLConnection) URI.create("http://localhost:" + this.clients + path)
-				.toURL()
-				.openConnection();
-			connection.setRequestProperty("X-Sequoialink-Request-Id", "r" + System.nanoTime());
-			int status = connection.getResponseCode();
-			connection.disconnect();
-			return status;
-		}
-
-		String metrics() {
-			try (InputStream in = URI.create("http://localhost:" + this.readiness + "/metrics").toURL().openStream()) {
-				return new String(in.readAllBytes(), StandardCharsets.UTF_8);
-			}
-			catch (IOException ex) {
-				throw new IllegalStateException(ex);
-			}
-		}
-
-	}
-
 }
