Limits move no request to another version, and share one budget of gossip bytes

Cause, found by reading the change: where all old servers of a service are limited, the choice fell through to the new version, so a limit could have moved pinned sessions and more than the permitted share of the requests; two kinds of gossip had a ceiling each. Change: the choice stays within the versions of the request; only a request without a session that the new version does not take goes to an old one. GossipBudget is one for both kinds. PermitAcquisition takes permits out of Exchange; a withheld send costs no retry.

--- a/decision/src/main/java/io/sequoialink/decision/limits/ServerLimits.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/ServerLimits.java
@@ -143,6 +143,14 @@
 		return Optional.ofNullable(this.known.get(server));
 	}
 
+	/**
+	 * Returns whether there are changes to send.
+	 * @return whether the next selection may contain any
+	 */
+	public boolean hasNews() {
+		return !this.roundsLeft.isEmpty();
+	}
+
 	/**
 	 * Selects the changes to send in this gossip round; the ones sent in the fewest
 	 * rounds come first.
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -46,6 +46,7 @@
 import io.sequoialink.gateway.place.ServerNoticeTable;
 import io.sequoialink.gateway.place.ServerState;
 import io.sequoialink.gateway.place.ServerTable;
+import io.sequoialink.gateway.relay.GossipBudget;
 import io.sequoialink.gateway.relay.GossipTargets;
 import io.sequoialink.gateway.relay.Peer;
 import io.sequoialink.gateway.relay.PeerAddressPublisher;
@@ -129,6 +130,8 @@
 
 	private final ServerLimits serverLimits = new ServerLimits();
 
+	private final GossipBudget gossipBudget;
+
 	private final Optional<ServerNoticeGossip> noticeGossip;
 
 	private final FleetPermits permits;
@@ -180,15 +183,16 @@
 				new ServerNoticeTable(System::nanoTime, random, this::recordServerNotice), this.sharedNotices,
 				new ServerLimitTable(this.serverLimits));
 		this.readForwarder = settings.peers().map((address) -> createReadForwarder());
-		this.noticeGossip = this.readForwarder.map((forwarder) -> new ServerNoticeGossip(this.sharedNotices, forwarder,
-				this.peerSocket, settings.sightingBytesPerSecond(), this.servers::displayName, System::nanoTime,
-				System::currentTimeMillis, random));
+		this.gossipBudget = new GossipBudget(settings.sightingBytesPerSecond(), System::nanoTime);
+		this.noticeGossip = this.readForwarder
+			.map((forwarder) -> new ServerNoticeGossip(this.sharedNotices, forwarder, this.peerSocket,
+					this.gossipBudget, this.servers::displayName, System::nanoTime, System::currentTimeMillis, random));
 		this.permits = new FleetPermits(self(),
 				() -> this.readForwarder.map(ReadForwarder::otherPeers).orElseGet(List::of), this.serverLimits,
 				this.peerSocket, this::schedule, this.counts.permits(), System::nanoTime, random);
 		this.limitGossip = this.readForwarder.map((forwarder) -> new LimitGossip(settings.host(), this.serverLimits,
-				this.permits, new GossipTargets(forwarder, random), this.peerSocket, this.servers::displayName,
-				System::nanoTime, System::currentTimeMillis));
+				this.permits, new GossipTargets(forwarder, random), this.gossipBudget, this.peerSocket,
+				this.servers::displayName, System::nanoTime, System::currentTimeMillis));
 		statuses.setReceivers(this.updates, this.crashes::reportRead,
 				this.readForwarder.<PeerListener>map((forwarder) -> forwarder).orElse(PeerListener.NONE));
 		this.subscriptions = new StoreSubscriptions(this.store, this.updates, statuses,
@@ -311,7 +315,7 @@
 						"Backend servers known to take a limited number of requests from all hosts together",
 						this.serverLimits::count),
 				new MetricsPage.Gauge("sequoialink_sighting_bytes", "Bytes sent to tell hosts of backend servers",
-						() -> this.noticeGossip.map(ServerNoticeGossip::bytesSent).orElse(0L)),
+						this.gossipBudget::bytesSent),
 				new MetricsPage.Gauge("sequoialink_strain", "How hard pressed the engines are, from 0 to 1",
 						() -> this.latencyPressure.value())));
 	}
@@ -371,7 +375,7 @@
 		this.retryBudget.setLimits(bounds.repeatRatio(), retrySlackPerHost(bounds));
 		this.rollouts.setOptions(rolloutOptions(bounds));
 		this.readForwarder.ifPresent((forwarder) -> forwarder.setReaderTimeout(peerReaderTimeoutNanos(bounds)));
-		this.noticeGossip.ifPresent((gossip) -> gossip.setMaxBytesPerSecond(changed.sightingBytesPerSecond()));
+		this.gossipBudget.setMaxBytesPerSecond(changed.sightingBytesPerSecond());
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -1,6 +1,5 @@
 package io.sequoialink.gateway.http;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.Future;
@@ -10,20 +9,16 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.sequoialink.decision.limits.PermitDecision;
-import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.flow.Executed;
 import io.sequoialink.gateway.flow.NextStep;
 import io.sequoialink.gateway.flow.RequestFlow;
-import io.sequoialink.gateway.permit.RequestPermits;
+import io.sequoialink.gateway.place.LoadBalancer;
 import io.sequoialink.gateway.place.LoadBalancingRequest;
 import io.sequoialink.gateway.place.PromptSize;
 import io.sequoialink.gateway.place.SelectedServer;
 import io.sequoialink.gateway.place.ServerState;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Processes one client request from its receipt to its final response, following the
@@ -31,8 +26,6 @@
  */
 final class Exchange {
 
-	private static final Logger logger = LoggerFactory.getLogger(Exchange.class);
-
 	/**
 	 * Minimum time until the deadline for another attempt, in milliseconds; with less,
 	 * the response would come too late.
@@ -42,12 +35,6 @@
 	/** Minimum time until the deadline for asking a larger model, in milliseconds. */
 	private static final long MIN_ESCALATION_MILLIS = 800;
 
-	/**
-	 * Number of permits for limited servers that a request asks for; each may take a
-	 * fraction of a second.
-	 */
-	private static final int MAX_PERMITS_ASKED = 4;
-
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final GatewayContext gateway;
@@ -74,7 +61,7 @@
 
 	private boolean started;
 
-	private int permitsAsked;
+	private PermitAcquisition permits;
 
 	private RequestDispatcher dispatcher;
 
@@ -135,6 +122,7 @@
 		this.modelChoice = new ModelChoice(this.gateway, this.admission, this.metadata, this.request.receivedNanos());
 		this.dispatcher = new RequestDispatcher(this.gateway, this.request, this.metadata, this.admission,
 				this.modelChoice);
+		this.permits = new PermitAcquisition(this.gateway, this.admission, this.metadata, this::schedule);
 	}
 
 	private Route route() {
@@ -157,88 +145,50 @@
 			perform(this.flow.noServerAvailable());
 			return;
 		}
-		LoadBalancingRequest placement = this.dispatcher.loadBalancingRequest(permitWaitNanos());
-		Optional<SelectedServer> placed = this.gateway.loadBalancer().choose(placement);
+		LoadBalancingRequest placement = this.dispatcher
+			.loadBalancingRequest(this.permits.waitNanos(remainingMillis()));
+		LoadBalancer balancer = this.gateway.loadBalancer();
+		Optional<SelectedServer> placed = balancer.choose(placement)
+			.or(() -> this.dispatcher.withOldVersions(placement).flatMap(balancer::choose));
 		if (placed.isEmpty()) {
 			this.reason = "no server of " + service() + " for versions " + placement.versionGroup();
 			noteBackoff();
-			noteLimits();
+			this.permits.rejection(now()).ifPresent((rejection) -> {
+				this.reason += ", " + rejection.reason();
+				this.retryAfterMillis = rejection.retryAfterMillis();
+			});
 			perform(this.flow.noServerAvailable());
 			return;
 		}
-		if (this.gateway.permits().limited(placed.get().server().incarnation())) {
+		if (this.permits.needed(placed.get())) {
 			acquirePermit(placed.get(), placement.prompt());
 			return;
 		}
 		send(placed.get(), placement.prompt());
 	}
 
-	private long permitWaitNanos() {
-		return (this.permitsAsked < MAX_PERMITS_ASKED) ? this.dispatcher.permitWaitNanos(remainingMillis())
-				: LoadBalancingRequest.NO_LIMITED_SERVER;
-	}
-
 	private void acquirePermit(SelectedServer placed, PromptSize work) {
-		this.permitsAsked++;
-		this.gateway.permits()
-			.acquire(placed.server().incarnation(), placed.permitWaitNanos(),
-					(decision) -> permitDecided(placed, work, decision));
-	}
-
-	private void permitDecided(SelectedServer placed, PromptSize work, PermitDecision decision) {
-		if (this.flow.done()) {
-			return;
-		}
-		long delayMillis = TimeUnit.NANOSECONDS.toMillis(decision.delayNanos() + NANOS_PER_MILLI - 1);
-		if (!decision.granted() || delayMillis > 0) {
-			logger.info(GatewayEvents.PERMIT_DECIDED, id(), placed.server().entry().id(),
-					decision.granted() ? "permit from " + delayMillis + " ms on" : "no permit",
-					placed.permitWaitNanos() / NANOS_PER_MILLI, decision.nextNanos() / NANOS_PER_MILLI);
-		}
-		if (!decision.granted()) {
-			send();
-		}
-		else if (delayMillis == 0) {
-			send(placed, work, true);
-		}
-		else {
-			schedule(() -> sendWithPermit(placed, work), delayMillis);
-		}
+		this.permits.acquire(placed, () -> {
+			if (mayStillSend()) {
+				send(placed, work, true);
+			}
+		}, () -> {
+			if (!this.flow.done()) {
+				send();
+			}
+		});
 	}
 
-	private void sendWithPermit(SelectedServer placed, PromptSize work) {
+	// The request may have ended while it waited for a permit.
+	private boolean mayStillSend() {
 		if (this.flow.done()) {
-			return;
+			return false;
 		}
 		if (remainingMillis() < MIN_ATTEMPT_MILLIS || this.crashCheck.blocked()) {
 			send();
-			return;
-		}
-		send(placed, work, true);
-	}
-
-	// Spreads the returns of rejected requests over the requests that the limited
-	// servers take, so that clients do not return to be rejected again.
-	private void noteLimits() {
-		RequestPermits permits = this.gateway.permits();
-		List<ServerState> limited = this.gateway.servers()
-			.usableServers(service())
-			.stream()
-			.filter((state) -> permits.limited(state.incarnation()))
-			.toList();
-		if (limited.isEmpty()) {
-			return;
+			return false;
 		}
-		double perSecond = limited.stream()
-			.mapToDouble((state) -> permits.limitPerSecond(state.incarnation()).orElse(0))
-			.sum();
-		long earliest = limited.stream()
-			.mapToLong((state) -> permits.earliestNanos(state.incarnation()))
-			.min()
-			.orElse(0);
-		this.reason += ", its servers take " + perSecond + " requests a second";
-		this.retryAfterMillis = this.gateway.returns()
-			.retryAfterMillis(service(), earliest, perSecond / permits.hosts(), this.dispatcher.permitRank(), now());
+		return true;
 	}
 
 	// Adds a random delay, so that clients do not all return at the moment when the
@@ -292,7 +242,7 @@
 		}
 		OptionalInt larger = this.modelChoice.largerModel(confidence);
 		if (larger.isEmpty() || remainingMillis() < MIN_ESCALATION_MILLIS || !this.flow.mayDiscardResponse()
-				|| !this.dispatcher.hasServerWithoutLimit()
+				|| (this.gateway.permits().anyLimited() && !this.dispatcher.hasServerWithoutLimit())
 				|| !this.gateway.retryBudget().tryAcquireRetry(service(), now())) {
 			return false;
 		}
@@ -325,7 +275,7 @@
 	 */
 	void withheld(ServerState server) {
 		this.dispatcher.withheld(server);
-		notConnected("server " + server.entry().id() + " takes a limited number of requests");
+		replaceAttempt("server " + server.entry().id() + " takes a limited number of requests", true);
 	}
 
 	/**
@@ -334,10 +284,14 @@
 	 * @param cause reason for the log
 	 */
 	void notConnected(String cause) {
+		replaceAttempt(cause, this.dispatcher.hasUntriedServer());
+	}
+
+	private void replaceAttempt(String cause, boolean serverLeft) {
 		this.reason = cause;
 		long sinceReceipt = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
 		boolean tryAnother = this.flow.mayReplaceAttempt(sinceReceipt) && remainingMillis() >= MIN_ATTEMPT_MILLIS
-				&& this.dispatcher.hasUntriedServer();
+				&& serverLeft;
 		perform(tryAnother ? this.flow.connectFailed() : this.flow.notExecuted(tryConsumeRetry()));
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
@@ -25,15 +24,6 @@
  */
 final class RequestDispatcher {
 
-	/** Longest wait for a permit, in milliseconds. */
-	private static final long MAX_PERMIT_WAIT_MILLIS = 1000;
-
-	/** Part of the target latency that a request may wait for a permit. */
-	private static final int PERMIT_WAIT_DIVISOR = 3;
-
-	/** Prompt length that lowers the rank of a request by one priority. */
-	private static final int TOKENS_PER_RANK = 8192;
-
 	private final GatewayContext gateway;
 
 	private final ClientRequest request;
@@ -86,25 +76,18 @@
 	}
 
 	/**
-	 * Returns how long the request may wait for a permit: a part of its target latency,
-	 * so that it can still be answered in time. Urgent and small requests may wait
-	 * longer, and so are first to get a permit when there are too few.
-	 * @param remainingMillis time until the deadline, in milliseconds
-	 * @return time in nanoseconds
-	 */
-	long permitWaitNanos(long remainingMillis) {
-		long target = this.admission.route().targetLatencyMillis();
-		long millis = Math.min(MAX_PERMIT_WAIT_MILLIS,
-				((target > 0) ? Math.min(target, remainingMillis) : remainingMillis) / PERMIT_WAIT_DIVISOR);
-		return TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis)) / (1 + permitRank());
-	}
-
-	/**
-	 * Returns the order in which requests get permits for limited servers.
-	 * @return 0 for the most urgent and small requests, more for others
+	 * Returns criteria for a request that the limited servers of the new version do not
+	 * take.
+	 * @param placement criteria of a choice that found no server
+	 * @return criteria for the old versions; empty for other requests, and for those of a
+	 * session, which stay on their version
 	 */
-	int permitRank() {
-		return Math.max(0, this.admission.priority()) + this.metadata.promptTokens() / TOKENS_PER_RANK;
+	Optional<LoadBalancingRequest> withOldVersions(LoadBalancingRequest placement) {
+		boolean mayChange = placement.versionGroup() == VersionGroup.PREFER_TARGET && this.metadata.session().isEmpty();
+		return mayChange
+				? Optional.of(new LoadBalancingRequest(placement.service(), VersionGroup.PREFER_OLD, placement.target(),
+						placement.targetShare(), placement.prompt(), placement.tried(), placement.permitWaitNanos()))
+				: Optional.empty();
 	}
 
 	private String service() {
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/LimitGossip.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/LimitGossip.java
@@ -12,6 +12,7 @@
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.relay.DatagramSender;
+import io.sequoialink.gateway.relay.GossipBudget;
 import io.sequoialink.gateway.relay.GossipTargets;
 import io.sequoialink.gateway.relay.Peer;
 import io.sequoialink.gateway.relay.SuspensionDetector;
@@ -44,6 +45,8 @@
 
 	private final GossipTargets targets;
 
+	private final GossipBudget budget;
+
 	private final DatagramSender sender;
 
 	private final LongFunction<String> serverNames;
@@ -60,6 +63,7 @@
 	 * @param limits limits of the servers
 	 * @param permits takes part in the exchange of permits
 	 * @param targets draws the receiving hosts
+	 * @param budget limits the bytes that are sent
 	 * @param sender sends datagrams
 	 * @param serverNames returns the name of a server incarnation for log lines, given
 	 * its hash
@@ -67,11 +71,13 @@
 	 * @param timeOfDay time of day as Unix time in milliseconds
 	 */
 	public LimitGossip(String self, ServerLimits limits, FleetPermits permits, GossipTargets targets,
-			DatagramSender sender, LongFunction<String> serverNames, LongSupplier clock, LongSupplier timeOfDay) {
+			GossipBudget budget, DatagramSender sender, LongFunction<String> serverNames, LongSupplier clock,
+			LongSupplier timeOfDay) {
 		this.self = self;
 		this.limits = limits;
 		this.permits = permits;
 		this.targets = targets;
+		this.budget = budget;
 		this.sender = sender;
 		this.serverNames = serverNames;
 		this.clock = clock;
@@ -90,6 +96,9 @@
 		if (this.queryPending) {
 			this.queryPending = !sendToDrawn(new PermitMessage.Query(this.self));
 		}
+		if (!this.limits.hasNews() || !this.budget.allowsRound()) {
+			return;
+		}
 		Map<Long, LimitObservation> news = this.limits.selectForGossip(PermitFormat.MAX_SERVERS,
 				this.clock.getAsLong());
 		if (!news.isEmpty()) {
@@ -100,7 +109,10 @@
 	private boolean sendToDrawn(PermitMessage message) {
 		byte[] datagram = PermitFormat.write(message, this.clock.getAsLong());
 		Set<Peer> drawn = this.targets.draw();
-		drawn.forEach((peer) -> this.sender.send(peer.address(), datagram));
+		drawn.forEach((peer) -> {
+			this.budget.spend(datagram.length);
+			this.sender.send(peer.address(), datagram);
+		});
 		return !drawn.isEmpty();
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
@@ -117,15 +117,11 @@
 		return Optional.of(chooseFastest(open, request, now));
 	}
 
-	// Leaves out limited servers for which no permit can be had at once. If none is
-	// left, another version may be, unless the request must not change to it.
+	// Leaves out limited servers for which no permit can be had at once. Servers of other
+	// versions do not replace them, since a limit must not move requests to a new
+	// version.
 	private List<ServerState> withPermitNow(List<ServerState> candidates, LoadBalancingRequest request) {
-		List<ServerState> open = filter(candidates, (state) -> opensWithin(state, request, 0));
-		if (!open.isEmpty() || request.versionGroup() == VersionGroup.OLD_ONLY) {
-			return open;
-		}
-		return filter(this.servers.usableServers(request.service()),
-				(state) -> untried(state, request) && opensWithin(state, request, 0));
+		return filter(candidates, (state) -> opensWithin(state, request, 0));
 	}
 
 	private boolean opensWithin(ServerState state, LoadBalancingRequest request, long nanos) {
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/ServerNoticeGossip.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/ServerNoticeGossip.java
@@ -32,13 +32,6 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
-	/** Size of the IP and UDP headers of a datagram. */
-	private static final int HEADER_BYTES = 28;
-
-	/** Maximum number of bytes sent in a round, headers included. */
-	private static final int MAX_ROUND_BYTES = GossipTargets.HOSTS_PER_ROUND
-			* (BatchFormat.MAX_DATAGRAM_BYTES + HEADER_BYTES);
-
 	private final SharedServerNotices notices;
 
 	private final ReadForwarder peers;
@@ -51,23 +44,16 @@
 
 	private final SuspensionDetector suspension;
 
-	private int maxBytesPerSecond;
+	private final GossipBudget budget;
 
 	private final LongFunction<String> serverNames;
 
-	private double byteBudget;
-
-	private long bytesSent;
-
-	private long lastRound;
-
 	/**
 	 * Creates a gossip sender and receiver.
 	 * @param notices the notices that this host knows
 	 * @param peers the other hosts
 	 * @param sender sends datagrams
-	 * @param maxBytesPerSecond maximum bytes sent per second, headers included; 0 sends
-	 * nothing
+	 * @param budget limits the bytes that are sent
 	 * @param serverNames returns the name of a server incarnation for log lines, given
 	 * its hash
 	 * @param clock monotonic time in nanoseconds
@@ -75,25 +61,16 @@
 	 * @param random draws the receiving hosts
 	 */
 	public ServerNoticeGossip(SharedServerNotices notices, ReadForwarder peers, DatagramSender sender,
-			int maxBytesPerSecond, LongFunction<String> serverNames, LongSupplier clock, LongSupplier timeOfDay,
+			GossipBudget budget, LongFunction<String> serverNames, LongSupplier clock, LongSupplier timeOfDay,
 			RandomGenerator random) {
 		this.notices = notices;
 		this.peers = peers;
 		this.sender = sender;
-		this.maxBytesPerSecond = maxBytesPerSecond;
+		this.budget = budget;
 		this.serverNames = serverNames;
 		this.clock = clock;
 		this.targets = new GossipTargets(peers, random);
 		this.suspension = new SuspensionDetector(clock, timeOfDay);
-		this.lastRound = clock.getAsLong();
-	}
-
-	/**
-	 * Changes the maximum number of bytes sent per second.
-	 * @param maxBytes the maximum, headers included; 0 sends nothing
-	 */
-	public void setMaxBytesPerSecond(int maxBytes) {
-		this.maxBytesPerSecond = maxBytes;
 	}
 
 	/**
@@ -105,10 +82,7 @@
 		if (this.suspension.check() > 0) {
 			this.notices.clear();
 		}
-		this.byteBudget = Math.min(Math.max(this.maxBytesPerSecond, MAX_ROUND_BYTES),
-				this.byteBudget + this.maxBytesPerSecond * (now - this.lastRound) / 1e9);
-		this.lastRound = now;
-		if (this.notices.isEmpty() || this.byteBudget < MAX_ROUND_BYTES) {
+		if (this.notices.isEmpty() || !this.budget.allowsRound()) {
 			return;
 		}
 		Map<Long, ServerNotice> news = this.notices
@@ -120,8 +94,7 @@
 
 	private void sendToDrawnPeers(byte[] datagram) {
 		for (Peer peer : this.targets.draw()) {
-			this.byteBudget -= datagram.length + HEADER_BYTES;
-			this.bytesSent += datagram.length + HEADER_BYTES;
+			this.budget.spend(datagram.length);
 			this.sender.send(peer.address(), datagram);
 		}
 	}
@@ -163,14 +136,6 @@
 		return backsOff ? (notice.backoffUntilNanos() - now) / NANOS_PER_MILLI + " ms" : "no";
 	}
 
-	/**
-	 * Returns the number of bytes sent since the start.
-	 * @return bytes, headers included
-	 */
-	public long bytesSent() {
-		return this.bytesSent;
-	}
-
 	/**
 	 * Returns whether a datagram contains server notices.
 	 * @param datagram the payload
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleet.java
@@ -15,6 +15,7 @@
 import io.sequoialink.decision.limits.PermitSchedule;
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.gateway.count.LabelledCounters;
+import io.sequoialink.gateway.relay.GossipBudget;
 import io.sequoialink.gateway.relay.GossipTargets;
 import io.sequoialink.gateway.relay.Peer;
 import io.sequoialink.gateway.relay.ReadForwarder;
@@ -28,6 +29,8 @@
 
 	private static final int HEADER_BYTES = 28;
 
+	private static final int GOSSIP_BYTES_PER_SECOND = 8000;
+
 	private static final long MILLI = 1_000_000L;
 
 	/** Time within which all hosts learn that a host was added, in milliseconds. */
@@ -219,8 +222,8 @@
 			this.permits = new FleetPermits(this.self, this.view::otherPeers, this.limits, this::transmit, this::later,
 					new LabelledCounters("server", "outcome"), this::clock, own);
 			this.gossip = new LimitGossip(this.self.host(), this.limits, this.permits,
-					new GossipTargets(this.view, own), this::transmit, Long::toHexString, this::clock,
-					PermitFleet.this::nowMillis);
+					new GossipTargets(this.view, own), new GossipBudget(GOSSIP_BYTES_PER_SECOND, this::clock),
+					this::transmit, Long::toHexString, this::clock, PermitFleet.this::nowMillis);
 		}
 
 		private long clock() {
--- a/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
@@ -5,9 +5,12 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
+import io.sequoialink.decision.limits.PermitDecision;
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.gateway.fleet.FleetView;
@@ -149,4 +152,79 @@
 			.map(SelectedServer::server);
 	}
 
+	// A limit must not move requests, or sessions that are pinned, to another version.
+	@ParameterizedTest
+	@CsvSource({ "PREFER_TARGET, new", "PREFER_OLD, old", "OLD_ONLY, old" })
+	void limitedServersDoNotMoveRequestsToAnotherVersion(VersionGroup group, String limited) {
+		put("old", "v1");
+		put("new", "v2");
+		LowestLatencyBalancer limiting = new LowestLatencyBalancer(this.servers, new PrefillSpeed(), "a",
+				new LimitedServers(this.servers, Map.of(limited, 2 * SECOND)), () -> this.now, new SplittableRandom(5));
+		LoadBalancingRequest brief = new LoadBalancingRequest("s", group, "v2", 1, PromptSize.NONE, Set.of(), SECOND);
+		assertThat(limiting.choose(brief)).isEmpty();
+		LoadBalancingRequest patient = new LoadBalancingRequest("s", group, "v2", 1, PromptSize.NONE, Set.of(),
+				3 * SECOND);
+		assertThat(limiting.choose(patient).orElseThrow().server().entry().id()).isEqualTo(limited);
+	}
+
+	@Test
+	void aRequestWaitsForAPermitOnlyIfEveryServerNeedsOne() {
+		put("one", "v1");
+		put("two", "v1");
+		LimitedServers permits = new LimitedServers(this.servers, Map.of("one", SECOND));
+		LowestLatencyBalancer limiting = new LowestLatencyBalancer(this.servers, new PrefillSpeed(), "a", permits,
+				() -> this.now, new SplittableRandom(5));
+		LoadBalancingRequest request = new LoadBalancingRequest("s", VersionGroup.ANY, "", 1, PromptSize.NONE, Set.of(),
+				5 * SECOND);
+		assertThat(limiting.choose(request).orElseThrow().server().entry().id()).isEqualTo("two");
+		permits.limit("two", 2 * SECOND);
+		SelectedServer soonest = limiting.choose(request).orElseThrow();
+		assertThat(soonest.server().entry().id()).isEqualTo("one");
+		assertThat(soonest.permitWaitNanos()).isEqualTo(5 * SECOND);
+	}
+
+	/** Limited servers with the times from now of their next permits. */
+	private static final class LimitedServers implements RequestPermits {
+
+		private final ServerTable table;
+
+		private final Map<String, Long> earliest;
+
+		private LimitedServers(ServerTable table, Map<String, Long> earliest) {
+			this.table = table;
+			this.earliest = new HashMap<>(earliest);
+		}
+
+		private void limit(String server, long earliestNanos) {
+			this.earliest.put(server, earliestNanos);
+		}
+
+		@Override
+		public boolean anyLimited() {
+			return true;
+		}
+
+		@Override
+		public OptionalDouble limitPerSecond(long server) {
+			return this.earliest.containsKey(this.table.displayName(server)) ? OptionalDouble.of(1)
+					: OptionalDouble.empty();
+		}
+
+		@Override
+		public long earliestNanos(long server) {
+			return this.earliest.getOrDefault(this.table.displayName(server), 0L);
+		}
+
+		@Override
+		public void acquire(long server, long maxWaitNanos, Consumer<PermitDecision> receiver) {
+			throw new UnsupportedOperationException("the choice asks for no permit");
+		}
+
+		@Override
+		public int hosts() {
+			return 1;
+		}
+
+	}
+
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/GossipFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/GossipFleet.java
@@ -129,6 +129,8 @@
 
 		private final ServerNoticeGossip gossip;
 
+		private final GossipBudget budget;
+
 		private final SharedServerNotices notices;
 
 		private boolean down;
@@ -146,9 +148,9 @@
 					+ GossipFleet.this.random.nextInt((int) ServerNoticeGossip.ROUND_MILLIS);
 			this.peers = new ReadForwarder(self, this::send, (read) -> {
 			}, 4_000_000_000L, GossipFleet.this::nowNanos);
-			this.gossip = new ServerNoticeGossip(this.notices, this.peers, this::send, GossipFleet.this.bytesPerSecond,
-					Long::toHexString, GossipFleet.this::nowNanos,
-					() -> GossipFleet.this.nowMillis + this.timeOfDayOffset,
+			this.budget = new GossipBudget(GossipFleet.this.bytesPerSecond, GossipFleet.this::nowNanos);
+			this.gossip = new ServerNoticeGossip(this.notices, this.peers, this::send, this.budget, Long::toHexString,
+					GossipFleet.this::nowNanos, () -> GossipFleet.this.nowMillis + this.timeOfDayOffset,
 					new SplittableRandom(GossipFleet.this.random.nextLong()));
 		}
 
@@ -161,7 +163,7 @@
 		}
 
 		void setMaxBytesPerSecond(int maxBytes) {
-			this.gossip.setMaxBytesPerSecond(maxBytes);
+			this.budget.setMaxBytesPerSecond(maxBytes);
 		}
 
 		void setDown(boolean newDown) {
