Soak: servers name limits, and the checker holds LIMIT

Measured: PromiseCheckerTests (6 new cases, among them 12 requests where 11 are allowed) and SoakCommandTests pass.

--- a/entry/src/test/java/io/sequoialink/soak/BackendServerPool.java
+++ b/entry/src/test/java/io/sequoialink/soak/BackendServerPool.java
@@ -57,6 +57,17 @@
 		return available.isEmpty() ? Optional.empty() : Optional.of(available.get(random.nextInt(available.size())));
 	}
 
+	/**
+	 * Returns the servers of a service that have not crashed.
+	 * @param service name of the service
+	 * @return the servers
+	 */
+	synchronized List<SimulatedBackendServer> ofService(String service) {
+		return this.running.stream()
+			.filter((server) -> server.service().equals(service) && !server.isClosed())
+			.toList();
+	}
+
 	private synchronized void remove(SimulatedBackendServer server) {
 		this.running.remove(server);
 	}
--- a/entry/src/test/java/io/sequoialink/soak/Bounds.java
+++ b/entry/src/test/java/io/sequoialink/soak/Bounds.java
@@ -54,6 +54,15 @@
 	 */
 	static final int MAX_BACKOFF_PROBES = 2;
 
+	/** Length of the windows over which a server's limit is checked, in milliseconds. */
+	static final int LIMIT_WINDOW_MILLIS = 4000;
+
+	/** A window may have this many times the requests that a server's limit allows. */
+	static final double LIMIT_FACTOR = 1.5;
+
+	/** Number of requests that a window may have beyond that. */
+	static final int LIMIT_SLACK = 5;
+
 	private Bounds() {
 	}
 
--- a/entry/src/test/java/io/sequoialink/soak/HeaderNames.java
+++ b/entry/src/test/java/io/sequoialink/soak/HeaderNames.java
@@ -28,6 +28,9 @@
 	/** Sent with the value 1 by a server that is shutting down. */
 	static final String SERVER_LEAVING = "server-leaving";
 
+	/** Requests per second that a server takes from all hosts together. */
+	static final String SERVER_LIMIT = "server-limit";
+
 	static final String RETRY_AFTER = "retry-after";
 
 	private HeaderNames() {
--- a/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
@@ -63,10 +63,13 @@
 
 	private final ServerSignals signals;
 
+	private final NamedLimits limits;
+
 	PromiseChecker(DisturbanceTracker disturbances, LongSupplier clock) {
 		this.disturbances = disturbances;
 		this.clock = clock;
 		this.signals = new ServerSignals(clock);
+		this.limits = new NamedLimits(clock);
 	}
 
 	synchronized TrackedRequest recordSent(String id, TrackedRequest.Kind kind, String account, String host,
@@ -265,8 +268,8 @@
 	}
 
 	/**
-	 * Checks that a request may still reach a server that shuts down or that asked hosts
-	 * to back off.
+	 * Checks that a request may still reach a server that shuts down, that asked hosts to
+	 * back off, or that named a limit.
 	 * @param id identifier of the request
 	 * @param server name of the server
 	 * @param drainAcceptedNanos monotonic time at which the store accepted the record
@@ -276,6 +279,7 @@
 		TrackedRequest request = this.requests.get(id);
 		if (request != null) {
 			checkSignals(request, server);
+			checkLimit(request, server);
 		}
 		boolean late = drainAcceptedNanos != 0
 				&& this.clock.getAsLong() - drainAcceptedNanos > Bounds.millisToNanos(Bounds.DRAIN_MILLIS);
@@ -306,6 +310,35 @@
 				this.clock.getAsLong() + Bounds.millisToNanos(millis)));
 	}
 
+	/**
+	 * Records that a server names a limit from now on.
+	 * @param server name of the server
+	 * @param perSecond requests per second from all hosts together
+	 */
+	synchronized void recordLimit(String server, double perSecond) {
+		increment("limit named by server");
+		this.limits.begin(server, perSecond);
+	}
+
+	synchronized void recordLimitEnded(String server) {
+		this.limits.end(server);
+	}
+
+	/**
+	 * Records that a server told the host that forwarded a request of its limit.
+	 * @param id identifier of the request
+	 * @param server name of the server
+	 */
+	synchronized void recordLimitTold(String id, String server) {
+		find(id).ifPresent((request) -> this.limits.told(server, request.host));
+	}
+
+	private void checkLimit(TrackedRequest request, String server) {
+		long windowStart = this.clock.getAsLong() - Bounds.millisToNanos(Bounds.LIMIT_WINDOW_MILLIS);
+		this.limits.checkArrival(server, request.host, (host) -> hostUndisturbed(host, windowStart))
+			.ifPresent((exceeded) -> reportViolation("LIMIT", request.id, exceeded));
+	}
+
 	private void checkSignals(TrackedRequest request, String server) {
 		this.signals.checkArrival(server, request.host)
 			.filter((ignored) -> hostUndisturbed(request.host, ignored.sinceNanos()))
--- a/entry/src/test/java/io/sequoialink/soak/PromiseCheckerTests.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseCheckerTests.java
@@ -250,6 +250,48 @@
 		assertThat(this.checker.violations().isEmpty()).isEqualTo(!broken);
 	}
 
+	// The limit of 1.1 a second allows 11 requests in 4 s from hosts that were told of
+	// it.
+	@ParameterizedTest
+	@CsvSource({ "11, 3, false", "12, 3, true", "30, 0, false" })
+	void moreRequestsThanAServersLimitBreakLimit(int requests, int toldHosts, boolean broken) {
+		this.checker.recordLimit("i-1", 1.1);
+		for (int host = 0; host < 3; host++) {
+			this.checker.recordSent("h" + host, TrackedRequest.Kind.SAFE, "acme", "h" + host, "/x/1");
+			if (host < toldHosts) {
+				this.checker.recordLimitTold("h" + host, "i-1");
+			}
+		}
+		advanceClock(Bounds.STABILIZATION_MILLIS - 100);
+		for (int request = 0; request < requests; request++) {
+			advanceClock(20);
+			this.checker.checkArrival("h" + request % 3, "i-1", 0);
+		}
+		assertThat(this.checker.violations()).extracting(Violation::rule)
+			.containsExactlyElementsOf(broken ? List.of("LIMIT") : List.of());
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "limit ended", "host was disturbed", "spread over time" })
+	void permittedRequestsKeepTheLimit(String why) {
+		sendRequest(TrackedRequest.Kind.SAFE);
+		this.checker.recordLimit("i-1", 1.1);
+		this.checker.recordLimitTold("q1", "i-1");
+		advanceClock(Bounds.STABILIZATION_MILLIS);
+		if (why.startsWith("limit")) {
+			this.checker.recordLimitEnded("i-1");
+		}
+		if (why.startsWith("host")) {
+			this.disturbances.begin("h1");
+			this.disturbances.end("h1");
+		}
+		repeat(40, () -> {
+			advanceClock(why.startsWith("spread") ? 400 : 10);
+			this.checker.checkArrival("q1", "i-1", 0);
+		});
+		assertThat(this.checker.violations()).isEmpty();
+	}
+
 	@Test
 	void restartedHostMayHaveForgottenSignals() {
 		sendRequest(TrackedRequest.Kind.SAFE);
--- a/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
@@ -31,6 +31,8 @@
 	/** Number of requests that the server executes at a time. */
 	static final int SLOTS = 16;
 
+	private static final double NO_LIMIT = -1;
+
 	private static final Logger logger = LoggerFactory.getLogger(SimulatedBackendServer.class);
 
 	private static final int EVENT_INTERVAL_MILLIS = 15;
@@ -63,6 +65,8 @@
 
 	private volatile long backoffUntilNanos;
 
+	private volatile double limitPerSecond = NO_LIMIT;
+
 	SimulatedBackendServer(PromiseChecker checker, DisturbanceTracker disturbances, String service, String name,
 			long seed) throws IOException {
 		this.checker = checker;
@@ -107,6 +111,20 @@
 		this.backoffUntilNanos = System.nanoTime() + Bounds.millisToNanos(millis);
 	}
 
+	/**
+	 * Names a limit in all responses from now on.
+	 * @param perSecond requests per second from all hosts together
+	 */
+	void nameLimit(double perSecond) {
+		this.checker.recordLimit(this.name, perSecond);
+		this.limitPerSecond = perSecond;
+	}
+
+	void endLimit() {
+		this.limitPerSecond = NO_LIMIT;
+		this.checker.recordLimitEnded(this.name);
+	}
+
 	/**
 	 * Stores the current time as the time at which the store accepted the record that
 	 * this server drains.
@@ -220,7 +238,7 @@
 
 	private String responseHead(String id, int status) {
 		String head = "HTTP/1.1 " + status + " X\r\n" + HeaderNames.REQUEST_ID + ": " + id + "\r\n"
-				+ HeaderNames.SERVER_SEAL + ": " + id + '/' + status + "\r\n";
+				+ HeaderNames.SERVER_SEAL + ": " + id + '/' + status + "\r\n" + limitHeader(id);
 		if (!this.shuttingDown) {
 			return head;
 		}
@@ -228,6 +246,15 @@
 		return head + HeaderNames.SERVER_LEAVING + ": 1\r\n";
 	}
 
+	private String limitHeader(String id) {
+		double perSecond = this.limitPerSecond;
+		if (perSecond == NO_LIMIT) {
+			return "";
+		}
+		this.checker.recordLimitTold(id, this.name);
+		return HeaderNames.SERVER_LIMIT + ": " + perSecond + "\r\n";
+	}
+
 	private void sendStream(Socket socket, InputStream in, String id, HttpMessages.Head head) throws IOException {
 		OutputStream out = socket.getOutputStream();
 		int last = Integer.parseInt(head.header(HeaderNames.LAST_EVENT_ID).orElse("0"));
--- a/entry/src/test/java/io/sequoialink/soak/Soak.java
+++ b/entry/src/test/java/io/sequoialink/soak/Soak.java
@@ -84,14 +84,16 @@
 		DaemonThreads.start("replace-crashed", this::replaceCrashedServers);
 		FaultInjector faults = new FaultInjector(this.random.nextLong(), this.disturbances, this.store, this.hosts,
 				this.servers);
+		LimitInjector limits = new LimitInjector(this.options.seed(), this.servers);
 		long until = System.nanoTime() + Bounds.millisToNanos(this.options.millis());
 		while (System.nanoTime() - until < 0) {
 			faults.injectRandomFault();
 			faults.sendRandomServerSignal();
+			limits.nameRandomLimit();
 			changeConfigurationOrSendPoison();
 			DaemonThreads.sleep(300 + this.random.nextInt(1200));
 		}
-		while (!faults.idle()) {
+		while (!faults.idle() || !limits.idle()) {
 			DaemonThreads.sleep(100);
 		}
 		DaemonThreads.sleep(RECOVERY_MILLIS);
--- a/entry/src/test/java/io/sequoialink/soak/Violation.java
+++ b/entry/src/test/java/io/sequoialink/soak/Violation.java
@@ -17,6 +17,7 @@
  * <li>BUDGET: executions of a request, requests during a back-off, and executions of a
  * request that crashes servers are limited</li>
  * <li>INNOCENT: a request that does not crash servers gets no long Retry-After</li>
+ * <li>LIMIT: hosts that a server told of its limit keep to it together</li>
  * <li>RECOVER: most requests succeed again after the last fault</li>
  * </ul>
  *
