Divide the retries beyond the ratio by the number of hosts

Change: a host's part is the allowance divided by the known hosts, at most 1; recomputed as hosts come and go.

--- a/decision/src/main/java/io/sequoialink/decision/retry/RetryBudget.java
+++ b/decision/src/main/java/io/sequoialink/decision/retry/RetryBudget.java
@@ -19,6 +19,12 @@
 	 */
 	private static final int SLICES = 20;
 
+	/**
+	 * Most retries beyond the ratio that one host takes, so that a host that knows few
+	 * others does not use what belongs to all.
+	 */
+	static final double MAX_SLACK_PER_HOST = 1;
+
 	private double ratio;
 
 	private double slack;
@@ -39,6 +45,17 @@
 		this.sliceNanos = windowNanos / SLICES;
 	}
 
+	/**
+	 * Returns a host's part of the retries that all hosts together are allowed beyond the
+	 * ratio.
+	 * @param fleetSlack number of retries that the fleet is allowed in any window
+	 * @param hosts number of hosts
+	 * @return number of retries in any window, at most {@link #MAX_SLACK_PER_HOST}
+	 */
+	public static double slackPerHost(double fleetSlack, int hosts) {
+		return Math.min(MAX_SLACK_PER_HOST, fleetSlack / hosts);
+	}
+
 	/**
 	 * Changes the limits and keeps the current counts.
 	 * @param newRatio number of retries allowed per request
--- a/decision/src/test/java/io/sequoialink/decision/retry/RetryBudgetTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/retry/RetryBudgetTests.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -35,6 +36,26 @@
 		assertThat(budget.allowsRetry("s", 12 * SECOND)).isFalse();
 	}
 
+	// Guards against a bound of the fleet that grows with its hosts: each host uses what
+	// it may beyond the ratio, all in one window.
+	@ParameterizedTest
+	@CsvSource({ "1, 56", "6, 52", "95, 230", "95, 56", "330, 230", "330, 0" })
+	void retriesOfAllHostsTogetherStayWithinTheBudget(int hosts, double fleetSlack) {
+		int requests = 0;
+		int retries = 0;
+		for (int host = 0; host < hosts; host++) {
+			RetryBudget budget = new RetryBudget(0.9, RetryBudget.slackPerHost(fleetSlack, hosts), 10 * SECOND);
+			for (int request = (host % 8 == 0) ? 10 : 0; request > 0; request--) {
+				budget.recordRequest("s", SECOND);
+				requests++;
+			}
+			for (int attempt = 0; attempt < 20; attempt++) {
+				retries += budget.tryAcquireRetry("s", 2 * SECOND) ? 1 : 0;
+			}
+		}
+		assertThat((double) retries).isLessThanOrEqualTo(0.9 * requests + fleetSlack);
+	}
+
 	// In any window, the retries stay within the ratio of the requests in the window and
 	// one slice before it, plus the allowance.
 	@ParameterizedTest
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -101,13 +101,6 @@
 	 */
 	private static final String METRICS_PATH = "/metrics";
 
-	/**
-	 * Upper limit of the retries that one host may send beyond the allowed ratio. It is
-	 * small, so that hundreds of hosts together stay within the number of retries on top
-	 * of the ratio that the platform allows the whole fleet.
-	 */
-	private static final double MAX_RETRY_SLACK_PER_HOST = 1;
-
 	private volatile EntrySettings settings;
 
 	private final NioEventLoopGroup eventLoopGroup = new NioEventLoopGroup(1);
@@ -201,7 +194,7 @@
 				this.readForwarder.<ReadForwarding>map((forwarder) -> forwarder).orElse(ReadForwarding.NONE));
 		this.readForwarder.ifPresent((forwarder) -> this.updates
 			.onStatusesRead(new PeerAddressPublisher(forwarder, statuses, this::schedule)::onStatusesRead));
-		this.retryBudget = new RetryBudget(bounds.repeatRatio(), retrySlackPerHost(bounds),
+		this.retryBudget = new RetryBudget(bounds.repeatRatio(), slackPerHost(bounds),
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
 		this.frontendServer = new FrontendServer(gateway(gate, random));
 	}
@@ -336,6 +329,7 @@
 	private void tick() {
 		logReadinessChange();
 		this.updates.removeExpired();
+		updateRetryLimits();
 		this.rollouts.tick();
 		this.crashes.tick();
 	}
@@ -372,7 +366,7 @@
 		this.settings = changed;
 		EntrySettings.Bounds bounds = changed.bounds();
 		this.store.updateAddress(changed.store());
-		this.retryBudget.setLimits(bounds.repeatRatio(), retrySlackPerHost(bounds));
+		updateRetryLimits();
 		this.rollouts.setOptions(rolloutOptions(bounds));
 		this.readForwarder.ifPresent((forwarder) -> forwarder.setReaderTimeout(peerReaderTimeoutNanos(bounds)));
 		this.gossipBudget.setMaxBytesPerSecond(changed.sightingBytesPerSecond());
@@ -395,8 +389,14 @@
 		this.eventLoop.scheduleAtFixedRate(task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
 	}
 
-	private static double retrySlackPerHost(EntrySettings.Bounds bounds) {
-		return Math.min(MAX_RETRY_SLACK_PER_HOST, bounds.repeatSlack());
+	// Called regularly, since the number of known hosts changes.
+	private void updateRetryLimits() {
+		EntrySettings.Bounds bounds = this.settings.bounds();
+		this.retryBudget.setLimits(bounds.repeatRatio(), slackPerHost(bounds));
+	}
+
+	private double slackPerHost(EntrySettings.Bounds bounds) {
+		return RetryBudget.slackPerHost(bounds.repeatSlack(), this.permits.hosts());
 	}
 
 	private static RolloutCoordinator.Options rolloutOptions(EntrySettings.Bounds bounds) {
