--- a/decision/src/main/java/io/sequoialink/decision/limits/ServerBackoff.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/ServerBackoff.java
@@ -73,16 +73,23 @@
 	 * Returns whether a request may be sent to the server now.
 	 * @param nowNanos current monotonic time in nanoseconds
 	 * @param inFlight number of requests of this host in flight on the server
-	 * @return whether back-off and ramp-up are over, or the request is allowed as a probe
-	 * or by the ramp-up
+	 * @return whether back-off and ramp-up are over, or the ramp-up allows the request
 	 */
 	public boolean allowsRequest(long nowNanos, int inFlight) {
 		if (isOver(nowNanos)) {
 			return true;
 		}
-		if (nowNanos - this.rampUpAtNanos >= 0) {
-			return inFlight <= this.answersStarted;
-		}
+		return nowNanos - this.rampUpAtNanos >= 0 && inFlight <= this.answersStarted;
+	}
+
+	/**
+	 * Returns whether a probe may be sent to the server now. For the sum over all hosts,
+	 * only few hosts may act on it.
+	 * @param nowNanos current monotonic time in nanoseconds
+	 * @param inFlight number of requests of this host in flight on the server
+	 * @return whether the back-off lasts and its next probe is due
+	 */
+	public boolean allowsProbe(long nowNanos, int inFlight) {
 		return nowNanos - this.endsAtNanos < 0 && this.probes < MAX_PROBES && inFlight == 0
 				&& nowNanos - this.startedAtNanos >= (this.probes + 1 + this.probes) * FIRST_PROBE_NANOS;
 	}
--- a/decision/src/test/java/io/sequoialink/decision/limits/ServerBackoffTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/limits/ServerBackoffTests.java
@@ -20,18 +20,18 @@
 	@CsvSource({ "0, false", "2999, false", "3200, false", "3300, true" })
 	void allowsNoRequestUntilTheRequestedTimePlusTheJitter(long atMillis, boolean allowed) {
 		ServerBackoff backoff = new ServerBackoff(0, millis(3000), millis(300));
-		assertThat(backoff.allowsRequest(millis(atMillis), 0)).isEqualTo(allowed);
+		assertThat(allows(backoff, millis(atMillis), 0)).isEqualTo(allowed);
 	}
 
 	@Test
 	void requestsRampUpWithEachStartedAnswer() {
 		ServerBackoff backoff = new ServerBackoff(0, millis(1000), 0);
-		assertThat(backoff.allowsRequest(millis(1001), 0)).isTrue();
-		assertThat(backoff.allowsRequest(millis(1001), 1)).isFalse();
+		assertThat(allows(backoff, millis(1001), 0)).isTrue();
+		assertThat(allows(backoff, millis(1001), 1)).isFalse();
 		backoff.recordAnswerStarted(millis(1010));
-		assertThat(backoff.allowsRequest(millis(1011), 1)).isTrue();
-		assertThat(backoff.allowsRequest(millis(1011), 2)).isFalse();
-		assertThat(backoff.allowsRequest(millis(3001), 50)).isTrue();
+		assertThat(allows(backoff, millis(1011), 1)).isTrue();
+		assertThat(allows(backoff, millis(1011), 2)).isFalse();
+		assertThat(allows(backoff, millis(3001), 50)).isTrue();
 		assertThat(backoff.isOver(millis(3001))).isTrue();
 	}
 
@@ -39,12 +39,16 @@
 	void earlierTimeDoesNotReplaceALaterOne() {
 		ServerBackoff backoff = new ServerBackoff(0, millis(5000), 0);
 		backoff.extend(millis(100), millis(200), 0);
-		assertThat(backoff.allowsRequest(millis(4999), 0)).isFalse();
+		assertThat(allows(backoff, millis(4999), 0)).isFalse();
 		backoff.extend(millis(4000), millis(9000), 0);
-		assertThat(backoff.allowsRequest(millis(8999), 0)).isFalse();
+		assertThat(allows(backoff, millis(8999), 0)).isFalse();
 		assertThat(backoff.remainingNanos(millis(8000))).isEqualTo(millis(1000));
 	}
 
+	private static boolean allows(ServerBackoff backoff, long nowNanos, int inFlight) {
+		return backoff.allowsRequest(nowNanos, inFlight) || backoff.allowsProbe(nowNanos, inFlight);
+	}
+
 	// The server asks for random longer and shorter times while a probe is sent whenever
 	// one is allowed.
 	@ParameterizedTest
@@ -58,7 +62,7 @@
 			if (random.nextInt(20) == 0) {
 				backoff.extend(now, now + millis(random.nextInt(60_000)), 0);
 			}
-			if (backoff.allowsRequest(now, 0)) {
+			if (allows(backoff, now, 0)) {
 				backoff.recordSent(now);
 				sent++;
 			}
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -173,8 +173,8 @@
 		this.crashes = new CrashCoordinator(settings.host(), statuses, this::schedule, System::nanoTime,
 				() -> readStatusesNow(statuses));
 		this.servers = new ServerTable(this.fleetView,
-				new ServerNoticeTable(System::nanoTime, random, this::recordServerNotice), this.sharedNotices,
-				new ServerLimitTable(this.serverLimits));
+				new ServerNoticeTable(System::nanoTime, random, this::mayProbe, this::recordServerNotice),
+				this.sharedNotices, new ServerLimitTable(this.serverLimits));
 		this.readForwarder = settings.peers().map((address) -> createReadForwarder());
 		this.gossipBudget = new GossipBudget(settings.sightingBytesPerSecond(), System::nanoTime);
 		this.noticeGossip = this.readForwarder
@@ -211,6 +211,10 @@
 				new ResponseBufferLimit(), this.counts, System::nanoTime);
 	}
 
+	private boolean mayProbe(long server) {
+		return this.permits.ownsSlice(server);
+	}
+
 	private void recordServerNotice(ServerEntry server, ResponseNotice notice) {
 		long incarnation = ServerState.incarnation(server);
 		long now = System.nanoTime();
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
@@ -282,6 +282,16 @@
 		return this.owners.host(host, this.clock.getAsLong());
 	}
 
+	/**
+	 * Returns whether this host is one of the few that act for all with regard to a
+	 * server.
+	 * @param server hash of the server's incarnation
+	 * @return whether this host owns a slice, whether or not the server is limited
+	 */
+	public boolean ownsSlice(long server) {
+		return ownedSlices(server) > 0;
+	}
+
 	/**
 	 * Returns how many slices of a server's limit this host owns.
 	 * @param server hash of the server's incarnation
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerNoticeTable.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerNoticeTable.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -50,17 +51,23 @@
 
 	private final RandomGenerator random;
 
+	private final LongPredicate mayProbe;
+
 	private final ResponseNoticeListener listener;
 
 	/**
 	 * Creates a table without notices.
 	 * @param clock monotonic time in nanoseconds
 	 * @param random source of the random time added to a back-off
+	 * @param mayProbe returns whether this host may probe a server during its back-off,
+	 * given the hash of the server's incarnation; true on few hosts for each server
 	 * @param listener receives the notices that servers sent to this host itself
 	 */
-	public ServerNoticeTable(LongSupplier clock, RandomGenerator random, ResponseNoticeListener listener) {
+	public ServerNoticeTable(LongSupplier clock, RandomGenerator random, LongPredicate mayProbe,
+			ResponseNoticeListener listener) {
 		this.clock = clock;
 		this.random = random;
+		this.mayProbe = mayProbe;
 		this.listener = listener;
 	}
 
@@ -145,8 +152,12 @@
 	 */
 	boolean admits(ServerState state) {
 		Notice notice = find(state.entry());
-		return !notice.shuttingDown
-				&& (notice.backoff == null || notice.backoff.allowsRequest(this.clock.getAsLong(), state.inFlight()));
+		if (notice.shuttingDown || notice.backoff == null) {
+			return !notice.shuttingDown;
+		}
+		long now = this.clock.getAsLong();
+		return notice.backoff.allowsRequest(now, state.inFlight())
+				|| (notice.backoff.allowsProbe(now, state.inFlight()) && this.mayProbe.test(state.incarnation()));
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -108,9 +108,9 @@
 
 	private GatewayFixture() {
 		TestHeaderMapping headerMapping = new TestHeaderMapping();
-		this.table = new ServerTable(this.view,
-				new ServerNoticeTable(System::nanoTime, new SplittableRandom(3), ResponseNoticeListener.NONE),
-				new SharedServerNotices(), new ServerLimitTable(this.limits));
+		this.table = new ServerTable(this.view, new ServerNoticeTable(System::nanoTime, new SplittableRandom(3),
+				(server) -> true, ResponseNoticeListener.NONE), new SharedServerNotices(),
+				new ServerLimitTable(this.limits));
 		PrefillSpeed speed = new PrefillSpeed();
 		GatewayContext gateway = new GatewayContext(this.gate, this.view, this.table,
 				observed(new LowestLatencyBalancer(this.table, speed, "z", this.permits, System::nanoTime,
--- a/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
@@ -33,7 +33,8 @@
 
 	private ServerTable table() {
 		return new ServerTable(this.view,
-				new ServerNoticeTable(() -> this.now, new SplittableRandom(7), ResponseNoticeListener.NONE),
+				new ServerNoticeTable(() -> this.now, new SplittableRandom(7), (server) -> true,
+						ResponseNoticeListener.NONE),
 				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()));
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/place/ServerNoticeTableTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/ServerNoticeTableTests.java
@@ -32,7 +32,7 @@
 	private long now = TimeUnit.SECONDS.toNanos(100);
 
 	private final ServerNoticeTable notices = new ServerNoticeTable(() -> this.now, new SplittableRandom(7),
-			(server, notice) -> this.received.add(notice));
+			(server) -> true, (server, notice) -> this.received.add(notice));
 
 	private final SharedServerNotices sharedNotices = new SharedServerNotices();
 
