--- a/cli/src/main/java/io/sequoialink/cli/RequestLogExplainer.java
+++ b/cli/src/main/java/io/sequoialink/cli/RequestLogExplainer.java
@@ -33,6 +33,10 @@
 	private static final Pattern ATTEMPT_ENDED = Pattern
 		.compile("request (\\S+) send (\\d+) to (\\S+) ended: (.*) after (\\d+) ms");
 
+	/** Text of SL-3110: no permit at once for a server that takes a limited number. */
+	private static final Pattern PERMIT_DECIDED = Pattern
+		.compile("request (\\S+) and limited server (\\S+): (.*), longest wait (\\d+) ms, next permit in (\\d+) ms");
+
 	/**
 	 * Text of SL-3104: the cascade discarded the answer of a model and tries another one.
 	 */
@@ -134,6 +138,11 @@
 			return "send " + attempt.group(2) + " to server " + attempt.group(3) + " ended after " + attempt.group(5)
 					+ " ms: " + attempt.group(4) + ".";
 		}
+		Matcher permit = PERMIT_DECIDED.matcher(line.text());
+		if (permit.matches()) {
+			return "server " + permit.group(2) + " takes a limited number of requests: " + permit.group(3)
+					+ ", next permit in " + permit.group(5) + " ms, the request could wait " + permit.group(4) + " ms.";
+		}
 		Matcher discarded = ANSWER_DISCARDED.matcher(line.text());
 		if (discarded.matches()) {
 			return "the answer of model " + discarded.group(2) + " was given up for model " + discarded.group(4)
@@ -159,6 +168,10 @@
 		for (Line line : requestLines) {
 			Matcher end = REQUEST_ENDED.matcher(line.text());
 			Matcher attempt = ATTEMPT_ENDED.matcher(line.text());
+			Matcher permit = PERMIT_DECIDED.matcher(line.text());
+			if (permit.matches()) {
+				servers.add(permit.group(2));
+			}
 			if (end.matches()) {
 				servers.add(end.group(7).split("/")[0]);
 			}
@@ -171,8 +184,10 @@
 
 	// Events of the same host shortly before the last line that may explain the outcome.
 	// Of the request's servers: ejected after a failure (SL-3103), shutting down
-	// (SL-3105), back-off (SL-3106), notice reported by another host (SL-3107),
-	// registration changed (SL-3205). Of the host: started, draining, stopped (SL-3001 to
+	// (SL-3105), back-off (SL-3106), notice reported by another host (SL-3107), limit
+	// named
+	// or reported (SL-3108, SL-3109), registration changed (SL-3205). Of the host:
+	// started, draining, stopped (SL-3001 to
 	// SL-3003), store unreadable or readable again (SL-3203, SL-3204), roll-out stopped
 	// by this host (SL-3302) or ended (SL-3305).
 	private List<String> relatedEvents(Line lastLine, Set<String> servers) {
@@ -180,7 +195,7 @@
 		for (Line line : this.lines) {
 			boolean recent = !line.time().isAfter(lastLine.time())
 					&& line.time().isAfter(lastLine.time().minusMillis(RELATED_EVENTS_MILLIS));
-			boolean aboutServer = line.event().matches("SL-310[3567]|SL-3205")
+			boolean aboutServer = line.event().matches("SL-310[356789]|SL-3205")
 					&& servers.stream().anyMatch((server) -> line.text().startsWith("server " + server + " "));
 			boolean aboutHost = line.event().matches("SL-300[1-3]|SL-3203|SL-3204|SL-330[25]");
 			if (recent && line.host().equals(lastLine.host()) && (aboutServer || aboutHost)) {
--- a/cli/src/test/java/io/sequoialink/cli/RequestLogExplainerTests.java
+++ b/cli/src/test/java/io/sequoialink/cli/RequestLogExplainerTests.java
@@ -23,6 +23,9 @@
 			0.20 host-a {"time":"2026-02-23T13:48:09.200Z","level":"WARN","host":"a","event":"SL-3203","text":"servers could not be read for 900 ms: status 503"}
 			0.61 host-a {"time":"2026-02-23T13:48:50.300Z","level":"INFO","host":"a","event":"SL-3104","text":"request r7: answer of m0 with opinion 9 dropped for m2"}
 			0.71 host-a {"time":"2026-02-23T13:49:00.300Z","level":"INFO","host":"a","event":"SL-3001","text":"host a in availability zone z accepts clients at /10.3.0.4:8660 and readiness probes at /10.3.0.4:8667"}
+			0.80 host-c {"time":"2026-02-23T13:48:20.100Z","level":"INFO","host":"c","event":"SL-3109","text":"server i-9 takes 1.1 requests a second from all hosts together, reported by host d, 12 ms old; this host issues 1 of 4 shares among 6 hosts"}
+			0.81 host-c {"time":"2026-02-23T13:48:20.300Z","level":"INFO","host":"c","event":"SL-3110","text":"request r9 and limited server i-9: no permit, longest wait 111 ms, next permit in 840 ms"}
+			0.82 host-c {"time":"2026-02-23T13:48:20.301Z","level":"WARN","host":"c","event":"SL-3101","text":"request r9 of account acme on route r-a ended with 503: run NO, sends 0, server none, 3 ms: not run (no server of s for versions ANY, its servers take 1.1 requests a second)"}
 			0.31 host-a {"time":"2026-02-23T13:48:08.300Z","level":"INFO","host":"a","event":"SL-3104","text":"request r10: answer of m0 with opinion 7 dropped for m2"}
 			""";
 
@@ -45,6 +48,15 @@
 		assertThat(story.get(2)).contains("servers could not be read");
 	}
 
+	@Test
+	void aRejectionForALimitIsToldWithTheServersThatNamedIt() throws IOException {
+		List<String> story = story("r9");
+		assertThat(story.get(0)).contains("server i-9 takes a limited number of requests: no permit")
+			.contains("next permit in 840 ms");
+		assertThat(story.get(1)).contains("It was not run").contains("its servers take 1.1 requests a second");
+		assertThat(story.get(2)).contains("shortly before: server i-9 takes 1.1 requests a second");
+	}
+
 	@Test
 	void aRequestThatWasCutOffWithItsHostIsToldByTheHostsNextStart() throws IOException {
 		List<String> story = story("r7");
