Ask an owner again soon after its silence, and up to six times a request

What callers would have seen: after an owner of a slice was away for a moment, hosts did not ask it again for up to minutes, since they kept the far-off time of their own small share; and with four questions a request was rejected though servers had permits left. Change: the time is not kept beyond the silence; six questions; the metric names the server.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -182,7 +182,8 @@
 					this.gossipBudget, this.servers::displayName, System::nanoTime, System::currentTimeMillis, random));
 		this.permits = new FleetPermits(self(),
 				() -> this.readForwarder.map(ReadForwarder::otherPeers).orElseGet(List::of), this.serverLimits,
-				this.peerSocket, this::schedule, this.counts.permits(), System::nanoTime, random);
+				this.peerSocket, this::schedule, this.counts.permits(), this.servers::displayName, System::nanoTime,
+				random);
 		this.limitGossip = this.readForwarder.map((forwarder) -> new LimitGossip(settings.host(), this.serverLimits,
 				this.permits, new GossipTargets(forwarder, random), this.gossipBudget, this.peerSocket,
 				this.servers::displayName, System::nanoTime, System::currentTimeMillis));
--- a/gateway/src/main/java/io/sequoialink/gateway/http/PermitAcquisition.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/PermitAcquisition.java
@@ -23,9 +23,10 @@
 	private static final Logger logger = LoggerFactory.getLogger(PermitAcquisition.class);
 
 	/**
-	 * Number of permits that a request asks for; each may take a fraction of a second.
+	 * Number of permits that a request asks for. A host knows of permits given to others
+	 * only when it asks, so with few questions it would reject what a server takes.
 	 */
-	private static final int MAX_ASKED = 4;
+	private static final int MAX_ASKED = 6;
 
 	/** Longest wait for a permit, in milliseconds. */
 	private static final long MAX_WAIT_MILLIS = 1000;
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
@@ -8,6 +8,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -79,6 +80,8 @@
 
 	private final LabelledCounters counts;
 
+	private final LongFunction<String> serverNames;
+
 	private final LongSupplier clock;
 
 	private final RandomGenerator random;
@@ -99,11 +102,13 @@
 	 * @param sender sends datagrams
 	 * @param timer runs a task on the event loop after a delay
 	 * @param counts counts decisions, with labels for the server and the outcome
+	 * @param serverNames returns the name of a server incarnation, given its hash
 	 * @param clock monotonic time in nanoseconds
 	 * @param random source of randomness
 	 */
 	public FleetPermits(Peer self, Supplier<List<Peer>> others, ServerLimits limits, DatagramSender sender,
-			EventLoopTimer timer, LabelledCounters counts, LongSupplier clock, RandomGenerator random) {
+			EventLoopTimer timer, LabelledCounters counts, LongFunction<String> serverNames, LongSupplier clock,
+			RandomGenerator random) {
 		this.self = self;
 		this.limits = limits;
 		this.issuer = new PermitIssuer(random, clock.getAsLong());
@@ -111,6 +116,7 @@
 		this.sender = sender;
 		this.timer = timer;
 		this.counts = counts;
+		this.serverNames = serverNames;
 		this.clock = clock;
 		this.random = random;
 		this.lastNumber = random.nextInt();
@@ -180,15 +186,22 @@
 		if (owner.equals(this.self)) {
 			finish(question, issue(key, OWNER_SHARE, now, maxWaitNanos));
 		}
-		else if (now - this.silentUntil.getOrDefault(owner.host(), now) < 0) {
+		else if (silentNanos(owner, now) > 0) {
 			double share = OWNER_SHARE * UNREACHED_SHARE / this.owners.hostCount(now);
-			finish(question, issue(new PermitIssuer.Key(server, -1 - slice), share, now, maxWaitNanos));
+			PermitDecision own = issue(new PermitIssuer.Key(server, -1 - slice), share, now, maxWaitNanos);
+			finish(question, new PermitDecision(own.granted(), own.delayNanos(),
+					Math.min(own.nextNanos(), silentNanos(owner, now))));
 		}
 		else {
 			ask(question, now);
 		}
 	}
 
+	// Returns how long an owner that did not answer is not asked again.
+	private long silentNanos(Peer owner, long now) {
+		return Math.max(0, this.silentUntil.getOrDefault(owner.host(), now) - now);
+	}
+
 	private PermitDecision issue(PermitIssuer.Key key, double share, long now, long maxWaitNanos) {
 		return this.issuer.issue(key, limit(key.server()), share, now, maxWaitNanos);
 	}
@@ -233,7 +246,7 @@
 	}
 
 	private void count(Question question, String outcome) {
-		this.counts.increment(Long.toHexString(question.key.server()), outcome);
+		this.counts.increment(this.serverNames.apply(question.key.server()), outcome);
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -88,7 +88,7 @@
 			new Peer("h", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1)), List::of, this.limits,
 			(to, datagram) -> {
 			}, (work, millis) -> this.loops.schedule(work, millis, TimeUnit.MILLISECONDS), this.counts.permits(),
-			System::nanoTime, new SplittableRandom(4));
+			Long::toHexString, System::nanoTime, new SplittableRandom(4));
 
 	private final ResponseBufferLimit responseBuffers = new ResponseBufferLimit();
 
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleet.java
@@ -39,7 +39,7 @@
 	/** How long a request waits for a permit if all servers are limited. */
 	private static final long WAIT_NANOS = 330 * MILLI;
 
-	private static final int MAX_ASKED = 4;
+	private static final int MAX_ASKED = 6;
 
 	private final SplittableRandom random;
 
@@ -220,7 +220,7 @@
 			}, TimeUnit.SECONDS.toNanos(4), this::clock);
 			SplittableRandom own = new SplittableRandom(PermitFleet.this.random.nextLong());
 			this.permits = new FleetPermits(this.self, this.view::otherPeers, this.limits, this::transmit, this::later,
-					new LabelledCounters("server", "outcome"), this::clock, own);
+					new LabelledCounters("server", "outcome"), Long::toHexString, this::clock, own);
 			this.gossip = new LimitGossip(this.self.host(), this.limits, this.permits,
 					new GossipTargets(this.view, own), new GossipBudget(GOSSIP_BYTES_PER_SECOND, this::clock),
 					this::transmit, Long::toHexString, this::clock, PermitFleet.this::nowMillis);
--- a/gateway/src/test/java/io/sequoialink/gateway/place/FleetBackoffProbesTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/FleetBackoffProbesTests.java
@@ -61,7 +61,7 @@
 		view.put(SERVER);
 		FleetPermits permits = new FleetPermits(self, () -> peers, new ServerLimits(), (to, datagram) -> {
 		}, (task, millis) -> {
-		}, new LabelledCounters("server", "outcome"), () -> this.now, new SplittableRandom(1));
+		}, new LabelledCounters("server", "outcome"), Long::toHexString, () -> this.now, new SplittableRandom(1));
 		return new ServerTable(view,
 				new ServerNoticeTable(() -> this.now, new SplittableRandom(7), permits::ownsSlice,
 						ResponseNoticeListener.NONE),
