One class for the rounds of gossip, and no silence ended by an unknown sender

Cause: ServerLimits and SharedServerNotices chose what to gossip by the same lines, and a datagram of an unknown address could end the silence of the host that it names. Change: GossipRounds; the sender is checked before it counts as heard.

--- a/decision/src/main/java/io/sequoialink/decision/limits/ServerLimits.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/ServerLimits.java
@@ -1,16 +1,15 @@
 package io.sequoialink.decision.limits;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import io.sequoialink.decision.observation.GossipRounds;
+
 /**
  * The limits that backend servers named, to this host in responses or to its peers, which
  * pass them on by gossip. The key is a hash of the server's incarnation. Confined to one
@@ -26,12 +25,6 @@
 
 	static final int MAX_SERVERS = 4096;
 
-	/**
-	 * Number of gossip rounds in which a host sends a change. Each host that learns of
-	 * the change sends it in as many rounds.
-	 */
-	static final int GOSSIP_ROUNDS = 6;
-
 	/**
 	 * Time after which an observation without a limit is removed, in nanoseconds. By then
 	 * all hosts have heard of it.
@@ -47,7 +40,7 @@
 
 	private final Map<Long, Long> limitedSince = new HashMap<>();
 
-	private final Map<Long, Integer> roundsLeft = new HashMap<>();
+	private final GossipRounds rounds = new GossipRounds();
 
 	/**
 	 * Records what a response to this host said.
@@ -93,7 +86,7 @@
 		boolean peerIsBehind = before != null && before.perSecond() != received.perSecond()
 				&& before.merge(received).equals(before);
 		if (peerIsBehind) {
-			this.roundsLeft.putIfAbsent(server, 1);
+			this.rounds.peerIsBehind(server);
 		}
 		return merge(server, received, nowNanos);
 	}
@@ -104,7 +97,7 @@
 		this.known.put(server, after);
 		boolean changed = (before != null) ? before.perSecond() != after.perSecond() : after.limited();
 		if (changed) {
-			this.roundsLeft.put(server, GOSSIP_ROUNDS);
+			this.rounds.changed(server);
 			this.limitedSince.putIfAbsent(server, nowNanos);
 		}
 		if (!after.limited()) {
@@ -148,7 +141,7 @@
 	 * @return whether the next selection may contain any
 	 */
 	public boolean hasNews() {
-		return !this.roundsLeft.isEmpty();
+		return !this.rounds.isEmpty();
 	}
 
 	/**
@@ -160,19 +153,14 @@
 	 */
 	public Map<Long, LimitObservation> selectForGossip(int max, long nowNanos) {
 		removeExpired(nowNanos);
-		List<Long> changed = new ArrayList<>(this.roundsLeft.keySet());
-		changed.sort(Comparator.comparing(this.roundsLeft::get).reversed());
 		Map<Long, LimitObservation> selected = new HashMap<>();
-		for (Long server : changed.subList(0, Math.min(max, changed.size()))) {
-			selected.put(server, this.known.get(server));
-			this.roundsLeft.computeIfPresent(server, (key, left) -> (left > 1) ? left - 1 : null);
-		}
+		this.rounds.select(max).forEach((server) -> selected.put(server, this.known.get(server)));
 		return selected;
 	}
 
 	private void removeExpired(long nowNanos) {
 		this.known.values().removeIf((each) -> !each.limited() && nowNanos - each.atNanos() > UNLIMITED_EXPIRY_NANOS);
-		this.roundsLeft.keySet().retainAll(this.known.keySet());
+		this.rounds.retainAll(this.known.keySet());
 		this.limitedSince.keySet().retainAll(this.known.keySet());
 	}
 
@@ -198,7 +186,7 @@
 	 */
 	public void age(long nanos) {
 		this.known.replaceAll((server, each) -> new LimitObservation(each.perSecond(), each.atNanos() - nanos));
-		this.roundsLeft.clear();
+		this.rounds.clear();
 	}
 
 	/**
--- a/decision/src/main/java/io/sequoialink/decision/observation/SharedServerNotices.java
+++ b/decision/src/main/java/io/sequoialink/decision/observation/SharedServerNotices.java
@@ -1,10 +1,7 @@
 package io.sequoialink.decision.observation;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -25,12 +22,6 @@
 	 */
 	public static final long EXPIRY_NANOS = 3_000_000_000L;
 
-	/**
-	 * Number of gossip rounds in which a host sends a change. Each host that learns of
-	 * the change sends it in as many rounds.
-	 */
-	static final int GOSSIP_ROUNDS = 6;
-
 	private static final int MAX_SERVERS = 4096;
 
 	/** Maximum duration of a back-off that is accepted from a peer, in nanoseconds. */
@@ -44,7 +35,7 @@
 
 	private final Map<Long, ServerNotice> notices = new HashMap<>();
 
-	private final Map<Long, Integer> roundsLeft = new HashMap<>();
+	private final GossipRounds rounds = new GossipRounds();
 
 	/**
 	 * Records that a server announced to this host that it is shutting down.
@@ -84,7 +75,7 @@
 			return false;
 		}
 		this.notices.put(server, known.merge(notice));
-		this.roundsLeft.put(server, GOSSIP_ROUNDS);
+		this.rounds.changed(server);
 		return true;
 	}
 
@@ -128,13 +119,8 @@
 	 */
 	public Map<Long, ServerNotice> selectForGossip(int limit, long nowNanos) {
 		removeExpired(nowNanos);
-		List<Long> changed = new ArrayList<>(this.roundsLeft.keySet());
-		changed.sort(Comparator.comparing(this.roundsLeft::get).reversed());
 		Map<Long, ServerNotice> toSend = new HashMap<>();
-		for (Long server : changed.subList(0, Math.min(limit, changed.size()))) {
-			toSend.put(server, this.notices.get(server));
-			this.roundsLeft.computeIfPresent(server, (key, left) -> (left > 1) ? left - 1 : null);
-		}
+		this.rounds.select(limit).forEach((server) -> toSend.put(server, this.notices.get(server)));
 		return toSend;
 	}
 
@@ -145,12 +131,12 @@
 			ServerNotice recent = entry.getValue().withoutEventsBefore(nowNanos - EXPIRY_NANOS);
 			if (recent.isEmpty()) {
 				all.remove();
-				this.roundsLeft.remove(entry.getKey());
 			}
 			else {
 				entry.setValue(recent);
 			}
 		}
+		this.rounds.retainAll(this.notices.keySet());
 	}
 
 	/**
@@ -159,7 +145,7 @@
 	 */
 	public void clear() {
 		this.notices.clear();
-		this.roundsLeft.clear();
+		this.rounds.clear();
 	}
 
 }
--- a/decision/src/test/java/io/sequoialink/decision/limits/ServerLimitsTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/limits/ServerLimitsTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 
+import io.sequoialink.decision.observation.GossipRounds;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -44,7 +45,7 @@
 	@Test
 	void aLimitDoesNotExpireAndIsGossipedInAFixedNumberOfRounds() {
 		this.limits.observe(SERVER, NamedLimit.of(2), 0, 0);
-		for (int round = 0; round < ServerLimits.GOSSIP_ROUNDS; round++) {
+		for (int round = 0; round < GossipRounds.ROUNDS_PER_CHANGE; round++) {
 			assertThat(this.limits.selectForGossip(10, 100 * MILLI * round)).containsOnlyKeys(SERVER);
 		}
 		assertThat(this.limits.selectForGossip(10, 3_600_000 * MILLI)).isEmpty();
@@ -54,7 +55,7 @@
 	@Test
 	void aPeerThatIsBehindIsToldAgain() {
 		this.limits.observe(SERVER, NamedLimit.of(2), 0, 1000 * MILLI);
-		for (int round = 0; round < ServerLimits.GOSSIP_ROUNDS; round++) {
+		for (int round = 0; round < GossipRounds.ROUNDS_PER_CHANGE; round++) {
 			this.limits.selectForGossip(10, 1000 * MILLI);
 		}
 		this.limits.mergeFromPeer(SERVER, new LimitObservation(LimitObservation.UNLIMITED, 500 * MILLI), 6000 * MILLI);
--- a/decision/src/test/java/io/sequoialink/decision/observation/SharedServerNoticesTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/observation/SharedServerNoticesTests.java
@@ -19,7 +19,7 @@
 	}
 
 	private void gossipAllRounds() {
-		for (int round = 0; round < SharedServerNotices.GOSSIP_ROUNDS; round++) {
+		for (int round = 0; round < GossipRounds.ROUNDS_PER_CHANGE; round++) {
 			assertThat(this.notices.selectForGossip(10, this.now)).containsKey(SERVER);
 		}
 		assertThat(this.notices.selectForGossip(10, this.now)).isEmpty();
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
@@ -286,15 +286,22 @@
 	}
 
 	/**
-	 * Returns another host that is known, and records that it was heard of.
+	 * Returns a host that is known.
 	 * @param host name of the host
 	 * @return the host, {@code null} if it is not known
 	 */
-	Peer heard(String host) {
-		this.silentUntil.remove(host);
+	Peer findHost(String host) {
 		return this.owners.host(host, this.clock.getAsLong());
 	}
 
+	/**
+	 * Called when a datagram of another host arrives, so that it is asked again.
+	 * @param host the host
+	 */
+	void heard(Peer host) {
+		this.silentUntil.remove(host.host());
+	}
+
 	/**
 	 * Returns whether this host is one of the few that act for all with regard to a
 	 * server.
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/LimitGossip.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/LimitGossip.java
@@ -125,11 +125,12 @@
 	public void onDatagram(InetAddress from, byte[] datagram) {
 		try {
 			PermitMessage message = PermitFormat.read(datagram, this.clock.getAsLong());
-			Peer peer = this.permits.heard(message.sender());
+			Peer peer = this.permits.findHost(message.sender());
 			if (peer == null || !peer.address().getAddress().equals(from)) {
 				logger.debug("dropped a datagram from {}: not the address of the host that it names", from);
 				return;
 			}
+			this.permits.heard(peer);
 			process(peer, message);
 		}
 		catch (IOException ex) {
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/FleetPermitsTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/FleetPermitsTests.java
@@ -88,7 +88,7 @@
 			acquire(server);
 			advance(200);
 		}
-		this.others.forEach((peer) -> this.permits.heard(peer.host()));
+		this.others.forEach(this.permits::heard);
 		advance(4000);
 		this.sent.clear();
 		acquire(server);
@@ -105,11 +105,7 @@
 			if (!this.sent.isEmpty()) {
 				questions++;
 				PermitMessage.Ask ask = (PermitMessage.Ask) PermitFormat.read(this.sent.get(0), this.now);
-				Peer owner = this.others.stream()
-					.filter((peer) -> this.permits.heard(peer.host()) != null)
-					.filter((peer) -> answers(peer, ask))
-					.findFirst()
-					.orElseThrow();
+				Peer owner = this.others.stream().filter((peer) -> answers(peer, ask)).findFirst().orElseThrow();
 				assertThat(owner).isNotNull();
 			}
 			advance(10);
