--- a/gateway/src/test/java/io/sequoialink/gateway/permit/AdmissionWaysTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/AdmissionWaysTests.java
@@ -17,7 +17,7 @@
 
 	private static final int SERVERS = 4;
 
-	private static final long SECONDS = 12;
+	private static final long SECONDS = 20;
 
 	private static PermitFleet run(AdmissionWay way, int hosts, double limit, double requestsPerHost) {
 		PermitFleet fleet = new PermitFleet(way, hosts, SERVERS, requestsPerHost, 11);
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleetTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleetTests.java
@@ -39,7 +39,7 @@
 			for (int i = 0; i < limited; i++) {
 				fleet.server(i).setLimit(limit, fleet.nowMillis());
 			}
-			fleet.run((hosts > LARGE_FLEET) ? 9000 : 20_000);
+			fleet.run(20_000);
 			assertBoundKept(fleet, "seed " + seed);
 		}
 	}
@@ -108,7 +108,7 @@
 			for (LimitedServer server : fleet.servers()) {
 				server.setLimit(limit, fleet.nowMillis());
 			}
-			for (int round = 0; round < ((hosts > LARGE_FLEET) ? 6 : 12); round++) {
+			for (int round = 0; round < 12; round++) {
 				disturb(fleet, hosts, random);
 				fleet.run(1000 + random.nextInt(2000));
 			}
@@ -146,9 +146,9 @@
 			}
 			fleet.run(5000);
 			fleet.cutDatagrams((from, to) -> from % parts != to % parts);
-			fleet.run((hosts > LARGE_FLEET) ? 12_000 : 25_000);
+			fleet.run(25_000);
 			fleet.cutDatagrams((from, to) -> false);
-			fleet.run((hosts > LARGE_FLEET) ? 5000 : 10_000);
+			fleet.run(10_000);
 			assertBoundKept(fleet, "seed " + seed);
 		}
 	}
