Log the way and position of each configuration, and the era of the store

Metrics sequoialink_store_era and sequoialink_configuration_age_seconds. The header is decoded in platform/ into StoreResponse, tracked by StoreEras, and part of the position of each record; nothing is decided by it yet. The simulated store of the tests learns to return from an older copy.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -28,6 +28,7 @@
 import io.sequoialink.gateway.feed.FleetViewUpdater;
 import io.sequoialink.gateway.feed.ReadForwarding;
 import io.sequoialink.gateway.feed.StoreAvailability;
+import io.sequoialink.gateway.feed.StoreEras;
 import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
@@ -114,6 +115,8 @@
 
 	private final StoreConnectionPool store;
 
+	private final StoreEras eras = new StoreEras();
+
 	private final GatewayMetrics counts = new GatewayMetrics();
 
 	private final StoreSubscriptions subscriptions;
@@ -166,7 +169,8 @@
 		this.settings = settings;
 		EntrySettings.Bounds bounds = settings.bounds();
 		this.store = new StoreConnectionPool(settings.store(), this.eventLoop);
-		StatusRecords statuses = new StatusRecords(StoreTopic.statuses(this.store), System::currentTimeMillis);
+		StatusRecords statuses = new StatusRecords(StoreTopic.statuses(this.store, this.eras),
+				System::currentTimeMillis);
 		SplittableRandom random = new SplittableRandom();
 		this.rollouts = new RolloutCoordinator(settings.host(), rolloutOptions(bounds), statuses, System::nanoTime,
 				random);
@@ -195,7 +199,7 @@
 		this.traits = createTraitCoordinator(statuses, random);
 		statuses.setReceivers(this.updates, this.crashes::reportRead, this.traits,
 				this.readForwarder.<PeerListener>map((forwarder) -> forwarder).orElse(PeerListener.NONE));
-		this.subscriptions = new StoreSubscriptions(this.store, this.updates, statuses,
+		this.subscriptions = new StoreSubscriptions(this.store, this.eras, this.updates, statuses,
 				() -> this.rollouts.hasActiveRollout() || this.crashes.pollsFrequently(), this::schedule,
 				new StoreAvailability(this.counts.storeCalls(), this.counts.forwardedReads()),
 				this.readForwarder.<ReadForwarding>map((forwarder) -> forwarder).orElse(ReadForwarding.NONE));
@@ -324,6 +328,12 @@
 						() -> ready() ? 1 : 0),
 				new MetricsPage.Gauge("sequoialink_configuration_version", "Version of the configuration in force",
 						() -> this.fleetView.configuration().map(Configuration::version).orElse(0L)),
+				new MetricsPage.Gauge("sequoialink_configuration_age_seconds",
+						"Time since the configuration in force was applied on this host",
+						() -> TimeUnit.NANOSECONDS.toSeconds(this.updates.configurationAgeNanos())),
+				new MetricsPage.Gauge("sequoialink_store_era",
+						"Era of the platform's store, which rises when it returns from an older copy; -1 if it names none",
+						this.eras::current),
 				new MetricsPage.Gauge("sequoialink_backend_servers", "Known backend servers",
 						() -> this.fleetView.servers().size()),
 				new MetricsPage.Gauge("sequoialink_client_connections", "Open connections of clients",
--- a/entry/src/main/java/io/sequoialink/entry/StoreSubscriptions.java
+++ b/entry/src/main/java/io/sequoialink/entry/StoreSubscriptions.java
@@ -12,6 +12,7 @@
 import io.sequoialink.gateway.feed.ReadForwarding;
 import io.sequoialink.gateway.feed.RecordSink;
 import io.sequoialink.gateway.feed.StoreAvailability;
+import io.sequoialink.gateway.feed.StoreEras;
 import io.sequoialink.gateway.feed.TopicFollower;
 import io.sequoialink.platform.OperatorRecordHandler;
 import io.sequoialink.platform.ServerRecordHandler;
@@ -87,6 +88,8 @@
 
 	private final StoreConnectionPool store;
 
+	private final StoreEras eras;
+
 	private final FleetViewUpdater updates;
 
 	private final StatusRecords statuses;
@@ -104,6 +107,7 @@
 	/**
 	 * Creates the subscriptions; {@link #start} starts reading.
 	 * @param store connections to the store
+	 * @param eras tracks the era of the store
 	 * @param updates receives the records of operator and servers
 	 * @param statuses receives the records that hosts publish
 	 * @param statusesAreActive whether a roll-out is under way or this host recently saw
@@ -112,10 +116,11 @@
 	 * @param storeAvailability notifies the followers of the end of a store outage
 	 * @param readForwarding exchanges the results of reads with other hosts
 	 */
-	StoreSubscriptions(StoreConnectionPool store, FleetViewUpdater updates, StatusRecords statuses,
+	StoreSubscriptions(StoreConnectionPool store, StoreEras eras, FleetViewUpdater updates, StatusRecords statuses,
 			BooleanSupplier statusesAreActive, EventLoopTimer timer, StoreAvailability storeAvailability,
 			ReadForwarding readForwarding) {
 		this.store = store;
+		this.eras = eras;
 		this.updates = updates;
 		this.statuses = statuses;
 		this.statusesAreActive = statusesAreActive;
@@ -132,12 +137,12 @@
 		int wait = (int) (OPERATOR_WAIT_FRACTION * bounds.applyMillis());
 		PollingSettings operator = new PollingSettings(wait, wait, 0, FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS,
 				(int) (MAX_AGE_FRACTION * bounds.applyMillis()));
-		follow(StoreTopic.operator(this.store), new OperatorRecordHandler(this.updates), () -> operator);
+		follow(StoreTopic.operator(this.store, this.eras), new OperatorRecordHandler(this.updates), () -> operator);
 		int pause = (int) (SERVERS_PAUSE_FRACTION * bounds.leavingMillis());
 		PollingSettings servers = new PollingSettings(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause,
 				FIRST_RETRY_MILLIS, SERVERS_MAX_RETRY_MILLIS, (int) (MAX_AGE_FRACTION * bounds.leavingMillis()));
-		follow(StoreTopic.servers(this.store), new ServerRecordHandler(this.updates), () -> servers);
-		TopicFollower statusFollower = follow(StoreTopic.statuses(this.store), this.statuses,
+		follow(StoreTopic.servers(this.store, this.eras), new ServerRecordHandler(this.updates), () -> servers);
+		TopicFollower statusFollower = follow(StoreTopic.statuses(this.store, this.eras), this.statuses,
 				() -> statusPolling(this.statusesAreActive.getAsBoolean()));
 		this.statuses.setImmediateRead(statusFollower::pollNow);
 	}
--- a/entry/src/test/java/io/sequoialink/soak/HeaderNames.java
+++ b/entry/src/test/java/io/sequoialink/soak/HeaderNames.java
@@ -36,6 +36,9 @@
 
 	static final String RETRY_AFTER = "retry-after";
 
+	/** Rises by one each time the store has returned from an older copy. */
+	static final String STORE_ERA = "store-era";
+
 	private HeaderNames() {
 	}
 
--- a/entry/src/test/java/io/sequoialink/soak/SimulatedStore.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedStore.java
@@ -22,7 +22,8 @@
 
 /**
  * Simulates the store of the platform over HTTP on loopback: topics with keys and one
- * partition. Can reject calls, hang, truncate its history and hold back new records.
+ * partition. Can reject calls, hang, truncate its history, hold back new records and
+ * return from an older copy. Every response names the era, which rises with each return.
  * Thread-safe.
  */
 public final class SimulatedStore implements AutoCloseable {
@@ -37,6 +38,8 @@
 
 	private volatile Fault fault = Fault.NONE;
 
+	private volatile long era = 1;
+
 	/**
 	 * Creates an empty store that listens on a free port.
 	 * @throws IOException if the port can't be opened
@@ -83,6 +86,30 @@
 		this.firstOffsets.put("keyed." + topic, records("keyed." + topic).size());
 	}
 
+	/**
+	 * Returns from an older copy: all records written since are lost, their offsets are
+	 * given out again, and the era rises by one. Reads that wait get no response.
+	 * @param ageMillis age of the copy in milliseconds
+	 */
+	public synchronized void returnFromCopy(long ageMillis) {
+		long copied = System.nanoTime() - ageMillis * 1_000_000L;
+		this.topics.values().forEach((records) -> records.removeIf((entry) -> entry.writtenNanos() - copied > 0));
+		this.firstOffsets.replaceAll((topic, first) -> Math.min(first, records(topic).size()));
+		this.era++;
+		notifyAll();
+	}
+
+	/**
+	 * Returns from a copy that has only the first records of a topic.
+	 * @param topic name of the topic without the prefix "keyed."
+	 * @param records number of records in the copy
+	 */
+	public synchronized void returnFromCopyWith(String topic, int records) {
+		List<Entry> log = records("keyed." + topic);
+		log.subList(Math.min(records, log.size()), log.size()).clear();
+		returnFromCopy(0);
+	}
+
 	/**
 	 * Returns all values that were written under a key, truncated ones included.
 	 * @param topic name of the topic without the prefix "keyed."
@@ -97,7 +124,7 @@
 	}
 
 	private int appendRecord(String topic, String key, byte[] value) {
-		records(topic).add(new Entry(key, value));
+		records(topic).add(new Entry(key, value, System.nanoTime()));
 		notifyAll();
 		return records(topic).size() - 1;
 	}
@@ -108,6 +135,7 @@
 
 	private void serve(HttpExchange exchange) throws IOException {
 		try (exchange) {
+			exchange.getResponseHeaders().set(HeaderNames.STORE_ERA, String.valueOf(this.era));
 			if (this.fault == Fault.SILENT) {
 				sleep(4000);
 				return;
@@ -149,9 +177,18 @@
 		boolean noNewRecords = this.fault == Fault.DEAF;
 		synchronized (this) {
 			int known = records(topic).size();
-			while ((noNewRecords || records(topic).size() <= from) && System.nanoTime() < until) {
+			long eraAtStart = this.era;
+			while (eraAtStart == this.era && from <= records(topic).size()
+					&& (noNewRecords || records(topic).size() == from) && System.nanoTime() < until) {
 				await((until - System.nanoTime()) / 1_000_000L + 1);
 			}
+			if (eraAtStart != this.era) {
+				return;
+			}
+			if (from > records(topic).size()) {
+				respond(exchange, 410, "{\"first\":0}".getBytes(StandardCharsets.UTF_8));
+				return;
+			}
 			if (from < this.firstOffsets.getOrDefault(topic, 0)) {
 				respond(exchange, 410,
 						("{\"first\":" + this.firstOffsets.get(topic) + "}").getBytes(StandardCharsets.UTF_8));
@@ -259,7 +296,7 @@
 
 	}
 
-	private record Entry(String key, byte[] value) {
+	private record Entry(String key, byte[] value, long writtenNanos) {
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -43,7 +43,7 @@
 	public static final String PERMIT_DECIDED = "SL-3110 request {} and limited server {}: {}, longest wait {} ms, next permit in {} ms";
 
 	/** A new configuration was read and applied. */
-	public static final String CONFIGURATION_APPLIED = "SL-3201 configuration {} is in force, read at offset {}";
+	public static final String CONFIGURATION_APPLIED = "SL-3201 configuration {} is in force, read at offset {} of era {}, by {}; before: {}";
 
 	/** A record could not be parsed and was skipped. */
 	public static final String RECORD_SKIPPED = "SL-3202 record {} at offset {} of {} was skipped: {}";
@@ -62,6 +62,15 @@
 	 */
 	public static final String LOG_TRUNCATED = "SL-3206 topic {} in the store was truncated or replaced: it ends at offset {}, this host expected offset {}; reading the newest records again";
 
+	/** The store has returned from an older copy. */
+	public static final String STORE_ERA_CHANGED = "SL-3207 the store names era {}, before {}: what was written since its copy was made is lost, and offsets are given out again";
+
+	/** A response of the store does not say to which era it belongs. */
+	public static final String STORE_ERA_MISSING = "SL-3208 a response of the store names no era, it is taken for one of era {}";
+
+	/** A configuration was read that is not later than the one in force. */
+	public static final String CONFIGURATION_IGNORED = "SL-3209 configuration {}, read at offset {} of era {} by {}, is ignored: {} is in force";
+
 	/** The process accepts requests. */
 	public static final String STARTED = "SL-3001 host {} in availability zone {} accepts clients at {} and readiness probes at {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
@@ -11,6 +11,7 @@
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutStatus;
 import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.fleet.StorePosition;
 import io.sequoialink.gateway.fleet.ValueAtOffset;
 import io.sequoialink.gateway.rollout.HostRolloutReport;
 import io.sequoialink.gateway.rollout.RolloutCoordinator;
@@ -61,6 +62,8 @@
 
 	private long outageEndedAt;
 
+	private long configurationSince;
+
 	/**
 	 * Creates an updater.
 	 * @param view the view to update
@@ -83,14 +86,30 @@
 	/**
 	 * Applies a configuration unless this host already uses a newer one.
 	 * @param configuration the configuration
-	 * @param offset offset of its record
+	 * @param position position of its record
+	 * @param path the way by which it came to this host
 	 */
-	public void configuration(Configuration configuration, long offset) {
+	public void configuration(Configuration configuration, StorePosition position, ReadPath path) {
+		String before = this.view.configuration().map((known) -> String.valueOf(known.version())).orElse("none");
 		if (this.view.updateConfiguration(configuration)) {
-			logger.info(GatewayEvents.CONFIGURATION_APPLIED, configuration.version(), offset);
+			this.configurationSince = this.clock.getAsLong();
+			logger.info(GatewayEvents.CONFIGURATION_APPLIED, configuration.version(), position.offset(), position.era(),
+					path, before);
+		}
+		else {
+			logger.info(GatewayEvents.CONFIGURATION_IGNORED, configuration.version(), position.offset(), position.era(),
+					path, before);
 		}
 	}
 
+	/**
+	 * Returns for how long the configuration has been in force on this host.
+	 * @return time in nanoseconds, 0 if there is none
+	 */
+	public long configurationAgeNanos() {
+		return this.view.configuration().isPresent() ? this.clock.getAsLong() - this.configurationSince : 0;
+	}
+
 	/**
 	 * Passes an operator's roll-out order to the roll-out coordinator.
 	 * @param order the order
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/KeyedTopic.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/KeyedTopic.java
@@ -16,6 +16,14 @@
 	 */
 	String name();
 
+	/**
+	 * Returns the era of the store, which rises each time it returns from an older copy.
+	 * A reply with records is always of the era that this method returns while the reply
+	 * is passed on.
+	 * @return the era that the store named last
+	 */
+	long era();
+
 	/**
 	 * Reads a page of the newest record of each key.
 	 * @param after key after which the page begins, empty for the first page
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/RecordSink.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/RecordSink.java
@@ -8,10 +8,11 @@
 	/**
 	 * Receives a record; the records of a key arrive in the order of their offsets.
 	 * @param record the record
+	 * @param path the way by which it came to this host
 	 * @return whether it may have changed the state of this host; only such records are
 	 * forwarded to other hosts
 	 */
-	boolean accept(KeyedRecord record);
+	boolean accept(KeyedRecord record, ReadPath path);
 
 	/**
 	 * Called when the topic has been read up to its current end.
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -169,7 +169,7 @@
 		long from = (firstEnd >= 0) ? firstEnd : page.end();
 		for (KeyedRecord record : page.records()) {
 			this.snapshotKeys.add(record.key());
-			deliver(record);
+			deliver(record, ReadPath.SNAPSHOT);
 		}
 		if (page.continueAfter().isPresent()) {
 			readPage(page.continueAfter(), from);
@@ -187,13 +187,13 @@
 		missing.removeAll(this.snapshotKeys);
 		for (String key : missing) {
 			if (this.offsets.get(key) < end) {
-				this.sink.accept(new KeyedRecord(key, NO_VALUE, this.offsets.get(key)));
+				this.sink.accept(new KeyedRecord(key, NO_VALUE, this.offsets.get(key)), ReadPath.SNAPSHOT);
 				this.offsets.remove(key);
 			}
 		}
 	}
 
-	private boolean deliver(KeyedRecord record) {
+	private boolean deliver(KeyedRecord record, ReadPath path) {
 		Long known = this.offsets.get(record.key());
 		if (known != null && known >= record.offset()) {
 			return false;
@@ -205,7 +205,7 @@
 			this.offsets.put(record.key(), record.offset());
 		}
 		try {
-			return this.sink.accept(record);
+			return this.sink.accept(record, path);
 		}
 		catch (RuntimeException ex) {
 			logger.warn(GatewayEvents.RECORD_SKIPPED, record.key(), record.offset(), this.topic.name(), ex.toString());
@@ -248,7 +248,10 @@
 			readSnapshot();
 			return;
 		}
-		List<KeyedRecord> changedRecords = tail.records().stream().filter(this::deliver).toList();
+		List<KeyedRecord> changedRecords = tail.records()
+			.stream()
+			.filter((record) -> deliver(record, ReadPath.POLL))
+			.toList();
 		long from = this.nextOffset;
 		this.nextOffset = Math.max(this.nextOffset, tail.next());
 		this.forwarding.forward(new ForwardedBatch(this.topic.name(), from, this.nextOffset, changedRecords, true));
@@ -295,7 +298,7 @@
 		if (this.outageSince != 0) {
 			recordRecovery(this.clock.getAsLong());
 		}
-		batch.changedRecords().forEach(this::deliver);
+		batch.changedRecords().forEach((record) -> deliver(record, ReadPath.FORWARDED));
 		this.nextOffset = batch.next();
 		this.lastReadAt = this.clock.getAsLong();
 		this.sink.caughtUp(this.nextOffset);
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FakeTopic.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FakeTopic.java
@@ -8,6 +8,8 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 
+import io.sequoialink.gateway.fleet.StorePosition;
+
 /**
  * An in-memory compacted topic that can be made to fail, to lose its history or to leave
  * calls unanswered. Replies immediately unless a read waits for records.
@@ -26,6 +28,8 @@
 
 	private long historyStart;
 
+	private long era = 1;
+
 	private boolean down;
 
 	private int pageSize = 100;
@@ -59,7 +63,8 @@
 	}
 
 	public void put(String key, String value) {
-		this.log.add(new KeyedRecord(key, value.getBytes(java.nio.charset.StandardCharsets.UTF_8), this.log.size()));
+		this.log.add(new KeyedRecord(key, value.getBytes(java.nio.charset.StandardCharsets.UTF_8),
+				new StorePosition(this.era, this.log.size())));
 		wake();
 	}
 
@@ -107,6 +112,11 @@
 		return "fake";
 	}
 
+	@Override
+	public long era() {
+		return this.era;
+	}
+
 	@Override
 	public void readSnapshot(Optional<String> after, Consumer<StoreReply<SnapshotPage>> reply) {
 		if (this.down) {
@@ -165,7 +175,7 @@
 			return;
 		}
 		long offset = this.log.size();
-		this.log.add(new KeyedRecord(key, value, offset));
+		this.log.add(new KeyedRecord(key, value, new StorePosition(this.era, offset)));
 		reply.accept(StoreReply.of(offset));
 		wake();
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
@@ -10,6 +10,7 @@
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.fleet.StorePosition;
 import io.sequoialink.gateway.fleet.ValueAtOffset;
 import io.sequoialink.gateway.rollout.RolloutCoordinator;
 import org.junit.jupiter.api.Test;
@@ -57,7 +58,8 @@
 
 	@Test
 	void completionIsReportedOnceAfterEverythingWasRead() {
-		this.updates.configuration(new Configuration(1, List.of(), List.of(), List.of(), ClientLimits.INITIAL), 0);
+		this.updates.configuration(new Configuration(1, List.of(), List.of(), List.of(), ClientLimits.INITIAL),
+				new StorePosition(1, 0), ReadPath.POLL);
 		this.updates.operatorRecordsRead();
 		assertThat(this.updates.complete()).isFalse();
 		this.updates.registrationsRead();
@@ -69,7 +71,8 @@
 	@Test
 	void theViewIsIncompleteUntilTheStateOfAnOrderedRollOutIsRead() {
 		this.updates.orderRead(new ValueAtOffset<>(new RolloutOrder("s", "v2", 1000), 0));
-		this.updates.configuration(new Configuration(1, List.of(), List.of(), List.of(), ClientLimits.INITIAL), 1);
+		this.updates.configuration(new Configuration(1, List.of(), List.of(), List.of(), ClientLimits.INITIAL),
+				new StorePosition(1, 1), ReadPath.POLL);
 		this.updates.operatorRecordsRead();
 		this.updates.registrationsRead();
 		assertThat(this.updates.complete()).isFalse();
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -362,7 +362,7 @@
 	private final class Sink implements RecordSink {
 
 		@Override
-		public boolean accept(KeyedRecord record) {
+		public boolean accept(KeyedRecord record, ReadPath path) {
 			if (record.key().equals("broken")) {
 				throw new IllegalStateException("can't be taken");
 			}
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/ForwardingFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/ForwardingFleet.java
@@ -19,12 +19,14 @@
 import io.sequoialink.gateway.feed.KeyedTopic;
 import io.sequoialink.gateway.feed.PollResult;
 import io.sequoialink.gateway.feed.PollingSettings;
+import io.sequoialink.gateway.feed.ReadPath;
 import io.sequoialink.gateway.feed.RecordSink;
 import io.sequoialink.gateway.feed.SnapshotPage;
 import io.sequoialink.gateway.feed.StoreAvailability;
 import io.sequoialink.gateway.feed.StoreFailure;
 import io.sequoialink.gateway.feed.StoreReply;
 import io.sequoialink.gateway.feed.TopicFollower;
+import io.sequoialink.gateway.fleet.StorePosition;
 
 /**
  * Simulates hosts that follow the operator's and the servers' topic of one store, in
@@ -227,7 +229,7 @@
 		}
 
 		@Override
-		public boolean accept(KeyedRecord record) {
+		public boolean accept(KeyedRecord record, ReadPath path) {
 			String value = new String(record.value(), StandardCharsets.UTF_8);
 			return !value.equals(this.values.put(record.key(), value));
 		}
@@ -255,6 +257,11 @@
 				return this.topic;
 			}
 
+			@Override
+			public long era() {
+				return StorePosition.NO_ERA;
+			}
+
 			@Override
 			public void readSnapshot(Optional<String> after, Consumer<StoreReply<SnapshotPage>> reply) {
 				call(() -> {
