Make the era of the store part of every position

Callers saw: after the store had returned from an older copy, a configuration that it acknowledged was in force on no host (CONFIG), until its offsets had grown beyond the former ones. Change: StorePosition (era, offset) in records, orders of roll-outs and datagrams; a response that was on its way when the era changed counts for nothing; each topic is read again in a new era; batches of an earlier era are ignored, one of a later era makes a host read; a topic that ends before the offset read shows a return without a header as well. Configurations go by their own version. Why it works: no offset is compared with one of another era any more.

--- a/entry/src/main/java/io/sequoialink/entry/StoreSubscriptions.java
+++ b/entry/src/main/java/io/sequoialink/entry/StoreSubscriptions.java
@@ -145,6 +145,13 @@
 		TopicFollower statusFollower = follow(StoreTopic.statuses(this.store, this.eras), this.statuses,
 				() -> statusPolling(this.statusesAreActive.getAsBoolean()));
 		this.statuses.setImmediateRead(statusFollower::pollNow);
+		this.eras.onChange(this::readAllAgain);
+	}
+
+	// Calls that wait since before the store returned may never be answered.
+	private void readAllAgain() {
+		this.store.cancelReads();
+		this.followers.values().forEach(TopicFollower::pollNow);
 	}
 
 	/**
--- a/entry/src/test/java/io/sequoialink/entry/StoreReturnTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/StoreReturnTests.java
@@ -7,7 +7,6 @@
 import io.sequoialink.soak.SimulatedStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -59,7 +58,6 @@
 	// force.
 	@ParameterizedTest
 	@ValueSource(ints = { 0, 1, 3 })
-	@Tag("known-red")
 	void aConfigurationAcknowledgedAfterTheStoreReturnedFromAnOlderCopyIsInForceInTime(int later) {
 		this.store.returnFromCopyWith("op", 2);
 		configure(6);
@@ -72,7 +70,6 @@
 	// Guards against the same with the last change before a calm, after two returns in a
 	// row.
 	@Test
-	@Tag("known-red")
 	void theLastConfigurationAfterTwoReturnsIsInForceInTime() {
 		this.store.returnFromCopyWith("op", 3);
 		configure(6);
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -71,6 +71,12 @@
 	/** A configuration was read that is not later than the one in force. */
 	public static final String CONFIGURATION_IGNORED = "SL-3209 configuration {}, read at offset {} of era {} by {}, is ignored: {} is in force";
 
+	/** A topic is read again because the store has returned from an older copy. */
+	public static final String TOPIC_RETURNED = "SL-3210 topic {} is read again in era {} of the store: this host expected offset {}, the topic ends at {}; {} records from before are compared with it";
+
+	/** The copy from which the store returned has a server that has left since. */
+	public static final String SERVER_NOT_REVIVED = "SL-3212 server {} of {} stays out of use although the store's older copy has it: it {}";
+
 	/** The process accepts requests. */
 	public static final String STARTED = "SL-3001 host {} in availability zone {} accepts clients at {} and readiness probes at {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 
 import io.sequoialink.gateway.GatewayEvents;
@@ -47,6 +48,8 @@
 
 	private final Map<String, Long> pendingRemovals = new HashMap<>();
 
+	private final DepartedServers departed;
+
 	private boolean operatorRead;
 
 	private boolean serversRead;
@@ -81,6 +84,7 @@
 		this.orderListener = orderListener;
 		this.completionListener = completionListener;
 		this.clock = clock;
+		this.departed = new DepartedServers(clock);
 	}
 
 	/**
@@ -158,6 +162,24 @@
 		reportIfComplete();
 	}
 
+	/**
+	 * Applies a server's registration from an older copy of the store. It brings back no
+	 * server that has left or drains: one that is alive registers again soon.
+	 * @param entry the registration
+	 * @return whether it changes what this host knows
+	 */
+	public boolean registeredInCopy(ServerEntry entry) {
+		Optional<ServerEntry> known = this.view.server(entry.id());
+		boolean drains = known
+			.filter((before) -> before.draining() && !entry.draining() && before.startMillis() == entry.startMillis())
+			.isPresent();
+		if (drains || this.departed.contains(entry)) {
+			logger.info(GatewayEvents.SERVER_NOT_REVIVED, entry.id(), entry.service(), drains ? "drains" : "has left");
+			return false;
+		}
+		return registered(entry);
+	}
+
 	/**
 	 * Applies a server's registration.
 	 * @param entry the registration
@@ -166,6 +188,7 @@
 	 */
 	public boolean registered(ServerEntry entry) {
 		boolean removalPending = this.pendingRemovals.remove(entry.id()) != null;
+		this.departed.remove(entry.id());
 		ServerEntry before = this.view.server(entry.id()).orElse(null);
 		this.view.put(entry);
 		if (before == null || before.draining() != entry.draining() || before.startMillis() != entry.startMillis()) {
@@ -194,8 +217,10 @@
 	}
 
 	private void remove(String id) {
-		this.view.server(id)
-			.ifPresent((entry) -> logger.info(GatewayEvents.SERVER_CHANGED, id, entry.service(), "gone"));
+		this.view.server(id).ifPresent((entry) -> {
+			this.departed.add(entry);
+			logger.info(GatewayEvents.SERVER_CHANGED, id, entry.service(), "gone");
+		});
 		this.view.remove(id);
 	}
 
@@ -216,7 +241,8 @@
 	}
 
 	/**
-	 * Called when the store can be read again after an outage.
+	 * Called when the store can be read again after an outage, or has returned from an
+	 * older copy.
 	 */
 	public void outageEnded() {
 		this.outageEndedAt = this.clock.getAsLong();
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/RecordSink.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/RecordSink.java
@@ -20,6 +20,14 @@
 	 */
 	void caughtUp(long end);
 
+	/**
+	 * Called when the store has returned from an older copy. Its records follow with the
+	 * path {@link ReadPath#RETURNED_COPY}, and keys that it lacks as deleted; they may be
+	 * older than what was read before, and what is missing may be written again soon.
+	 */
+	default void storeReturned() {
+	}
+
 	/**
 	 * Called when the topic can be read again after an outage; the missed records follow.
 	 */
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 
 import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.fleet.StorePosition;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -19,11 +20,12 @@
  * records that follow. Confined to the event loop.
  *
  * <p>
- * Invariants: the records of a key are delivered in the order of their offsets and at
- * most once; a key that no longer exists after the history was lost is delivered as
- * deleted; while the store cannot be read, delivered state is kept and the age of the
- * last successful read is known; a record on which the sink fails is skipped and does not
- * hold up those that follow.
+ * Invariants: the records of a key are delivered in the order of their positions and at
+ * most once; an offset is used only in the era in which it was given, and once the store
+ * has returned from an older copy all records are read again; a key that no longer exists
+ * after the history was lost is delivered as deleted; while the store cannot be read,
+ * delivered state is kept and the age of the last successful read is known; a record on
+ * which the sink fails is skipped and does not hold up those that follow.
  */
 public final class TopicFollower {
 
@@ -61,12 +63,23 @@
 
 	private final ReadForwarding forwarding;
 
-	private final Map<String, Long> offsets = new HashMap<>();
+	/** Position of all records that were read in an earlier era. */
+	private static final StorePosition EARLIER_ERA = new StorePosition(StorePosition.NO_ERA, -1);
+
+	private final Map<String, StorePosition> positions = new HashMap<>();
 
 	private final Set<String> snapshotKeys = new HashSet<>();
 
 	private long nextOffset = -1;
 
+	private long era = StorePosition.NO_ERA;
+
+	private long newestEraHeard = StorePosition.NO_ERA;
+
+	private long nextOffsetAtSnapshot = -1;
+
+	private ReadPath snapshotPath = ReadPath.SNAPSHOT;
+
 	private long callStartedAt;
 
 	private long lastReadAt;
@@ -153,6 +166,7 @@
 
 	private void readSnapshot() {
 		this.snapshotKeys.clear();
+		this.nextOffsetAtSnapshot = this.nextOffset;
 		readPage(Optional.empty(), -1);
 	}
 
@@ -166,10 +180,18 @@
 
 	private void processPage(SnapshotPage page, long firstEnd) {
 		recordSuccess();
-		long from = (firstEnd >= 0) ? firstEnd : page.end();
+		boolean firstPage = firstEnd < 0;
+		if (!firstPage && this.topic.era() != this.era) {
+			readSnapshot();
+			return;
+		}
+		if (firstPage) {
+			enterEra(page.end());
+		}
+		long from = firstPage ? page.end() : firstEnd;
 		for (KeyedRecord record : page.records()) {
 			this.snapshotKeys.add(record.key());
-			deliver(record, ReadPath.SNAPSHOT);
+			deliver(record, this.snapshotPath);
 		}
 		if (page.continueAfter().isPresent()) {
 			readPage(page.continueAfter(), from);
@@ -177,32 +199,52 @@
 		}
 		deleteMissing(from);
 		this.nextOffset = from;
+		this.snapshotPath = ReadPath.SNAPSHOT;
 		this.initialized = true;
 		this.sink.caughtUp(from);
 		pollUnlessForwarded();
 	}
 
+	// A topic that ends before the offset read so far shows a return also if the store
+	// names no era.
+	private void enterEra(long end) {
+		boolean returned = this.topic.era() != this.era || end < this.nextOffsetAtSnapshot;
+		this.era = this.topic.era();
+		if (!returned || this.nextOffsetAtSnapshot < 0 && this.positions.isEmpty()) {
+			return;
+		}
+		logger.warn(GatewayEvents.TOPIC_RETURNED, this.topic.name(), this.era, this.nextOffsetAtSnapshot, end,
+				this.positions.size());
+		this.snapshotPath = ReadPath.RETURNED_COPY;
+		this.nextOffset = end;
+		this.positions.replaceAll((key, position) -> EARLIER_ERA);
+		this.outOfOrder.clear();
+		this.sink.storeReturned();
+	}
+
 	private void deleteMissing(long end) {
-		Set<String> missing = new HashSet<>(this.offsets.keySet());
+		StorePosition endPosition = new StorePosition(this.era, end);
+		Set<String> missing = new HashSet<>(this.positions.keySet());
 		missing.removeAll(this.snapshotKeys);
 		for (String key : missing) {
-			if (this.offsets.get(key) < end) {
-				this.sink.accept(new KeyedRecord(key, NO_VALUE, this.offsets.get(key)), ReadPath.SNAPSHOT);
-				this.offsets.remove(key);
+			StorePosition known = this.positions.get(key);
+			if (known.compareTo(endPosition) < 0) {
+				this.sink.accept(new KeyedRecord(key, NO_VALUE, known), this.snapshotPath);
+				this.positions.remove(key);
 			}
 		}
 	}
 
 	private boolean deliver(KeyedRecord record, ReadPath path) {
-		Long known = this.offsets.get(record.key());
-		if (known != null && known >= record.offset()) {
+		StorePosition known = this.positions.get(record.key());
+		if (known != null && known.compareTo(record.position()) >= 0) {
 			return false;
 		}
 		if (record.deleted()) {
-			this.offsets.remove(record.key());
+			this.positions.remove(record.key());
 		}
 		else {
-			this.offsets.put(record.key(), record.offset());
+			this.positions.put(record.key(), record.position());
 		}
 		try {
 			return this.sink.accept(record, path);
@@ -221,11 +263,14 @@
 			schedule(this::pollUnlessForwarded, waitMillis);
 			return;
 		}
-		this.pollForced = false;
 		poll();
 	}
 
 	private void poll() {
+		if (this.topic.era() != this.era) {
+			readSnapshot();
+			return;
+		}
 		this.callStartedAt = this.clock.getAsLong();
 		this.topic.poll(this.nextOffset, pollTimeoutMillis(), (reply) -> reply.match(this::processPoll, (failure) -> {
 			recordFailure(failure);
@@ -242,7 +287,12 @@
 	}
 
 	private void processPoll(PollResult tail) {
+		this.pollForced = false;
 		recordSuccess();
+		if (this.topic.era() != this.era) {
+			readSnapshot();
+			return;
+		}
 		if (tail.historyLost() || tail.end() < this.nextOffset) {
 			logger.info(GatewayEvents.LOG_TRUNCATED, this.topic.name(), tail.end(), this.nextOffset);
 			readSnapshot();
@@ -254,7 +304,8 @@
 			.toList();
 		long from = this.nextOffset;
 		this.nextOffset = Math.max(this.nextOffset, tail.next());
-		this.forwarding.forward(new ForwardedBatch(this.topic.name(), from, this.nextOffset, changedRecords, true));
+		this.forwarding
+			.forward(new ForwardedBatch(this.topic.name(), this.era, from, this.nextOffset, changedRecords, true));
 		boolean more = this.nextOffset < tail.end();
 		if (!more) {
 			this.sink.caughtUp(this.nextOffset);
@@ -272,11 +323,16 @@
 	/**
 	 * Applies a batch that another host has read and forwarded. A batch that arrives out
 	 * of order is buffered for a short time. If the missing range does not arrive, or the
-	 * batch is incomplete, this host reads the store itself.
+	 * batch is incomplete, this host reads the store itself, and also if the batch is of
+	 * a later era. One of an earlier era is ignored.
 	 * @param batch the batch
 	 */
 	public void forwarded(ForwardedBatch batch) {
-		if (!this.initialized || batch.next() < this.nextOffset) {
+		if (this.initialized && batch.era() > this.era) {
+			readLaterEra(batch.era());
+			return;
+		}
+		if (!this.initialized || batch.era() < this.era || batch.next() < this.nextOffset) {
 			return;
 		}
 		if (!batch.complete()) {
@@ -293,6 +349,15 @@
 		}
 	}
 
+	private void readLaterEra(long heard) {
+		if (heard > this.newestEraHeard) {
+			this.newestEraHeard = heard;
+			this.availability.countForwarded(this.topic.name(), "later_era");
+			this.topic.abortWaitingCalls();
+			pollNow();
+		}
+	}
+
 	private void apply(ForwardedBatch batch) {
 		this.availability.countForwarded(this.topic.name(), "followed");
 		if (this.outageSince != 0) {
@@ -370,11 +435,12 @@
 	}
 
 	/**
-	 * Polls at once, unless a call is in progress.
+	 * Polls at once. If a call is in progress that fails, polls again after it although
+	 * another host may read for this one.
 	 */
 	public void pollNow() {
+		this.pollForced = true;
 		if (this.scheduled != null) {
-			this.pollForced = true;
 			this.scheduled.run();
 		}
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/BatchFormat.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/BatchFormat.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.sequoialink.gateway.feed.ForwardedBatch;
 import io.sequoialink.gateway.feed.KeyedRecord;
+import io.sequoialink.gateway.fleet.StorePosition;
 
 /**
  * Encodes batches of store records as datagrams in JSON; the JSON library is already
@@ -22,7 +23,7 @@
 	static final int MAX_DATAGRAM_BYTES = 1200;
 
 	/** Space reserved for everything except the records, in bytes. */
-	private static final int ENVELOPE_BYTES = 200;
+	private static final int ENVELOPE_BYTES = 215;
 
 	/** Encoded size of a record without its key and value, in bytes. */
 	private static final int RECORD_OVERHEAD_BYTES = 32;
@@ -46,13 +47,14 @@
 		for (KeyedRecord record : batch.changedRecords()) {
 			int size = encodedSize(record);
 			if (bytes + size > MAX_DATAGRAM_BYTES && record.offset() > from) {
-				parts.add(new ForwardedBatch(batch.topic(), from, record.offset(), List.copyOf(fitting), true));
+				parts.add(new ForwardedBatch(batch.topic(), batch.era(), from, record.offset(), List.copyOf(fitting),
+						true));
 				fitting.clear();
 				from = record.offset();
 				bytes = ENVELOPE_BYTES;
 			}
 			if (bytes + size > MAX_DATAGRAM_BYTES) {
-				parts.add(new ForwardedBatch(batch.topic(), from, record.offset() + 1, List.of(), false));
+				parts.add(new ForwardedBatch(batch.topic(), batch.era(), from, record.offset() + 1, List.of(), false));
 				from = record.offset() + 1;
 				continue;
 			}
@@ -60,7 +62,7 @@
 			bytes += size;
 		}
 		if (from < batch.next() || parts.isEmpty()) {
-			parts.add(new ForwardedBatch(batch.topic(), from, batch.next(), List.copyOf(fitting), true));
+			parts.add(new ForwardedBatch(batch.topic(), batch.era(), from, batch.next(), List.copyOf(fitting), true));
 		}
 		return parts;
 	}
@@ -75,6 +77,7 @@
 		ObjectNode node = MAPPER.createObjectNode();
 		node.put("host", message.host());
 		node.put("topic", batch.topic());
+		node.put("era", batch.era());
 		node.put("from", batch.from());
 		node.put("next", batch.next());
 		node.put("whole", batch.complete());
@@ -91,15 +94,16 @@
 				|| !node.path("next").isIntegralNumber()) {
 			throw new IOException("datagram has no host, start offset or end offset");
 		}
+		long era = node.path("era").asLong(StorePosition.NO_ERA);
 		List<KeyedRecord> changes = new ArrayList<>();
 		for (JsonNode row : node.path("changes")) {
 			byte[] value = row.path(1).binaryValue();
 			if (value == null) {
 				throw new IOException("record has no value");
 			}
-			changes.add(new KeyedRecord(row.path(0).asText(), value, row.path(2).asLong()));
+			changes.add(new KeyedRecord(row.path(0).asText(), value, new StorePosition(era, row.path(2).asLong())));
 		}
-		ForwardedBatch batch = new ForwardedBatch(node.path("topic").asText(), node.path("from").asLong(),
+		ForwardedBatch batch = new ForwardedBatch(node.path("topic").asText(), era, node.path("from").asLong(),
 				node.path("next").asLong(), changes, node.path("whole").asBoolean());
 		return new BatchMessage(node.path("host").asText(), batch);
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/PeerAddressPublisher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/PeerAddressPublisher.java
@@ -7,8 +7,9 @@
 
 /**
  * Publishes this host's datagram address in the store: at the start, unless the store
- * contains it from an earlier process of this host, and again every hour, so that
- * addresses which are no longer written can be deleted. Confined to the event loop.
+ * contains it from an earlier process of this host, when the store has lost it, and again
+ * every hour, so that addresses which are no longer written can be deleted. Confined to
+ * the event loop.
  */
 public final class PeerAddressPublisher {
 
@@ -26,6 +27,8 @@
 
 	private boolean started;
 
+	private boolean written;
+
 	/**
 	 * Creates a publisher that has written nothing yet.
 	 * @param readForwarder contains the addresses that were read from the store
@@ -40,16 +43,21 @@
 
 	/**
 	 * Called after each complete read of the records that hosts publish. The first call
-	 * starts the publishing.
+	 * starts the publishing; later ones publish again if the store has lost the address.
 	 */
 	public void onStatusesRead() {
 		if (!this.started) {
 			this.started = true;
-			if (!this.readForwarder.isOwnAddressStored()) {
-				writeAddress();
-			}
 			this.timer.schedule(this::writeAgain, REPEAT_MILLIS);
 		}
+		boolean stored = this.readForwarder.isOwnAddressStored();
+		if (!stored && !this.written) {
+			this.written = true;
+			writeAddress();
+		}
+		if (stored) {
+			this.written = false;
+		}
 	}
 
 	// Only a host that reads the store itself deletes expired addresses, so that not
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/PeerListener.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/PeerListener.java
@@ -32,4 +32,11 @@
 	 */
 	void onPeerDeleted(String host);
 
+	/**
+	 * Called when the store has lost a host's address, which may still be right.
+	 * @param host name of the host
+	 */
+	default void onPeerLost(String host) {
+	}
+
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/ReadForwarder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/ReadForwarder.java
@@ -99,6 +99,13 @@
 		this.addressWrittenAt.remove(host);
 	}
 
+	@Override
+	public void onPeerLost(String host) {
+		if (host.equals(this.self.host())) {
+			onPeerDeleted(host);
+		}
+	}
+
 	/**
 	 * Removes the hosts whose address is older than {@link #MAX_ADDRESS_AGE_NANOS}.
 	 * @return names of the removed hosts
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -48,7 +48,7 @@
 
 	private final String host;
 
-	private final ValueAtOffset<RolloutOrder> order;
+	private ValueAtOffset<RolloutOrder> order;
 
 	private final CanarySchedule schedule;
 
@@ -129,6 +129,15 @@
 		return this.order;
 	}
 
+	/**
+	 * Replaces the position of the order, after the store has returned from an older copy
+	 * and the operator has written the order again.
+	 * @param writtenAgain the same order with its new position
+	 */
+	void moveOrder(ValueAtOffset<RolloutOrder> writtenAgain) {
+		this.order = writtenAgain;
+	}
+
 	/**
 	 * Applies a state that was read from the store. Ignored after a final state.
 	 * @param published the state
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
@@ -91,12 +91,17 @@
 
 	/**
 	 * Begins the roll-out that an operator ordered. Ignored if this host has already read
-	 * the same or a later order for the service.
+	 * the same or a later order for the service. An equal order that was read in another
+	 * era of the store is the same one, written again.
 	 * @param order the roll-out order with the offset of its record
 	 */
 	public void onOrder(ValueAtOffset<RolloutOrder> order) {
 		Canary current = this.canaries.get(order.value().service());
-		if (current != null && current.order().offset() >= order.offset()) {
+		if (current != null && !order.mayReplace(current.order())) {
+			return;
+		}
+		if (current != null && order.inOtherEra(current.order()) && order.value().equals(current.order().value())) {
+			current.moveOrder(order);
 			return;
 		}
 		CanarySchedule schedule = new CanarySchedule(this.options.permittedShare(), order.value().durationMillis());
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FakeTopic.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FakeTopic.java
@@ -30,6 +30,9 @@
 
 	private long era = 1;
 
+	private Runnable beforeNextPage = () -> {
+	};
+
 	private boolean down;
 
 	private int pageSize = 100;
@@ -68,6 +71,30 @@
 		wake();
 	}
 
+	/**
+	 * Returns from a copy that has only the first records, in the next era. Calls that
+	 * wait fail.
+	 */
+	public void returnFromCopy(int records) {
+		this.era++;
+		returnFromCopyWithoutEra(records);
+	}
+
+	/** Does the same without naming another era. */
+	public void returnFromCopyWithoutEra(int records) {
+		this.log.subList(records, this.log.size()).clear();
+		this.historyStart = Math.min(this.historyStart, records);
+		List<Consumer<StoreReply<PollResult>>> due = new ArrayList<>(this.waitingReplies);
+		this.waiting.clear();
+		this.waitingReplies.clear();
+		due.forEach((reply) -> reply.accept(failure()));
+	}
+
+	/** Runs an action once, before the next page but the first is read. */
+	public void beforeNextPage(Runnable action) {
+		this.beforeNextPage = action;
+	}
+
 	public void loseHistory() {
 		this.historyStart = this.log.size();
 	}
@@ -123,6 +150,12 @@
 			reply.accept(failure());
 			return;
 		}
+		if (after.isPresent()) {
+			Runnable action = this.beforeNextPage;
+			this.beforeNextPage = () -> {
+			};
+			action.run();
+		}
 		Map<String, KeyedRecord> newest = new LinkedHashMap<>();
 		for (KeyedRecord record : this.log) {
 			newest.remove(record.key());
@@ -148,7 +181,7 @@
 		if (this.down) {
 			reply.accept(failure());
 		}
-		else if (from < this.historyStart) {
+		else if (from < this.historyStart || from > this.log.size()) {
 			reply.accept(StoreReply.of(new PollResult(List.of(), from, this.log.size(), true)));
 		}
 		else if (from < this.log.size()) {
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
@@ -80,6 +80,54 @@
 		assertThat(this.updates.complete()).isTrue();
 	}
 
+	// Guards against a server that comes back to life from an older copy of the store
+	// (DRAIN).
+	@Test
+	void aServerThatHasLeftIsNotRevivedByTheCopy() {
+		this.updates.registered(entry("a"));
+		this.updates.deregistered("a");
+		this.updates.outageEnded();
+		assertThat(this.updates.registeredInCopy(entry("a"))).isFalse();
+		assertThat(this.view.server("a")).isEmpty();
+		this.updates.registered(entry("a"));
+		assertThat(this.view.server("a")).isPresent();
+	}
+
+	@Test
+	void aServerThatDrainsDoesNotBecomeReadyByTheCopy() {
+		this.updates.registered(entry("a"));
+		this.updates.registered(entry("a", true, 0));
+		assertThat(this.updates.registeredInCopy(entry("a"))).isFalse();
+		assertThat(this.view.server("a").orElseThrow().draining()).isTrue();
+	}
+
+	@Test
+	void aLaterProcessOfAServerThatHasLeftIsTakenFromTheCopy() {
+		this.updates.registered(entry("a", true, 5));
+		this.updates.deregistered("a");
+		assertThat(this.updates.registeredInCopy(entry("a", false, 6))).isTrue();
+		assertThat(this.view.server("a")).isPresent();
+	}
+
+	@Test
+	void anOlderConfigurationDoesNotReplaceALaterOne() {
+		configure(7);
+		configure(4);
+		assertThat(this.view.configuration().orElseThrow().version()).isEqualTo(7);
+		this.now += TimeUnit.SECONDS.toNanos(3);
+		configure(7);
+		assertThat(this.updates.configurationAgeNanos()).isEqualTo(TimeUnit.SECONDS.toNanos(3));
+	}
+
+	private void configure(long version) {
+		this.updates.configuration(new Configuration(version, List.of(), List.of(), List.of(), ClientLimits.INITIAL),
+				new StorePosition(1, 0), ReadPath.RETURNED_COPY);
+	}
+
+	private static ServerEntry entry(String id, boolean draining, long startMillis) {
+		return new ServerEntry(id, "s", new InetSocketAddress("127.0.0.1", 1), "z", "v1", 1, draining, 0, startMillis);
+	}
+
 	private static ServerEntry entry(String id) {
 		return new ServerEntry(id, "s", new InetSocketAddress("127.0.0.1", 1), "z", "v1", 1, false, 0, 0);
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 
 import io.sequoialink.gateway.count.LabelledCounters;
+import io.sequoialink.gateway.fleet.StorePosition;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -25,6 +26,10 @@
 
 	private int recoveries;
 
+	private int returns;
+
+	private final List<ReadPath> paths = new ArrayList<>();
+
 	private long now = 1;
 
 	private final StoreAvailability availability = new StoreAvailability(new LabelledCounters("topic", "outcome"),
@@ -151,11 +156,11 @@
 	}
 
 	private static KeyedRecord record(String key, String value, long offset) {
-		return new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), offset);
+		return new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), new StorePosition(1, offset));
 	}
 
 	private ForwardedBatch shared(long from, long next, boolean whole, KeyedRecord... changes) {
-		return new ForwardedBatch(this.topic.name(), from, next, List.of(changes), whole);
+		return new ForwardedBatch(this.topic.name(), 1, from, next, List.of(changes), whole);
 	}
 
 	@Test
@@ -344,6 +349,97 @@
 		assertThat(this.delays).endsWith(100L);
 	}
 
+	private void putMany(int from, int to) {
+		for (int i = from; i <= to; i++) {
+			this.topic.put("config", String.valueOf(i));
+		}
+	}
+
+	// Guards against the incident CONFIG, first cause: records of a later era were taken
+	// for known by their offsets. In the last case the next read succeeds and shows
+	// nothing but the era.
+	@ParameterizedTest
+	@CsvSource({ "0", "1", "2", "5" })
+	void recordsWrittenAfterTheStoreReturnedAreDelivered(int laterRecords) {
+		putMany(1, 5);
+		this.follower.start();
+		this.topic.returnFromCopy(2);
+		this.topic.put("config", "6");
+		for (int i = 0; i < laterRecords; i++) {
+			this.topic.put("other" + i, "x");
+		}
+		runScheduled();
+		assertThat(this.seen).containsEntry("config", "6").hasSize(1 + laterRecords);
+		assertThat(this.returns).isEqualTo(1);
+	}
+
+	@Test
+	void eachOfTwoReturnsInARowIsNoticed() {
+		putMany(1, 5);
+		this.follower.start();
+		this.topic.returnFromCopy(4);
+		this.topic.put("config", "6");
+		runScheduled();
+		this.topic.returnFromCopy(1);
+		this.topic.put("config", "7");
+		runScheduled();
+		assertThat(this.seen).containsEntry("config", "7");
+		assertThat(this.returns).isEqualTo(2);
+	}
+
+	@Test
+	void aReturnIsNoticedByTheEndOfTheTopicIfTheStoreNamesNoEra() {
+		putMany(1, 5);
+		this.follower.start();
+		this.topic.returnFromCopyWithoutEra(2);
+		this.topic.put("config", "6");
+		runScheduled();
+		assertThat(this.seen).containsEntry("config", "6");
+	}
+
+	@Test
+	void aReturnBetweenTwoPagesRestartsTheSnapshot() {
+		this.topic.pageSize(1);
+		putMany(1, 5);
+		this.topic.put("z", "1");
+		this.topic.beforeNextPage(() -> {
+			this.topic.returnFromCopy(2);
+			this.topic.put("config", "6");
+		});
+		this.follower.start();
+		assertThat(this.seen).containsOnly(Map.entry("config", "6"));
+	}
+
+	@Test
+	void aKeyThatTheCopyLacksIsDeliveredAsDeletedByTheReturn() {
+		this.topic.put("a", "1");
+		this.topic.put("b", "1");
+		this.follower.start();
+		this.topic.returnFromCopy(1);
+		runScheduled();
+		assertThat(this.seen).containsOnlyKeys("a");
+		assertThat(this.paths).contains(ReadPath.RETURNED_COPY).doesNotContain(ReadPath.FORWARDED);
+	}
+
+	// Guards against readers of two eras side by side (CONFIG): offsets of one mean
+	// nothing in the other.
+	@Test
+	void aBatchOfAnEarlierEraIsIgnoredAndOneOfALaterEraMakesTheHostRead() {
+		putMany(1, 3);
+		this.follower.start();
+		this.anotherReads = true;
+		this.topic.returnFromCopy(1);
+		this.topic.put("config", "4");
+		int calls = this.topic.reads();
+		this.follower.forwarded(new ForwardedBatch("fake", 2, 1, 2, List.of(), true));
+		runScheduled();
+		assertThat(this.seen).containsEntry("config", "4");
+		assertThat(this.topic.reads()).isGreaterThanOrEqualTo(calls);
+		this.follower.forwarded(shared(2, 9, true, record("config", "old", 8)));
+		assertThat(this.seen).containsEntry("config", "4");
+		assertThat(this.follower.nextOffset()).isEqualTo(2);
+	}
+
 	private void schedule(Runnable work, long millis) {
 		this.scheduled.add(work);
 		this.delays.add(millis);
@@ -363,6 +459,7 @@
 
 		@Override
 		public boolean accept(KeyedRecord record, ReadPath path) {
+			TopicFollowerTests.this.paths.add(path);
 			if (record.key().equals("broken")) {
 				throw new IllegalStateException("can't be taken");
 			}
@@ -378,6 +475,11 @@
 			assertThat(end).isNotNegative();
 		}
 
+		@Override
+		public void storeReturned() {
+			TopicFollowerTests.this.returns++;
+		}
+
 		@Override
 		public void storeRecovered() {
 			TopicFollowerTests.this.recoveries++;
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/PeerAddressPublisherTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/PeerAddressPublisherTests.java
@@ -74,6 +74,20 @@
 		assertThat(this.written).isEmpty();
 	}
 
+	@Test
+	void anAddressThatTheStoreHasLostIsWrittenAgainAndThoseOfOthersAreKept() {
+		Peer other = new Peer("h7", "a", new InetSocketAddress("10.0.0.7", 7340));
+		this.readForwarder.onPeer(this.self, 0);
+		this.readForwarder.onPeer(other, 0);
+		this.publisher.onStatusesRead();
+		this.readForwarder.onPeerLost("h5");
+		this.readForwarder.onPeerLost("h7");
+		this.publisher.onStatusesRead();
+		this.publisher.onStatusesRead();
+		assertThat(this.written).containsExactly(this.self);
+		assertThat(this.readForwarder.otherPeers()).containsExactly(other);
+	}
+
 	@Test
 	void failedWriteOfTheAddressIsRetried() {
 		this.rejecting = true;
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
@@ -15,6 +15,7 @@
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutState;
 import io.sequoialink.gateway.fleet.RolloutStatus;
+import io.sequoialink.gateway.fleet.StorePosition;
 import io.sequoialink.gateway.fleet.ValueAtOffset;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -222,6 +223,21 @@
 		assertThat(states.contains(RolloutState.COMPLETED)).isEqualTo(completed);
 	}
 
+	// Guards against a roll-out that begins anew because the store has returned from an
+	// older copy and its order was written again at another offset.
+	@ParameterizedTest
+	@CsvSource({ "v2, 3, true", "v2, 9, true", "v3, 3, false" })
+	void anEqualOrderOfAnotherEraIsTheSameRollOut(String target, long offset, boolean same) {
+		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
+				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> 1, new Random(1));
+		watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", "v2", DURATION), new StorePosition(1, 7)));
+		Canary before = watch.canary("s");
+		watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", target, DURATION), new StorePosition(2, offset)));
+		assertThat(watch.canary("s") == before).isEqualTo(same);
+		assertThat(watch.canary("s").order().position()).isEqualTo(new StorePosition(2, offset));
+		assertThat(watch.targetVersion("s")).isEqualTo(target);
+	}
+
 	@Test
 	void highScoreDoesNotKeepAVersionUndecidedForever() {
 		List<RolloutState> states = new ArrayList<>();
