--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -349,6 +349,21 @@
 		assertThat(this.delays).endsWith(100L);
 	}
 
+	// Guards against the incident CONFIG, second cause: a reader forwarded a range as
+	// complete that lacked a record which it knew already from a page of its snapshot.
+	@Test
+	void aRecordThatThePagesHadBeyondTheirEndIsForwarded() {
+		this.topic.pageSize(1);
+		this.topic.put("a", "1");
+		this.topic.put("config", "1");
+		this.topic.beforeNextPage(() -> this.topic.put("config", "2"));
+		this.follower.start();
+		assertThat(this.seen).containsEntry("config", "2");
+		assertThat(this.forwarded).hasSize(1);
+		assertThat(this.forwarded.get(0).from()).isEqualTo(2);
+		assertThat(this.forwarded.get(0).changedRecords()).extracting(KeyedRecord::offset).containsExactly(2L);
+	}
+
 	private void putMany(int from, int to) {
 		for (int i = from; i <= to; i++) {
 			this.topic.put("config", String.valueOf(i));
