Do not wait for a call that another host's reads have overtaken

Cause: a call sent to the silent store was kept for its whole time. A host that learnt the end of the outage by a forwarded batch did not make its waiting calls again, as one that reads it does, and an incomplete batch did nothing while a call was under way.

--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -74,6 +74,12 @@
 	/** A topic is read again because the store has returned from an older copy. */
 	public static final String TOPIC_RETURNED = "SL-3210 topic {} is read again in era {} of the store: this host expected offset {}, the topic ends at {}; {} records from before are compared with it";
 
+	/**
+	 * A call to the store did not return although another host read more records
+	 * meanwhile.
+	 */
+	public static final String CALL_RENEWED = "SL-3211 a call for topic {} has not returned for {} ms, but another host has read up to offset {}, this one up to {}: it is made again";
+
 	/** The copy from which the store returned has a server that has left since. */
 	public static final String SERVER_NOT_REVIVED = "SL-3212 server {} of {} stays out of use although the store's older copy has it: it {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/OutOfOrderBatches.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/OutOfOrderBatches.java
@@ -41,6 +41,14 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns the offset after the last buffered record.
+	 * @return the offset, -1 if nothing is buffered
+	 */
+	long end() {
+		return this.batches.values().stream().mapToLong(ForwardedBatch::next).max().orElse(-1);
+	}
+
 	boolean isEmpty() {
 		return this.batches.isEmpty();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -66,6 +66,13 @@
 	/** Position of all records that were read in an earlier era. */
 	private static final StorePosition EARLIER_ERA = new StorePosition(StorePosition.NO_ERA, -1);
 
+	/**
+	 * Time after which a call that is under way is repeated if another host has meanwhile
+	 * read records which this one lacks, in milliseconds. A call to a store that is well
+	 * returns at once then; one that was sent in an outage may never return.
+	 */
+	static final long OVERTAKEN_CALL_MILLIS = 500;
+
 	private final Map<String, StorePosition> positions = new HashMap<>();
 
 	private final Set<String> snapshotKeys = new HashSet<>();
@@ -340,7 +347,7 @@
 			return;
 		}
 		if (!batch.complete()) {
-			pollMissing();
+			pollMissing(batch.next());
 			return;
 		}
 		if (batch.from() > this.nextOffset) {
@@ -366,6 +373,7 @@
 		this.availability.countForwarded(this.topic.name(), "followed");
 		if (this.outageSince != 0) {
 			recordRecovery(this.clock.getAsLong());
+			this.topic.abortWaitingCalls();
 		}
 		batch.changedRecords().forEach((record) -> deliver(record, ReadPath.FORWARDED));
 		this.nextOffset = batch.next();
@@ -378,22 +386,34 @@
 			this.timer.schedule(this::pollIfGapRemains, REORDER_MILLIS);
 		}
 		if (!this.outOfOrder.add(batch)) {
-			pollMissing();
+			pollMissing(batch.next());
 		}
 	}
 
 	private void pollIfGapRemains() {
 		if (!this.outOfOrder.isEmpty()) {
-			pollMissing();
+			pollMissing(this.outOfOrder.end());
 		}
 	}
 
-	private void pollMissing() {
+	private void pollMissing(long end) {
 		this.availability.countForwarded(this.topic.name(), "missed");
 		this.outOfOrder.clear();
+		if (this.scheduled == null) {
+			long overtakenCall = this.callStartedAt;
+			this.timer.schedule(() -> renewOvertakenCall(overtakenCall, end), OVERTAKEN_CALL_MILLIS);
+		}
 		pollNow();
 	}
 
+	private void renewOvertakenCall(long startedAt, long end) {
+		if (this.scheduled == null && this.callStartedAt == startedAt && this.nextOffset < end) {
+			logger.info(GatewayEvents.CALL_RENEWED, this.topic.name(),
+					(this.clock.getAsLong() - startedAt) / NANOS_PER_MILLI, end, this.nextOffset);
+			this.topic.abortWaitingCalls();
+		}
+	}
+
 	private void recordSuccess() {
 		this.consecutiveFailures = 0;
 		this.availability.countCall(this.topic.name(), "answered");
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -455,6 +455,42 @@
 		assertThat(this.follower.nextOffset()).isEqualTo(2);
 	}
 
+	// Guards against the incident CONFIG, third cause: a host kept a call that had been
+	// sent in an outage, although another host had read newer records meanwhile.
+	@Test
+	void aCallThatHangsIsMadeAgainWhenAnotherHostHasReadMore() {
+		this.topic.put("a", "1");
+		this.topic.abortsCallsOf(this.topic);
+		this.follower.start();
+		this.topic.leaveWaitingUnanswered();
+		this.topic.put("a", "2");
+		this.follower.forwarded(shared(1, 2, false));
+		assertThat(this.seen).containsEntry("a", "1");
+		assertThat(this.delays).contains(TopicFollower.OVERTAKEN_CALL_MILLIS);
+		runScheduled();
+		runScheduled();
+		assertThat(this.seen).containsEntry("a", "2");
+	}
+
+	// The same for a host that learns the end of an outage by a forwarded read.
+	@Test
+	void aForwardedReadThatEndsAnOutageMakesWaitingCallsOfOtherTopicsAgain() {
+		FakeTopic other = new FakeTopic();
+		this.topic.abortsCallsOf(other);
+		other.put("x", "1");
+		new TopicFollower(other, new Sink(), () -> new PollingSettings(100, 100, 0, 100, 100, 100), this::schedule,
+				() -> this.now, this.availability, ReadForwarding.NONE)
+			.start();
+		this.follower.start();
+		other.leaveWaitingUnanswered();
+		other.put("x", "2");
+		this.topic.down(true);
+		this.anotherReads = true;
+		this.follower.forwarded(shared(0, 1, true, record("a", "1", 0)));
+		runScheduled();
+		assertThat(this.seen).containsEntry("x", "2");
+	}
+
 	private void schedule(Runnable work, long millis) {
 		this.scheduled.add(work);
 		this.delays.add(millis);
