Soak: the store returns from older copies, and the last change before a calm is checked

The soak knew no store whose offsets go back, and checked a change only if no newer one followed, so what a host missed for good did not show.

--- a/entry/src/test/java/io/sequoialink/soak/BackendServerPool.java
+++ b/entry/src/test/java/io/sequoialink/soak/BackendServerPool.java
@@ -26,6 +26,8 @@
 
 	private final List<SimulatedBackendServer> running = new ArrayList<>();
 
+	private final List<SimulatedBackendServer> draining = new ArrayList<>();
+
 	private int startedCount;
 
 	BackendServerPool(SimulatedStore store, PromiseChecker checker, DisturbanceTracker disturbances) {
@@ -72,6 +74,38 @@
 		this.running.remove(server);
 	}
 
+	/**
+	 * Writes the records of all servers again after the store has returned from an older
+	 * copy, and deletes those of servers that have ended, as the platform does.
+	 */
+	synchronized void writeAgain() {
+		List<String> alive = new ArrayList<>();
+		for (SimulatedBackendServer server : this.running) {
+			if (!server.isClosed()) {
+				this.store.put("servers", server.name(), server.storeRecord(false));
+				alive.add(server.name());
+			}
+		}
+		for (SimulatedBackendServer server : this.draining) {
+			this.store.put("servers", server.name(), server.storeRecord(true));
+			alive.add(server.name());
+		}
+		this.store.keys("servers")
+			.stream()
+			.filter((name) -> !alive.contains(name))
+			.forEach((name) -> this.store.put("servers", name, ""));
+	}
+
+	private synchronized void beginDraining(SimulatedBackendServer server) {
+		this.draining.add(server);
+		this.store.put("servers", server.name(), server.storeRecord(true));
+	}
+
+	private synchronized void endDraining(SimulatedBackendServer server) {
+		this.draining.remove(server);
+		this.store.put("servers", server.name(), "");
+	}
+
 	/**
 	 * Starts replacements for crashed servers in the background.
 	 */
@@ -99,11 +133,11 @@
 		startServer(server.service());
 		remove(server);
 		server.announceShutdown();
-		this.store.put("servers", server.name(), server.storeRecord(true));
+		beginDraining(server);
 		server.markDrainAccepted();
 		DaemonThreads.sleep(Bounds.DRAIN_MILLIS + Bounds.REQUEST_TIMEOUT_MILLIS);
 		this.disturbances.begin(server.name());
-		this.store.put("servers", server.name(), "");
+		endDraining(server);
 		server.close();
 	}
 
--- a/entry/src/test/java/io/sequoialink/soak/Operator.java
+++ b/entry/src/test/java/io/sequoialink/soak/Operator.java
@@ -38,6 +38,16 @@
 		return this.lastChange;
 	}
 
+	/**
+	 * Publishes the newest configuration again, unchanged, after the store has returned
+	 * from an older copy.
+	 */
+	synchronized void writeAgain() {
+		this.store.put("op", "config", configuration());
+		this.lastChange = new Change(System.nanoTime(), this.lastChange.addedPath(), this.lastChange.removedPath(),
+				this.lastChange.extraKeyValid());
+	}
+
 	/**
 	 * Returns the newest published change.
 	 * @return the change, null before the first
--- a/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
@@ -414,6 +414,20 @@
 		}
 	}
 
+	/**
+	 * Checks that a host has the last change before a calm in force. Nothing but a
+	 * disturbance of the host itself excuses it, since the caller has waited.
+	 * @param host name of the host
+	 * @param change the change
+	 * @param result statuses with which the host responded to the probe requests
+	 */
+	synchronized void checkLastChange(String host, Operator.Change change, ProbeResult result) {
+		increment("last change probed");
+		if (hostUndisturbed(host, this.clock.getAsLong()) && result.contradicts(change)) {
+			reportViolation("CONFIG", host, "last change before a calm: " + change + " was answered with " + result);
+		}
+	}
+
 	/**
 	 * Checks that requests succeed again at the end of the run, some time after the last
 	 * fault.
--- a/entry/src/test/java/io/sequoialink/soak/SimulatedStore.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedStore.java
@@ -110,6 +110,17 @@
 		returnFromCopy(0);
 	}
 
+	/**
+	 * Returns the keys that have a value.
+	 * @param topic name of the topic without the prefix "keyed."
+	 * @return the keys
+	 */
+	public synchronized List<String> keys(String topic) {
+		Map<String, Boolean> present = new LinkedHashMap<>();
+		records("keyed." + topic).forEach((entry) -> present.put(entry.key(), entry.value().length > 0));
+		return present.keySet().stream().filter(present::get).toList();
+	}
+
 	/**
 	 * Returns all values that were written under a key, truncated ones included.
 	 * @param topic name of the topic without the prefix "keyed."
--- a/entry/src/test/java/io/sequoialink/soak/Soak.java
+++ b/entry/src/test/java/io/sequoialink/soak/Soak.java
@@ -30,6 +30,15 @@
 	 */
 	private static final int RECOVERY_MILLIS = 7000;
 
+	/** Number of changes before the last return of the store. */
+	private static final int LAST_CHANGES = 6;
+
+	/**
+	 * Age of the last copy beyond the time since those changes, in milliseconds: it lacks
+	 * all of them.
+	 */
+	private static final int LAST_COPY_AGE_MILLIS = 4000;
+
 	/** Time to wait for a client's last request with its retries, in milliseconds. */
 	private static final int CLIENT_JOIN_MILLIS = 20_000;
 
@@ -85,6 +94,8 @@
 		FaultInjector faults = new FaultInjector(this.random.nextLong(), this.disturbances, this.store, this.hosts,
 				this.servers);
 		LimitInjector limits = new LimitInjector(this.options.seed(), this.servers);
+		StoreReturnInjector returns = new StoreReturnInjector(this.options.seed(), this.store, this.operator,
+				this.servers, this.disturbances);
 		PartInjector parts = new PartInjector(this.options.seed(), this.checker, this.loadBalancer);
 		long until = System.nanoTime() + Bounds.millisToNanos(this.options.millis());
 		while (System.nanoTime() - until < 0) {
@@ -92,13 +103,15 @@
 			faults.injectRandomFault();
 			faults.sendRandomServerSignal();
 			limits.nameRandomLimit();
+			returns.returnAtRandom();
 			changeConfigurationOrSendPoison();
 			DaemonThreads.sleep(300 + this.random.nextInt(1200));
 		}
-		while (!faults.idle() || !limits.idle() || !parts.idle()) {
+		while (!faults.idle() || !limits.idle() || !parts.idle() || !returns.idle()) {
 			DaemonThreads.sleep(100);
 		}
 		DaemonThreads.sleep(RECOVERY_MILLIS);
+		checkLastChanges(returns);
 		checkRecovery();
 		this.running = false;
 		return new SoakReport(this.options.seed(), this.checker.counts(), this.checker.violations());
@@ -174,6 +187,31 @@
 		}
 	}
 
+	// The last change before a calm shows what a host has missed for good; another return
+	// of
+	// the store comes right before it, with fewer changes after than before.
+	private void checkLastChanges(StoreReturnInjector returns) {
+		for (int i = 0; i < LAST_CHANGES; i++) {
+			this.operator.publishChange();
+		}
+		probeAllAfterChange();
+		returns.returnFinally(Bounds.CONFIG_APPLY_MILLIS + LAST_COPY_AGE_MILLIS, this::probeAll);
+		this.operator.publishChange();
+		probeAllAfterChange();
+	}
+
+	private void probeAllAfterChange() {
+		DaemonThreads.sleep(Bounds.CONFIG_APPLY_MILLIS + 50L);
+		probeAll();
+	}
+
+	private void probeAll() {
+		Operator.Change change = this.operator.lastChange();
+		for (HostProcess host : this.hosts) {
+			this.checker.checkLastChange(host.name(), change, probeHost(host, change, this.options.seed()));
+		}
+	}
+
 	private ProbeResult probeHost(HostProcess host, Operator.Change change, long seed) {
 		Client client = new Client(this.checker, "acme", seed);
 		Client extra = new Client(this.checker, "extra", seed);
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -242,10 +242,9 @@
 		}
 	}
 
-	// Returns whether the record may change the state of a host that has read the topic
-	// up
-	// to its offset. What this host had read before, from a page of newest records that
-	// were written after the end which the page names, may be news to others.
+	// Returns whether the record may change the state of a host that has read the
+	// topic up to its offset. What this host had read before, from a page of newest
+	// records written after the end which the page names, may be news to others.
 	private boolean deliver(KeyedRecord record, ReadPath path) {
 		StorePosition known = this.positions.get(record.key());
 		if (known != null && known.compareTo(record.position()) >= 0) {
