--- a/entry/src/test/java/io/sequoialink/entry/LoopbackHost.java
+++ b/entry/src/test/java/io/sequoialink/entry/LoopbackHost.java
@@ -20,8 +20,9 @@
  * @param host the host
  * @param clients port for clients
  * @param readiness port of the readiness check and the metrics page
+ * @param datagrams port for datagrams of other hosts
  */
-record LoopbackHost(EntryHost host, int clients, int readiness) {
+record LoopbackHost(EntryHost host, int clients, int readiness, int datagrams) {
 
 	private static final AtomicLong LAST_REQUEST = new AtomicLong(System.nanoTime());
 
@@ -29,12 +30,13 @@
 		InetAddress loopback = InetAddress.getLoopbackAddress();
 		int clients = FreePorts.tcp();
 		int readiness = FreePorts.tcp();
+		int datagrams = FreePorts.udp();
 		EntryHost host = new EntryHost(new EntrySettings(name, "a", new InetSocketAddress(loopback, clients),
 				new InetSocketAddress(loopback, readiness), store.address(),
-				Optional.of(new InetSocketAddress(loopback, FreePorts.udp())), 8000,
+				Optional.of(new InetSocketAddress(loopback, datagrams)), 8000,
 				new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
 		host.start();
-		return new LoopbackHost(host, clients, readiness);
+		return new LoopbackHost(host, clients, readiness, datagrams);
 	}
 
 	int get(String path) throws IOException {
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -259,7 +259,7 @@
 		try {
 			return this.sink.accept(record, path);
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			logger.warn(GatewayEvents.RECORD_SKIPPED, record.key(), record.offset(), this.topic.name(), ex.toString());
 			return true;
 		}
