Take no refusal that may be an earlier one for that of a repeat

Reported by other operators: a server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran, or they ran twice. For requests that may be repeated it did: the copy of a refusal that was read together with it was taken for the answer to the repeat on the same connection, and a refusal without an id for the present one; the client got 503 while the server ran it. Change: a repeat never goes over a connection on which the same request was answered, and on a kept connection an answer without an id ends it, outcome unknown.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -54,6 +54,8 @@
 
 	private boolean headRequest;
 
+	private String answeredRequest = "";
+
 	BackendConnection(ServerConnections owner) {
 		this.owner = owner;
 		this.dialect = owner.dialect();
@@ -84,6 +86,16 @@
 		return this.channel.isActive() && now - this.idleSince < this.maxIdleNanos;
 	}
 
+	/**
+	 * Returns whether a response on this connection can be told from one that the server
+	 * writes once more: it has not answered the same request before.
+	 * @param outbound the request to send
+	 * @return whether the request may be sent here
+	 */
+	boolean mayCarry(OutboundRequest outbound) {
+		return !this.answeredRequest.equals(outbound.requestId());
+	}
+
 	void send(OutboundRequest outbound) {
 		if (outbound.done()) {
 			close();
@@ -134,6 +146,11 @@
 			return;
 		}
 		ResponseMetadata metadata = this.dialect.readResponse(response.headers());
+		boolean unattributable = metadata.requestId().isEmpty() && !this.answeredRequest.isEmpty();
+		if (unattributable) {
+			close();
+			return;
+		}
 		boolean ofOtherRequest = metadata.requestId().isPresent()
 				&& !metadata.requestId().get().equals(this.request.requestId());
 		this.discarding = ofOtherRequest;
@@ -183,6 +200,7 @@
 		}
 		OutboundRequest finished = this.request;
 		this.request = null;
+		this.answeredRequest = finished.requestId();
 		boolean keep = this.reusable && this.writing.isDone() && this.channel.isActive();
 		if (keep) {
 			this.idleSince = System.nanoTime();
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
@@ -51,7 +51,7 @@
 	 * @param onlyNew whether the request must be sent on a new connection
 	 */
 	void send(OutboundRequest outbound, boolean onlyNew) {
-		BackendConnection connection = onlyNew ? null : takeIdle();
+		BackendConnection connection = onlyNew ? null : takeIdle(outbound);
 		if (connection != null) {
 			connection.send(outbound);
 			return;
@@ -59,10 +59,10 @@
 		connect(outbound);
 	}
 
-	private BackendConnection takeIdle() {
+	private BackendConnection takeIdle(OutboundRequest outbound) {
 		long now = System.nanoTime();
 		BackendConnection connection = this.idle.pollFirst();
-		while (connection != null && !connection.usable(now)) {
+		while (connection != null && !(connection.usable(now) && connection.mayCarry(outbound))) {
 			connection.close();
 			connection = this.idle.pollFirst();
 		}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -68,13 +69,14 @@
 		assertThat(this.seen).containsEntry("b", "3");
 	}
 
-	@Test
-	void aRecordOnWhichTheSinkFailsIsSkippedAndLaterOnesAreDelivered() {
-		this.topic.put("broken", "1");
+	@ParameterizedTest
+	@ValueSource(strings = { "broken", "deep" })
+	void aRecordOnWhichTheSinkFailsIsSkippedAndLaterOnesAreDelivered(String key) {
+		this.topic.put(key, "1");
 		this.topic.put("a", "2");
 		this.follower.start();
 		assertThat(this.seen).containsExactly(Map.entry("a", "2"));
-		this.topic.put("broken", "3");
+		this.topic.put(key, "3");
 		this.topic.put("b", "4");
 		for (int i = 0; i < 5 && !this.scheduled.isEmpty(); i++) {
 			this.scheduled.poll().run();
@@ -511,6 +513,9 @@
 		@Override
 		public boolean accept(KeyedRecord record, ReadPath path) {
 			TopicFollowerTests.this.paths.add(path);
+			if (record.key().equals("deep")) {
+				throw new StackOverflowError("nested too deeply");
+			}
 			if (record.key().equals("broken")) {
 				throw new IllegalStateException("can't be taken");
 			}
