Go on with a stream only with what continues it

Cause: a resumed response was taken for the rest whatever it held. Change: it must have the status and the content type of the part that the client has; nothing of it is passed on before its first event, whose id must come after the last one; else the attempt is aborted and another server goes on, or the connection is cut.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -1,5 +1,6 @@
 package io.sequoialink.gateway.http;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
@@ -92,6 +93,8 @@
 
 	private EventStreamSplitter events;
 
+	private Optional<StreamContinuation> continuation = Optional.empty();
+
 	private boolean done;
 
 	private int bufferedBytes;
@@ -251,6 +254,11 @@
 	}
 
 	private void startStream(ResponseMetadata metadata) {
+		this.continuation = this.exchange.continuation();
+		if (this.continuation.filter((part) -> !part.isSameKind(this.status, this.headers)).isPresent()) {
+			abort("response does not go on with the stream, status " + this.status);
+			return;
+		}
 		this.events = new EventStreamSplitter();
 		this.latency.headReceived(millisSince(this.startedAt));
 		this.exchange.schedule(this::checkEventRate, LatencyCheck.FIRST_CHECK_MILLIS);
@@ -320,11 +328,28 @@
 			abort("event exceeds the size limit, or too many bytes without an event");
 			return;
 		}
+		if (!goesOn()) {
+			ready.release();
+			abort("response does not go on with the stream, first event " + this.events.firstId().orElse("none"));
+			return;
+		}
+		boolean awaitsFirstEvent = this.continuation.isPresent() && this.events.events() == 0;
+		if (awaitsFirstEvent) {
+			ready.release();
+			return;
+		}
 		if (ready.isReadable()) {
 			this.exchange.forwardEvents(this.status, this.headers, ready, this.events.lastId());
 		}
 	}
 
+	private boolean goesOn() {
+		return this.continuation
+			.map((part) -> !this.events.textBeforeFirstEvent()
+					&& this.events.firstId().map(part::isFollowedBy).orElse(true))
+			.orElse(true);
+	}
+
 	private void markBegun() {
 		if (this.progress != ResponseProgress.BEGUN) {
 			this.progress = ResponseProgress.BEGUN;
--- a/gateway/src/main/java/io/sequoialink/gateway/http/EventStreamSplitter.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/EventStreamSplitter.java
@@ -21,12 +21,18 @@
 
 	private static final byte LINE_END = '\n';
 
+	private static final byte COMMENT = ':';
+
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
 	private ByteBuf partial = Unpooled.EMPTY_BUFFER;
 
+	private String firstId;
+
 	private String lastId;
 
+	private boolean textBeforeFirstEvent;
+
 	private int events;
 
 	private int bytesSinceEvent;
@@ -69,19 +75,19 @@
 		int end = all.readerIndex();
 		int lineStart = end;
 		String id = null;
+		boolean text = false;
 		int newline = all.indexOf(lineStart, all.writerIndex(), LINE_END);
 		while (newline >= 0) {
 			int length = lineLength(all, lineStart, newline);
 			if (length == 0) {
 				end = newline + 1;
-				if (id != null) {
-					this.lastId = id;
-					this.events++;
-				}
+				blockEnded(id, text);
 				id = null;
+				text = false;
 			}
 			else {
 				id = idOf(all, lineStart, length, id);
+				text = text || all.getByte(lineStart) != COMMENT;
 			}
 			lineStart = newline + 1;
 			newline = (lineStart < all.writerIndex()) ? all.indexOf(lineStart, all.writerIndex(), LINE_END) : -1;
@@ -89,6 +95,16 @@
 		return end;
 	}
 
+	private void blockEnded(String id, boolean text) {
+		if (id == null) {
+			this.textBeforeFirstEvent = this.textBeforeFirstEvent || (text && this.events == 0);
+			return;
+		}
+		this.firstId = (this.events == 0) ? id : this.firstId;
+		this.lastId = id;
+		this.events++;
+	}
+
 	private static int lineLength(ByteBuf all, int start, int newline) {
 		int length = newline - start;
 		boolean carriageReturn = length > 0 && all.getByte(newline - 1) == '\r';
@@ -115,6 +131,22 @@
 		return Optional.ofNullable(this.lastId);
 	}
 
+	/**
+	 * Returns the id of the first complete event.
+	 * @return the id, or empty before the first event
+	 */
+	Optional<String> firstId() {
+		return Optional.ofNullable(this.firstId);
+	}
+
+	/**
+	 * Returns whether anything but comments came before the first event that has an id.
+	 * @return whether the stream begins with text that belongs to no event with an id
+	 */
+	boolean textBeforeFirstEvent() {
+		return this.textBeforeFirstEvent;
+	}
+
 	/**
 	 * Returns the number of complete events that have an id.
 	 * @return the number of events
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -84,6 +84,8 @@
 
 	private int emptyStreams;
 
+	private StreamContinuation forwarded;
+
 	private long retryAfterMillis = LocalResponse.DEFAULT_RETRY_MILLIS;
 
 	Exchange(GatewayContext gateway, ClientConnection client, ClientRequest request) {
@@ -441,9 +443,9 @@
 			this.flow.forwardingStarted();
 			this.modelChoice.recordFirstByte();
 			recordFirstByte();
-			this.client.sendHead(status, HopByHopHeaders.strip(headers));
+			sendStreamHead(status, headers);
 		}
-		lastId.ifPresent(this.dispatcher::eventForwarded);
+		lastId.ifPresent(this::eventForwarded);
 		this.dispatcher.refreshSession(this.attempt.server());
 		if (this.attempt.provenHarmless()) {
 			this.crashCheck.recordHarmless();
@@ -463,7 +465,7 @@
 	void endStream(int status, HttpHeaders headers) {
 		if (!this.flow.clientHasPart()) {
 			this.flow.forwardingStarted();
-			this.client.sendHead(status, HopByHopHeaders.strip(headers));
+			sendStreamHead(status, headers);
 		}
 		this.flow.forwardingCompleted();
 		this.crashCheck.recordHarmless();
@@ -471,6 +473,24 @@
 		finish(200, "answered");
 	}
 
+	private void sendStreamHead(int status, HttpHeaders headers) {
+		this.forwarded = new StreamContinuation(status, StreamContinuation.contentType(headers), Optional.empty());
+		this.client.sendHead(status, HopByHopHeaders.strip(headers));
+	}
+
+	private void eventForwarded(String id) {
+		this.dispatcher.eventForwarded(id);
+		this.forwarded = new StreamContinuation(this.forwarded.status(), this.forwarded.contentType(), Optional.of(id));
+	}
+
+	/**
+	 * Returns what the client has received of a stream, for another server to go on with.
+	 * @return the part, empty if the client has received nothing
+	 */
+	Optional<StreamContinuation> continuation() {
+		return Optional.ofNullable(this.forwarded);
+	}
+
 	/**
 	 * Pauses or resumes reading from the backend server, so that a slow client does not
 	 * fill the memory.
