Hold back an older configuration on a host that starts after a return of the store

Callers could see: withdrawn keys and dropped routes are valid again at a host that starts between the return of the store and the operator's writing again, since it knows only the copy (StoreReturnTests, 404 on the later route at once when nobody answers). Change: a host that starts asks up to three others which version they have in force (12 bytes and its name each way) and holds an older one back, for 3 s at most; requests get 503, not run, as before the first configuration. It waits 150 ms for answers, 300 ms for the addresses. A host that knows no other waits for nothing.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -27,6 +27,7 @@
 import io.sequoialink.gateway.crash.TraitGossip;
 import io.sequoialink.gateway.feed.FleetViewUpdater;
 import io.sequoialink.gateway.feed.ReadForwarding;
+import io.sequoialink.gateway.feed.StartupHold;
 import io.sequoialink.gateway.feed.StoreAvailability;
 import io.sequoialink.gateway.feed.StoreEras;
 import io.sequoialink.gateway.fleet.Configuration;
@@ -50,6 +51,7 @@
 import io.sequoialink.gateway.place.ServerNoticeTable;
 import io.sequoialink.gateway.place.ServerState;
 import io.sequoialink.gateway.place.ServerTable;
+import io.sequoialink.gateway.relay.ConfigurationInquiry;
 import io.sequoialink.gateway.relay.GossipBudget;
 import io.sequoialink.gateway.relay.GossipTargets;
 import io.sequoialink.gateway.relay.Peer;
@@ -133,6 +135,10 @@
 
 	private final Optional<ServerNoticeGossip> noticeGossip;
 
+	private final Optional<ConfigurationInquiry> inquiry;
+
+	private boolean asked;
+
 	private final FleetPermits permits;
 
 	private final Optional<LimitGossip> limitGossip;
@@ -203,13 +209,34 @@
 				() -> this.rollouts.hasActiveRollout() || this.crashes.pollsFrequently(), this::schedule,
 				new StoreAvailability(this.counts.storeCalls(), this.counts.forwardedReads()),
 				this.readForwarder.<ReadForwarding>map((forwarder) -> forwarder).orElse(ReadForwarding.NONE));
-		this.readForwarder.ifPresent((forwarder) -> this.updates
-			.onStatusesRead(new PeerAddressPublisher(forwarder, statuses, this::schedule)::onStatusesRead));
+		this.inquiry = this.readForwarder.map((forwarder) -> createInquiry(forwarder, random));
+		this.readForwarder.ifPresent((forwarder) -> {
+			PeerAddressPublisher publisher = new PeerAddressPublisher(forwarder, statuses, this::schedule);
+			this.updates.onStatusesRead(() -> {
+				askOnce();
+				publisher.onStatusesRead();
+			});
+		});
 		this.retryBudget = new RetryBudget(bounds.repeatRatio(), slackPerHost(bounds),
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
 		this.frontendServer = new FrontendServer(gateway(gate, random));
 	}
 
+	private ConfigurationInquiry createInquiry(ReadForwarder forwarder, RandomGenerator random) {
+		StartupHold hold = new StartupHold(System::nanoTime);
+		this.updates.holdBackWith(hold);
+		return new ConfigurationInquiry(forwarder, new GossipTargets(forwarder, random), this.peerSocket,
+				() -> this.fleetView.configuration().map(Configuration::version).orElse(ConfigurationInquiry.NONE),
+				hold);
+	}
+
+	private void askOnce() {
+		if (!this.asked) {
+			this.asked = true;
+			this.inquiry.ifPresent(ConfigurationInquiry::ask);
+		}
+	}
+
 	private TraitCoordinator createTraitCoordinator(StatusRecords statuses, SplittableRandom random) {
 		Optional<GossipTargets> targets = this.readForwarder.map((forwarder) -> new GossipTargets(forwarder, random));
 		TraitGossip gossip = new TraitGossip(self(),
@@ -266,6 +293,9 @@
 		else if (LimitGossip.isLimitDatagram(datagram)) {
 			this.limitGossip.ifPresent((gossip) -> gossip.onDatagram(from, datagram));
 		}
+		else if (ConfigurationInquiry.isInquiryDatagram(datagram)) {
+			this.inquiry.ifPresent((startup) -> startup.onDatagram(from, datagram));
+		}
 		else {
 			reads.onDatagram(from, datagram);
 		}
@@ -380,6 +410,7 @@
 	private void tick() {
 		logReadinessChange();
 		this.updates.removeExpired();
+		this.updates.releaseHeldBack();
 		updateRetryLimits();
 		this.rollouts.tick();
 		this.crashes.tick();
--- a/entry/src/test/java/io/sequoialink/entry/StoreReturnTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/StoreReturnTests.java
@@ -89,6 +89,39 @@
 		}
 	}
 
+	// Guards against an older configuration coming back on a host that starts before the
+	// operator has written again what the store has lost (CONFIG). With the older one,
+	// a request on the path of another version gets 404.
+	@Test
+	void aHostThatStartsInTheGapWaitsForTheConfigurationThatTheOthersHave() throws Exception {
+		awaitOtherHostsKnown();
+		this.store.returnFromCopyWith("op", 2);
+		LoopbackHost started = LoopbackHost.start("h3", this.store);
+		this.hosts.add(started);
+		long until = System.nanoTime() + 1_500_000_000L;
+		while (System.nanoTime() - until < 0) {
+			assertThat(started.get("/v1/x")).isEqualTo(503);
+			sleep(20);
+		}
+		configure(5);
+		awaitInForce(5);
+	}
+
+	// The later version may be lost for good, so the older one is in force in the end.
+	@Test
+	void aHostThatStartsInTheGapTakesTheOlderConfigurationAfterAWhile() throws Exception {
+		awaitOtherHostsKnown();
+		this.store.returnFromCopyWith("op", 2);
+		LoopbackHost started = LoopbackHost.start("h3", this.store);
+		this.hosts.add(started);
+		within(() -> inForce(started, 2));
+	}
+
+	private void awaitOtherHostsKnown() {
+		within(() -> this.store.keys("status").containsAll(List.of("host/h1", "host/h2")));
+		sleep(1500);
+	}
+
 	private void awaitInForce(int version) {
 		within(() -> this.hosts.stream().allMatch((host) -> inForce(host, version)));
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -83,6 +83,12 @@
 	/** The copy from which the store returned has a server that has left since. */
 	public static final String SERVER_NOT_REVIVED = "SL-3212 server {} of {} stays out of use although the store's older copy has it: it {}";
 
+	/**
+	 * A host that has just started does not yet use the configuration that it read, since
+	 * others may have a later one.
+	 */
+	public static final String CONFIGURATION_HELD_BACK = "SL-3213 configuration {}, read at offset {} of era {}, is held back after the start: {}";
+
 	/** The process accepts requests. */
 	public static final String STARTED = "SL-3001 host {} in availability zone {} accepts clients at {} and readiness probes at {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
@@ -67,6 +67,12 @@
 
 	private long configurationSince;
 
+	private Optional<StartupHold> hold = Optional.empty();
+
+	private Runnable heldBack;
+
+	private long heldBackVersion = Long.MIN_VALUE;
+
 	/**
 	 * Creates an updater.
 	 * @param view the view to update
@@ -88,12 +94,54 @@
 	}
 
 	/**
-	 * Applies a configuration unless this host already uses a newer one.
+	 * Applies a configuration unless this host already uses a newer one. The first one
+	 * after a start may be held back for a moment.
 	 * @param configuration the configuration
 	 * @param position position of its record
 	 * @param path the way by which it came to this host
 	 */
 	public void configuration(Configuration configuration, StorePosition position, ReadPath path) {
+		boolean first = this.view.configuration().isEmpty();
+		if (first && this.hold.filter((startup) -> startup.holdsBack(configuration.version())).isPresent()) {
+			holdBack(configuration, position, path);
+			return;
+		}
+		this.heldBack = null;
+		apply(configuration, position, path);
+	}
+
+	private void holdBack(Configuration configuration, StorePosition position, ReadPath path) {
+		boolean known = this.heldBackVersion == configuration.version();
+		this.heldBack = () -> configuration(configuration, position, path);
+		this.heldBackVersion = configuration.version();
+		if (!known) {
+			logger.info(GatewayEvents.CONFIGURATION_HELD_BACK, configuration.version(), position.offset(),
+					position.era(), this.hold.map(StartupHold::latest).orElse(""));
+		}
+	}
+
+	/**
+	 * Sets what decides whether the first configuration after a start is held back.
+	 * @param startup decides it
+	 */
+	public void holdBackWith(StartupHold startup) {
+		this.hold = Optional.of(startup);
+		startup.onAnswer(this::releaseHeldBack);
+	}
+
+	/**
+	 * Puts a configuration that was held back into force if it need not be any more.
+	 * Called regularly.
+	 */
+	public void releaseHeldBack() {
+		Runnable release = this.heldBack;
+		if (release != null) {
+			release.run();
+			reportIfComplete();
+		}
+	}
+
+	private void apply(Configuration configuration, StorePosition position, ReadPath path) {
 		String before = this.view.configuration().map((known) -> String.valueOf(known.version())).orElse("none");
 		if (this.view.updateConfiguration(configuration)) {
 			this.configurationSince = this.clock.getAsLong();
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/ReadForwarder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/ReadForwarder.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -146,6 +147,15 @@
 		return this.peers.values().stream().filter((peer) -> !peer.host().equals(this.self.host())).toList();
 	}
 
+	/**
+	 * Returns a known host.
+	 * @param host name of the host
+	 * @return the host, if its address is known
+	 */
+	Optional<Peer> peer(String host) {
+		return Optional.ofNullable(this.peers.get(host));
+	}
+
 	/**
 	 * Returns whether an IP address belongs to a known host.
 	 * @param address the IP address
