Test: a fleet reads on in time after the store returned, within its rates

In simulated time with the readers and followers of 8, 95 and 330 hosts: the change after a return that lost four records is known to all hosts within 2 s, also after a second return in a row with the reader killed.

--- a/gateway/src/test/java/io/sequoialink/gateway/relay/ForwardingFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/ForwardingFleet.java
@@ -71,6 +71,8 @@
 
 	private int storeCalls;
 
+	private long era = 1;
+
 	private long datagramBytes;
 
 	ForwardingFleet(int size, int zones, long seed) {
@@ -115,7 +117,17 @@
 
 	void put(String topic, String key, String value) {
 		List<KeyedRecord> log = this.logs.get(topic);
-		log.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), log.size()));
+		log.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), new StorePosition(this.era, log.size())));
+	}
+
+	/**
+	 * The store returns from a copy that lacks the newest records of the operator's
+	 * topic, and gives their offsets out again at once.
+	 */
+	void returnFromCopy(int lostRecords) {
+		this.era++;
+		List<KeyedRecord> log = this.logs.get(OPERATOR);
+		log.subList(log.size() - lostRecords, log.size()).clear();
 	}
 
 	/** Lets backend servers write their unchanged record every 1.2 s. */
@@ -196,6 +208,8 @@
 
 		private boolean dead;
 
+		private long seenEra = StorePosition.NO_ERA;
+
 		private long frozenUntil;
 
 		private Host(Peer self) {
@@ -259,7 +273,7 @@
 
 			@Override
 			public long era() {
-				return StorePosition.NO_ERA;
+				return Host.this.seenEra;
 			}
 
 			@Override
@@ -279,6 +293,11 @@
 
 			private void answer(long from, int waitMillis, Consumer<StoreReply<PollResult>> reply) {
 				int end = log().size();
+				Host.this.seenEra = ForwardingFleet.this.era;
+				if (from > end) {
+					reply.accept(StoreReply.of(new PollResult(List.of(), from, end, true)));
+					return;
+				}
 				if (from >= end && waitMillis > 0) {
 					schedule(10, Host.this, () -> answer(from, waitMillis - 10, reply));
 					return;
@@ -290,10 +309,20 @@
 			private <T> void call(Runnable work, Consumer<StoreReply<T>> reply) {
 				ForwardingFleet.this.storeCalls++;
 				boolean reached = !ForwardingFleet.this.disconnectedHosts.contains(Host.this.self.host());
-				schedule(CALL_MILLIS, Host.this, reached ? work : () -> reply
+				schedule(CALL_MILLIS, Host.this, reached ? () -> inPresentEra(work) : () -> reply
 					.accept(StoreReply.failed(new StoreFailure(StoreFailure.Kind.REFUSED, "disconnected"))));
 			}
 
+			private void inPresentEra(Runnable work) {
+				boolean changed = Host.this.seenEra != StorePosition.NO_ERA
+						&& Host.this.seenEra != ForwardingFleet.this.era;
+				Host.this.seenEra = ForwardingFleet.this.era;
+				if (changed) {
+					Host.this.followers.values().forEach(TopicFollower::pollNow);
+				}
+				work.run();
+			}
+
 			@Override
 			public void abortWaitingCalls() {
 				// long polls are short in this simulation
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/ReadForwardingTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/ReadForwardingTests.java
@@ -66,6 +66,30 @@
 			.isLessThanOrEqualTo(ForwardingFleet.MAX_DELAY_MILLIS);
 	}
 
+	// Guards against the incident CONFIG in a fleet: readers and followers of two eras
+	// side
+	// by side, and a storm of calls when all read again. The users' sites permit 2,000
+	// reads a second.
+	@ParameterizedTest
+	@CsvSource({ "8,1", "95,2", "330,3" })
+	void aChangeAfterAReturnOfTheStoreReachesAllHostsInTime(int hosts, long seed) {
+		ForwardingFleet fleet = fleet(hosts, 4, seed);
+		for (int change = 0; change < 5; change++) {
+			fleet.millisUntilAllHostsKnow(ForwardingFleet.OPERATOR, "before " + change);
+		}
+		fleet.returnFromCopy(4);
+		int calls = fleet.storeCalls();
+		assertThat(fleet.millisUntilAllHostsKnow(ForwardingFleet.OPERATOR, "after"))
+			.isLessThanOrEqualTo(ForwardingFleet.MAX_DELAY_MILLIS);
+		fleet.run(1000);
+		assertThat(fleet.storeCalls() - calls).isLessThan(2000);
+		fleet.returnFromCopy(1);
+		fleet.run(137);
+		fleet.kill("h-000");
+		assertThat(fleet.millisUntilAllHostsKnow(ForwardingFleet.OPERATOR, "twice"))
+			.isLessThanOrEqualTo(ForwardingFleet.MAX_DELAY_MILLIS);
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "0.02,1", "0.3,2", "0.9,3", "1,4" })
 	void lostDatagramsDelayNoChangeBeyondTheLimit(double lossRate, long seed) {
