Soak: odd entries, refusals written twice, and other answers in the middle of a stream

Another writer leaves odd entries in all three topics; servers write 1 of 4 refusals once more, with their id or without, at once or later; 1 of 4 resumed streams is answered with an error, a page or a run that begins anew.

--- a/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
@@ -40,6 +40,8 @@
 
 	private static final int EVENT_INTERVAL_MILLIS = 15;
 
+	private static final int LATER_FAULTS_SEED_MASK = 0x7AF3;
+
 	private final PromiseChecker checker;
 
 	private final DisturbanceTracker disturbances;
@@ -50,6 +52,12 @@
 
 	private final Random random;
 
+	/**
+	 * Separate source of random numbers for faults that were added later, so that the
+	 * other draws of a seed stay the same.
+	 */
+	private final Random laterFaults;
+
 	private final ServerSocket serverSocket;
 
 	private final Thread acceptThread;
@@ -77,6 +85,7 @@
 		this.service = service;
 		this.name = name;
 		this.random = new Random(seed);
+		this.laterFaults = new Random(seed ^ LATER_FAULTS_SEED_MASK);
 		this.serverSocket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
 		this.link = new LinkProxy(
 				new InetSocketAddress(InetAddress.getLoopbackAddress(), this.serverSocket.getLocalPort()));
@@ -224,9 +233,36 @@
 		crash();
 	}
 
-	private static void reject(OutputStream out, String id, int status, String headers) throws IOException {
-		HttpMessages.write(out, "HTTP/1.1 " + status + " X\r\n" + HeaderNames.NOT_EXECUTED + ": 1\r\n"
-				+ HeaderNames.REQUEST_ID + ": " + id + "\r\n" + headers + "Content-Length: 0\r\n\r\n");
+	// In 1 of 4 cases writes the refusal once more, at once or a little later; the id is
+	// missing in half of the copies.
+	private void reject(OutputStream out, String id, int status, String headers) throws IOException {
+		int draw = this.laterFaults.nextInt(8);
+		int pause = this.laterFaults.nextInt(3) * this.laterFaults.nextInt(30);
+		String refusal = "HTTP/1.1 " + status + " X\r\n" + HeaderNames.NOT_EXECUTED + ": 1\r\n" + headers
+				+ "Content-Length: 0\r\n";
+		String named = refusal + HeaderNames.REQUEST_ID + ": " + id + "\r\n\r\n";
+		String copy = (draw == 0) ? named : refusal + "\r\n";
+		boolean repeat = draw < 2;
+		HttpMessages.write(out, (repeat && pause == 0) ? named + copy : named);
+		if (repeat && pause > 0) {
+			DaemonThreads.sleep(pause);
+			HttpMessages.write(out, copy);
+		}
+	}
+
+	// An answer that does not go on with the stream: an error, a page, or a run that
+	// begins
+	// anew.
+	private void answerWithSomethingElse(OutputStream out, String id) throws IOException {
+		this.checker.recordBrokenOff(id);
+		String page = "<html>\n\nerror\n\n</html>\n\n";
+		String event = "id: 1\ndata: more\n\n";
+		boolean isPage = this.laterFaults.nextBoolean();
+		int status = this.laterFaults.nextBoolean() ? 500 : 200;
+		String body = isPage ? page : event;
+		HttpMessages.write(out,
+				responseHead(id, status) + "Content-Type: " + (isPage ? "text/html" : "text/event-stream")
+						+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
 	}
 
 	private void execute(Socket socket, InputStream in, String id, HttpMessages.Head head) throws IOException {
@@ -274,6 +310,10 @@
 	private void sendStream(Socket socket, InputStream in, String id, HttpMessages.Head head) throws IOException {
 		OutputStream out = socket.getOutputStream();
 		int last = Integer.parseInt(head.header(HeaderNames.LAST_EVENT_ID).orElse("0"));
+		if (last > 0 && this.laterFaults.nextInt(4) == 0) {
+			answerWithSomethingElse(out, id);
+			return;
+		}
 		if (this.random.nextInt(3) == 0) {
 			sendStreamUntilClose(socket, in, id, last);
 			return;
--- a/entry/src/test/java/io/sequoialink/soak/Soak.java
+++ b/entry/src/test/java/io/sequoialink/soak/Soak.java
@@ -96,6 +96,7 @@
 		LimitInjector limits = new LimitInjector(this.options.seed(), this.servers);
 		StoreReturnInjector returns = new StoreReturnInjector(this.options.seed(), this.store, this.operator,
 				this.servers, this.disturbances);
+		OddWriter odd = new OddWriter(this.options.seed(), this.store);
 		PartInjector parts = new PartInjector(this.options.seed(), this.checker, this.loadBalancer);
 		long until = System.nanoTime() + Bounds.millisToNanos(this.options.millis());
 		while (System.nanoTime() - until < 0) {
@@ -104,6 +105,7 @@
 			faults.sendRandomServerSignal();
 			limits.nameRandomLimit();
 			returns.returnAtRandom();
+			odd.writeAtRandom();
 			changeConfigurationOrSendPoison();
 			DaemonThreads.sleep(300 + this.random.nextInt(1200));
 		}
