--- a/gateway/src/main/java/io/sequoialink/gateway/feed/StoreEras.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/StoreEras.java
@@ -30,7 +30,8 @@
 	};
 
 	/**
-	 * Sets the action that runs after each change.
+	 * Sets the action that runs after each change, but not when the store names an era
+	 * for the first time.
 	 * @param action the action
 	 */
 	public void onChange(Runnable action) {
@@ -72,13 +73,22 @@
 		if (era.getAsLong() < this.current && changesAtSend != this.changes) {
 			return false;
 		}
-		logger.warn(GatewayEvents.STORE_ERA_CHANGED, era.getAsLong(), this.current);
-		this.current = era.getAsLong();
-		this.changes++;
-		this.listener.run();
+		change(era.getAsLong());
 		return true;
 	}
 
+	// The first era that the store names ends no other.
+	private void change(long era) {
+		boolean first = this.current == StorePosition.NO_ERA;
+		long before = this.current;
+		this.current = era;
+		this.changes++;
+		if (!first) {
+			logger.warn(GatewayEvents.STORE_ERA_CHANGED, era, before);
+			this.listener.run();
+		}
+	}
+
 	private void reportMissing() {
 		if (this.current != StorePosition.NO_ERA && !this.missingReported) {
 			this.missingReported = true;
