--- a/entry/src/test/java/io/sequoialink/entry/OddRecordsTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/OddRecordsTests.java
@@ -7,7 +7,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
 import com.sun.net.httpserver.HttpServer;
@@ -15,9 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
-import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -53,7 +50,7 @@
 		configure("1", "/a/");
 		register("i-1", "ready");
 		this.host = LoopbackHost.start("h1", this.store);
-		within(() -> status("/a/x") == 200);
+		Await.within(APPLY_MILLIS, () -> status("/a/x") == 200);
 	}
 
 	@AfterEach
@@ -93,32 +90,33 @@
 		return keys.stream().flatMap((key) -> texts.stream().map((text) -> Arguments.of(key, text)));
 	}
 
-	// Guards against a host that ends, or that stops following a topic, because another
-	// writer left one odd entry there (processes that end by themselves, LOST).
-	@Test
-	void changesAreInForceAfterOddRecordsOfEachKind() {
+	private void writeOddRecords() {
 		oddRecords().forEach((arguments) -> {
 			String[] key = ((String) arguments.get()[0]).split(" ");
 			this.store.put(key[0], key[1], (String) arguments.get()[1]);
 		});
-		sleep(500);
+	}
+
+	// Guards against a host that ends, or that stops following a topic, because another
+	// writer left one odd entry there (processes that end by themselves, LOST).
+	@Test
+	void changesAreInForceAfterOddRecordsOfEachKind() {
+		writeOddRecords();
+		Await.sleep(500);
 		configure("2", "/b/");
-		within(() -> status("/b/x") == 200 && status("/a/x") == 404);
+		Await.within(APPLY_MILLIS, () -> status("/b/x") == 200 && status("/a/x") == 404);
 		register("i-1", "draining");
-		within(() -> status("/b/x") == 503);
+		Await.within(APPLY_MILLIS, () -> status("/b/x") == 503);
 		register("i-2", "ready");
-		within(() -> status("/b/x") == 200);
+		Await.within(APPLY_MILLIS, () -> status("/b/x") == 200);
 	}
 
 	@Test
 	void aHostStartsAmongOddRecordsOfEachKind() throws Exception {
-		oddRecords().forEach((arguments) -> {
-			String[] key = ((String) arguments.get()[0]).split(" ");
-			this.store.put(key[0], key[1], (String) arguments.get()[1]);
-		});
+		writeOddRecords();
 		configure("2", "/b/");
 		LoopbackHost started = LoopbackHost.start("h2", this.store);
-		within(() -> {
+		Await.within(APPLY_MILLIS, () -> {
 			try {
 				return started.get("/b/x") == 200;
 			}
@@ -142,13 +140,16 @@
 
 	// Guards against an odd entry that is used as a server: sums of its places, its start
 	// time that no later one exceeds, connects to port 0.
-	@ParameterizedTest
-	@MethodSource("oddEntries")
-	void anOddEntryNamesNoServerAndTheOthersHold(String address, String slots, String born, String coldLeft) {
-		this.store.put("servers", "odd",
-				entry(address.isEmpty() ? address() : address, "ready", slots, born, coldLeft));
+	@Test
+	void oddEntriesNameNoServerAndTheOthersHold() {
+		oddEntries().forEach((entry) -> {
+			Object[] values = entry.get();
+			String odd = entry(values[0].toString().isEmpty() ? address() : values[0].toString(), "ready",
+					values[1].toString(), values[2].toString(), values[3].toString());
+			this.store.put("servers", "odd " + List.of(values), odd);
+		});
 		register("i-2", "ready");
-		within(() -> this.host.metrics().contains("sequoialink_backend_servers 2.0"));
+		Await.within(APPLY_MILLIS, () -> this.host.metrics().contains("sequoialink_backend_servers 2.0"));
 		assertThat(status("/a/x")).isEqualTo(200);
 	}
 
@@ -163,26 +164,28 @@
 
 	// Guards against an invalid configuration that is taken, or that hides all later ones
 	// by its version (CONFIG).
-	@ParameterizedTest
-	@MethodSource("oddConfigurations")
-	void anInvalidConfigurationIsNotTakenAndHidesNoLaterOne(String text) {
-		this.store.put("op", "config", text);
-		sleep(300);
-		assertThat(status("/a/x")).isEqualTo(200);
+	@Test
+	void invalidConfigurationsAreNotTakenAndHideNoLaterOne() {
+		oddConfigurations().forEach((text) -> {
+			this.store.put("op", "config", text);
+			Await.sleep(300);
+			assertThat(status("/a/x")).as(text).isEqualTo(200);
+		});
 		configure("2", "/b/");
-		within(() -> status("/b/x") == 200);
+		Await.within(APPLY_MILLIS, () -> status("/b/x") == 200);
 	}
 
-	@ParameterizedTest
-	@MethodSource("oddDatagrams")
-	void oddDatagramsAreDropped(String text) throws IOException {
+	@Test
+	void oddDatagramsAreDropped() throws IOException {
 		try (DatagramSocket socket = new DatagramSocket()) {
-			byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-			socket.send(new DatagramPacket(bytes, bytes.length,
-					new InetSocketAddress(InetAddress.getLoopbackAddress(), this.host.datagrams())));
+			for (String text : oddDatagrams().toList()) {
+				byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+				socket.send(new DatagramPacket(bytes, bytes.length,
+						new InetSocketAddress(InetAddress.getLoopbackAddress(), this.host.datagrams())));
+			}
 		}
 		configure("2", "/b/");
-		within(() -> status("/b/x") == 200);
+		Await.within(APPLY_MILLIS, () -> status("/b/x") == 200);
 	}
 
 	static Stream<String> oddDatagrams() {
@@ -201,22 +204,4 @@
 		}
 	}
 
-	private static void within(BooleanSupplier condition) {
-		long deadline = System.nanoTime() + APPLY_MILLIS * 1_000_000L;
-		while (!condition.getAsBoolean()) {
-			assertThat(System.nanoTime()).as("time allowed: %s ms", APPLY_MILLIS).isLessThan(deadline);
-			sleep(50);
-		}
-	}
-
-	private static void sleep(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new IllegalStateException(ex);
-		}
-	}
-
 }
--- a/entry/src/test/java/io/sequoialink/entry/SharedStoreReadsTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/SharedStoreReadsTests.java
@@ -8,7 +8,6 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 
 import io.sequoialink.soak.FreePorts;
 import io.sequoialink.soak.SimulatedStore;
@@ -43,7 +42,8 @@
 		configure(1);
 		this.reader = host("h1");
 		this.follower = host("h2");
-		within(() -> metrics().contains("sequoialink_told_reads_total{outcome=\"followed\",topic=\"op\"}"));
+		Await.within(APPLY_MILLIS,
+				() -> metrics().contains("sequoialink_told_reads_total{outcome=\"followed\",topic=\"op\"}"));
 	}
 
 	@AfterEach
@@ -77,7 +77,7 @@
 		for (int version = 2; version < 6; version++) {
 			String wanted = "sequoialink_configuration_version " + version + ".0";
 			configure(version);
-			within(() -> metrics().contains(wanted));
+			Await.within(APPLY_MILLIS, () -> metrics().contains(wanted));
 		}
 	}
 
@@ -85,7 +85,7 @@
 	void hostReadsTheStoreItselfAfterTheReaderStops() {
 		this.reader.stop();
 		configure(2);
-		within(() -> metrics().contains("sequoialink_configuration_version 2.0"));
+		Await.within(APPLY_MILLIS, () -> metrics().contains("sequoialink_configuration_version 2.0"));
 	}
 
 	@Test
@@ -93,7 +93,7 @@
 		try (DatagramSocket used = new DatagramSocket(0, this.loopback)) {
 			EntryHost alone = host("h3", used.getLocalPort());
 			configure(2);
-			within(() -> metrics().contains("sequoialink_configuration_version 2.0"));
+			Await.within(APPLY_MILLIS, () -> metrics().contains("sequoialink_configuration_version 2.0"));
 			assertThat(metrics()).doesNotContain("sequoialink_told_reads_total{");
 			alone.stop();
 		}
@@ -108,18 +108,4 @@
 		}
 	}
 
-	private static void within(BooleanSupplier condition) {
-		long deadline = System.nanoTime() + APPLY_MILLIS * 1_000_000L;
-		while (!condition.getAsBoolean()) {
-			assertThat(System.nanoTime()).as("time allowed: %s ms", APPLY_MILLIS).isLessThan(deadline);
-			try {
-				Thread.sleep(50);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-				throw new IllegalStateException(ex);
-			}
-		}
-	}
-
 }
--- a/entry/src/test/java/io/sequoialink/entry/StoreReturnTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/StoreReturnTests.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 
 import io.sequoialink.soak.SimulatedStore;
 import org.junit.jupiter.api.AfterEach;
@@ -85,7 +84,7 @@
 		long until = System.nanoTime() + APPLY_MILLIS * 1_000_000L;
 		while (System.nanoTime() - until < 0) {
 			this.hosts.forEach((host) -> assertThat(inForce(host, 5)).isTrue());
-			sleep(100);
+			Await.sleep(100);
 		}
 	}
 
@@ -101,7 +100,7 @@
 		long until = System.nanoTime() + 1_500_000_000L;
 		while (System.nanoTime() - until < 0) {
 			assertThat(started.get("/v1/x")).isEqualTo(503);
-			sleep(20);
+			Await.sleep(20);
 		}
 		configure(5);
 		awaitInForce(5);
@@ -114,16 +113,16 @@
 		this.store.returnFromCopyWith("op", 2);
 		LoopbackHost started = LoopbackHost.start("h3", this.store);
 		this.hosts.add(started);
-		within(() -> inForce(started, 2));
+		Await.within(APPLY_MILLIS, () -> inForce(started, 2));
 	}
 
 	private void awaitOtherHostsKnown() {
-		within(() -> this.store.keys("status").containsAll(List.of("host/h1", "host/h2")));
-		sleep(1500);
+		Await.within(APPLY_MILLIS, () -> this.store.keys("status").containsAll(List.of("host/h1", "host/h2")));
+		Await.sleep(1500);
 	}
 
 	private void awaitInForce(int version) {
-		within(() -> this.hosts.stream().allMatch((host) -> inForce(host, version)));
+		Await.within(APPLY_MILLIS, () -> this.hosts.stream().allMatch((host) -> inForce(host, version)));
 	}
 
 	// Without servers, a request on a route gets 503; without a route, 404.
@@ -136,22 +135,4 @@
 		}
 	}
 
-	private static void within(BooleanSupplier condition) {
-		long deadline = System.nanoTime() + APPLY_MILLIS * 1_000_000L;
-		while (!condition.getAsBoolean()) {
-			assertThat(System.nanoTime()).as("time allowed: %s ms", APPLY_MILLIS).isLessThan(deadline);
-			sleep(50);
-		}
-	}
-
-	private static void sleep(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new IllegalStateException(ex);
-		}
-	}
-
 }
