--- a/gateway/src/test/java/io/sequoialink/gateway/http/ConnectionEndedResponseTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ConnectionEndedResponseTests.java
@@ -82,23 +82,10 @@
 		try (GatewayFixture fixture = GatewayFixture.withServers(writing(EVENTS + "id: 3\nda"));
 				GatewayFixture.Client client = fixture.connect()) {
 			client.send("/firm/x", "");
-			assertThat(readAll(client)).contains("id: 2").doesNotContain("id: 3").doesNotContain("\r\n0\r\n\r\n");
+			assertThat(client.readToEnd()).contains("id: 2").doesNotContain("id: 3").doesNotContain("\r\n0\r\n\r\n");
 		}
 	}
 
-	private static String readAll(GatewayFixture.Client client) {
-		StringBuilder text = new StringBuilder();
-		try {
-			for (int next = client.readByte(); next >= 0; next = client.readByte()) {
-				text.append((char) next);
-			}
-		}
-		catch (IOException ex) {
-			// the connection was reset
-		}
-		return text.toString();
-	}
-
 	// A server that dies ends such a stream as well; an empty answer would look complete.
 	@ParameterizedTest
 	@ValueSource(strings = { "", "id: 1\nda" })
--- a/gateway/src/test/java/io/sequoialink/gateway/http/FailureAfterPartTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/FailureAfterPartTests.java
@@ -1,6 +1,5 @@
 package io.sequoialink.gateway.http;
 
-import java.io.IOException;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
@@ -71,7 +70,7 @@
 		try (GatewayFixture fixture = GatewayFixture.withServers(script, script, script);
 				GatewayFixture.Client client = fixture.connect()) {
 			client.send("/stream/x", "");
-			String all = readAll(client);
+			String all = client.readToEnd();
 			assertThat(all).containsOnlyOnce("HTTP/1.1").containsOnlyOnce("id: 1").containsOnlyOnce("id: 2");
 			assertThat(all).doesNotContain("error").doesNotContain("html").doesNotContain("id: 9");
 			assertThat(all).doesNotContain("\r\n0\r\n\r\n");
@@ -107,17 +106,4 @@
 		}
 	}
 
-	private static String readAll(GatewayFixture.Client client) {
-		StringBuilder text = new StringBuilder();
-		try {
-			for (int next = client.readByte(); next >= 0; next = client.readByte()) {
-				text.append((char) next);
-			}
-		}
-		catch (IOException ex) {
-			text.append("<cut>");
-		}
-		return text.toString();
-	}
-
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -356,6 +356,23 @@
 			return RawHttp.readMessage(this.in);
 		}
 
+		/**
+		 * Reads until the connection ends.
+		 * @return all bytes, followed by {@code <cut>} if the connection was reset
+		 */
+		String readToEnd() {
+			StringBuilder text = new StringBuilder();
+			try {
+				for (int next = this.in.read(); next >= 0; next = this.in.read()) {
+					text.append((char) next);
+				}
+			}
+			catch (IOException ex) {
+				text.append("<cut>");
+			}
+			return text.toString();
+		}
+
 		int readByte() throws IOException {
 			return this.in.read();
 		}
