Write a narrower culprit before the wider one is deleted

Cause, traced: a host deleted the record of parts that could not be told apart, and then wrote that of the part found to blame. Evidence: TraitCoordinatorTests.aNarrowerCulpritIsWrittenBeforeTheWiderOneIsDeleted, red before. Change: the wider record is deleted once the narrower one is acknowledged, so whoever reads the deletion knows what replaces it.

--- a/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
@@ -380,13 +380,19 @@
 		}
 		CulpritRecord culpritRecord = new CulpritRecord(culprit, describe(culprit), state.crashes(), servers,
 				ageMillis(state.atNanos()));
-		deleteWiderRecords(culprit);
-		this.store.write(culpritRecord, (reply) -> reply.match((offset) -> this.stored.add(culprit), (failure) -> {
+		this.store.write(culpritRecord, (reply) -> reply.match((offset) -> written(culprit), (failure) -> {
 			logger.info(GatewayEvents.CULPRIT_NOT_WRITTEN, describe(culprit), failure.kind(), failure.detail());
 			this.timer.schedule(() -> write(culprit, servers), WRITE_RETRY_MILLIS);
 		}));
 	}
 
+	// A host that reads a deletion before it knows the narrower culprit takes it for a
+	// permission.
+	private void written(Set<Long> culprit) {
+		this.stored.add(culprit);
+		deleteWiderRecords(culprit);
+	}
+
 	private void deleteWiderRecords(Set<Long> culprit) {
 		for (Set<Long> wider : List.copyOf(this.stored)) {
 			if (wider.size() > culprit.size() && wider.containsAll(culprit)) {
--- a/gateway/src/test/java/io/sequoialink/gateway/crash/TraitCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/crash/TraitCoordinatorTests.java
@@ -78,6 +78,24 @@
 		}
 	}
 
+	// Guards against a host that reads late and takes the deletion of a wider record for
+	// a
+	// permission, so that it refutes the narrower culprit and harmless parts are blamed
+	// instead (found by the soak, seed 437).
+	@Test
+	void aNarrowerCulpritIsWrittenBeforeTheWiderOneIsDeleted() throws Exception {
+		TraitFleet alone = new TraitFleet(1, 1, 0);
+		for (long server = 1; server <= 6; server++) {
+			alone.run(500);
+			Set<Long> lost = (server <= 3) ? Set.of(7L, 8L) : Set.of(7L);
+			alone.host(0)
+				.coordinator()
+				.serverCrashed(server, lost, new Involvement(alone.nanos(), true), alone.nanos() + 1);
+			alone.run(3000);
+		}
+		assertThat(alone.storeCalls()).containsExactly("write [7, 8]", "write [7]", "delete [7, 8]");
+	}
+
 	@Test
 	void crashesThatACulpritExplainsAreNamed() {
 		for (long server = 1; server <= 3; server++) {
--- a/gateway/src/test/java/io/sequoialink/gateway/crash/TraitFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/crash/TraitFleet.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -67,6 +68,8 @@
 
 	private final List<CulpritRecord> stored = new ArrayList<>();
 
+	private final List<String> storeCalls = new ArrayList<>();
+
 	private double lossShare;
 
 	private long nowMillis = 1000;
@@ -103,6 +106,11 @@
 		return this.crashTimes.size();
 	}
 
+	/** Returns the writes and deletions of culprits in their order. */
+	List<String> storeCalls() {
+		return this.storeCalls;
+	}
+
 	List<CulpritRecord> stored() {
 		return this.stored;
 	}
@@ -320,12 +328,14 @@
 
 		@Override
 		public void write(CulpritRecord culprit, Consumer<StoreReply<Long>> reply) {
+			TraitFleet.this.storeCalls.add("write " + new TreeSet<>(culprit.traits()));
 			TraitFleet.this.stored.add(culprit);
 			reply.accept(StoreReply.of(1L));
 		}
 
 		@Override
 		public void delete(Set<Long> traits) {
+			TraitFleet.this.storeCalls.add("delete " + new TreeSet<>(traits));
 			TraitFleet.this.stored.removeIf((culprit) -> culprit.traits().equals(traits));
 		}
 
