Make an overtaken call again once only until one succeeds

Found by reading: with a store whose calls take over half a second and changes in quick succession, each incomplete batch would end the call of the one before, and none would return. TopicFollowerTests.aCallIsMadeAgainOnlyOnceUntilOneSucceeds, red before.

--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -107,6 +107,8 @@
 
 	private boolean pollForced;
 
+	private boolean callRenewed;
+
 	/**
 	 * Creates a follower that does not read yet.
 	 * @param topic the topic
@@ -405,8 +407,11 @@
 		pollNow();
 	}
 
+	// Once until a call succeeds: of a store that is merely slow, no call would return.
 	private void renewOvertakenCall(long startedAt, long end) {
-		if (this.scheduled == null && this.callStartedAt == startedAt && this.nextOffset < end) {
+		boolean stillWaits = this.scheduled == null && this.callStartedAt == startedAt && this.nextOffset < end;
+		if (stillWaits && !this.callRenewed) {
+			this.callRenewed = true;
 			logger.info(GatewayEvents.CALL_RENEWED, this.topic.name(),
 					(this.clock.getAsLong() - startedAt) / NANOS_PER_MILLI, end, this.nextOffset);
 			this.topic.abortWaitingCalls();
@@ -414,6 +419,7 @@
 	}
 
 	private void recordSuccess() {
+		this.callRenewed = false;
 		this.consecutiveFailures = 0;
 		this.availability.countCall(this.topic.name(), "answered");
 		long now = this.clock.getAsLong();
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -474,6 +474,24 @@
 		assertThat(this.seen).containsEntry("a", "2");
 	}
 
+	// Guards against a store that is slow and whose calls are all made again before they
+	// return, while changes come in quick succession.
+	@Test
+	void aCallIsMadeAgainOnlyOnceUntilOneSucceeds() {
+		this.topic.put("a", "1");
+		this.topic.abortsCallsOf(this.topic);
+		this.follower.start();
+		for (int change = 2; change < 6; change++) {
+			this.topic.leaveWaitingUnanswered();
+			this.now += 1_000_000L;
+			this.follower.forwarded(shared(1, change, false));
+			int calls = this.topic.reads();
+			runScheduled();
+			runScheduled();
+			assertThat(this.topic.reads() - calls).isEqualTo((change == 2) ? 1 : 0);
+		}
+	}
+
 	// The same for a host that learns the end of an outage by a forwarded read.
 	@Test
 	void aForwardedReadThatEndsAnOutageMakesWaitingCallsOfOtherTopicsAgain() {
