Call a value with its position PositionedValue

Cause: ValueAtOffset has held a position of era and offset since, so a newcomer reads the name as the fault that was mended. Change: the type is called for what it holds; no other line.

--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
@@ -9,11 +9,11 @@
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.FleetView;
+import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutStatus;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.fleet.StorePosition;
-import io.sequoialink.gateway.fleet.ValueAtOffset;
 import io.sequoialink.gateway.rollout.HostRolloutReport;
 import io.sequoialink.gateway.rollout.RolloutCoordinator;
 import org.slf4j.Logger;
@@ -166,7 +166,7 @@
 	 * Passes an operator's roll-out order to the roll-out coordinator.
 	 * @param order the order
 	 */
-	public void orderRead(ValueAtOffset<RolloutOrder> order) {
+	public void orderRead(PositionedValue<RolloutOrder> order) {
 		this.rollouts.onOrder(order);
 		this.orderRead = true;
 		this.orderListener.run();
@@ -176,7 +176,7 @@
 	 * Passes a roll-out state that a host published to the roll-out coordinator.
 	 * @param status the state
 	 */
-	public void statusRead(ValueAtOffset<RolloutStatus> status) {
+	public void statusRead(PositionedValue<RolloutStatus> status) {
 		this.rollouts.onStatus(status);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/fleet/ValueAtOffset.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/fleet/PositionedValue.java
@@ -7,14 +7,14 @@
  * @param position position of the record in its topic
  * @param <T> type of the value
  */
-public record ValueAtOffset<T>(T value, StorePosition position) {
+public record PositionedValue<T>(T value, StorePosition position) {
 
 	/**
 	 * Creates a value of a store that names no era.
 	 * @param value the value
 	 * @param offset offset of the record in its topic
 	 */
-	public ValueAtOffset(T value, long offset) {
+	public PositionedValue(T value, long offset) {
 		this(value, new StorePosition(StorePosition.NO_ERA, offset));
 	}
 
@@ -32,7 +32,7 @@
 	 * @param other the other record
 	 * @return whether it comes later in the same era, or is of another era
 	 */
-	public boolean mayReplace(ValueAtOffset<T> other) {
+	public boolean mayReplace(PositionedValue<T> other) {
 		return inOtherEra(other) || this.position.offset() > other.position.offset();
 	}
 
@@ -41,7 +41,7 @@
 	 * @param other the other record
 	 * @return whether their eras differ
 	 */
-	public boolean inOtherEra(ValueAtOffset<T> other) {
+	public boolean inOtherEra(PositionedValue<T> other) {
 		return this.position.era() != other.position.era();
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -5,9 +5,9 @@
 
 import io.sequoialink.decision.rollout.BadAnswerTest;
 import io.sequoialink.decision.rollout.CanarySchedule;
+import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutState;
-import io.sequoialink.gateway.fleet.ValueAtOffset;
 
 /**
  * One roll-out of a service as seen by this host. Confined to the event loop.
@@ -48,7 +48,7 @@
 
 	private final String host;
 
-	private ValueAtOffset<RolloutOrder> order;
+	private PositionedValue<RolloutOrder> order;
 
 	private final CanarySchedule schedule;
 
@@ -77,7 +77,7 @@
 	 * @param test statistical test of the new version's answers
 	 * @param startedAtNanos monotonic time at which this host read the order
 	 */
-	public Canary(String host, ValueAtOffset<RolloutOrder> order, CanarySchedule schedule, BadAnswerTest test,
+	public Canary(String host, PositionedValue<RolloutOrder> order, CanarySchedule schedule, BadAnswerTest test,
 			long startedAtNanos) {
 		this.host = host;
 		this.order = order;
@@ -125,7 +125,7 @@
 	 * Returns the operator's order to roll out a version.
 	 * @return the order with its offset in the store
 	 */
-	public ValueAtOffset<RolloutOrder> order() {
+	public PositionedValue<RolloutOrder> order() {
 		return this.order;
 	}
 
@@ -134,7 +134,7 @@
 	 * and the operator has written the order again.
 	 * @param writtenAgain the same order with its new position
 	 */
-	void moveOrder(ValueAtOffset<RolloutOrder> writtenAgain) {
+	void moveOrder(PositionedValue<RolloutOrder> writtenAgain) {
 		this.order = writtenAgain;
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
@@ -10,9 +10,9 @@
 import io.sequoialink.decision.rollout.CanarySchedule;
 import io.sequoialink.decision.rollout.RolloutSettings;
 import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutStatus;
-import io.sequoialink.gateway.fleet.ValueAtOffset;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -56,7 +56,7 @@
 
 	private final Map<String, RolloutPublisher> publishers = new HashMap<>();
 
-	private final Map<String, ValueAtOffset<RolloutStatus>> statuses = new HashMap<>();
+	private final Map<String, PositionedValue<RolloutStatus>> statuses = new HashMap<>();
 
 	private final Map<String, HostRolloutReport> reports = new HashMap<>();
 
@@ -95,7 +95,7 @@
 	 * era of the store is the same one, written again.
 	 * @param order the roll-out order with the offset of its record
 	 */
-	public void onOrder(ValueAtOffset<RolloutOrder> order) {
+	public void onOrder(PositionedValue<RolloutOrder> order) {
 		Canary current = this.canaries.get(order.value().service());
 		if (current != null && !order.mayReplace(current.order())) {
 			return;
@@ -113,7 +113,7 @@
 		pinRecentSessions(order.value());
 		logger.info(GatewayEvents.ROLLOUT_ORDERED, order.value().service(), order.value().target(),
 				order.value().durationMillis(), order.offset());
-		ValueAtOffset<RolloutStatus> published = this.statuses.get(order.value().service());
+		PositionedValue<RolloutStatus> published = this.statuses.get(order.value().service());
 		if (published != null) {
 			onStatus(published);
 		}
@@ -134,7 +134,7 @@
 	 * Applies a roll-out state that was read from the store.
 	 * @param status the state with its offset
 	 */
-	public void onStatus(ValueAtOffset<RolloutStatus> status) {
+	public void onStatus(PositionedValue<RolloutStatus> status) {
 		this.statuses.put(status.value().service(), status);
 		Canary canary = this.canaries.get(status.value().service());
 		if (canary == null || status.value().order() != canary.order().offset()) {
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
@@ -8,10 +8,10 @@
 import io.sequoialink.gateway.fleet.ClientLimits;
 import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.FleetView;
+import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.fleet.StorePosition;
-import io.sequoialink.gateway.fleet.ValueAtOffset;
 import io.sequoialink.gateway.rollout.RolloutCoordinator;
 import org.junit.jupiter.api.Test;
 
@@ -70,7 +70,7 @@
 
 	@Test
 	void theViewIsIncompleteUntilTheStateOfAnOrderedRollOutIsRead() {
-		this.updates.orderRead(new ValueAtOffset<>(new RolloutOrder("s", "v2", 1000), 0));
+		this.updates.orderRead(new PositionedValue<>(new RolloutOrder("s", "v2", 1000), 0));
 		this.updates.configuration(new Configuration(1, List.of(), List.of(), List.of(), ClientLimits.INITIAL),
 				new StorePosition(1, 1), ReadPath.POLL);
 		this.updates.operatorRecordsRead();
--- a/gateway/src/test/java/io/sequoialink/gateway/http/SlowVersionTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/SlowVersionTests.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 
+import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
-import io.sequoialink.gateway.fleet.ValueAtOffset;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -59,7 +59,7 @@
 	private static GatewayFixture duringRollout(ScriptedServer.Script script) throws Exception {
 		GatewayFixture fixture = GatewayFixture.withServers(script);
 		fixture.onLoop(() -> {
-			fixture.rollouts().onOrder(new ValueAtOffset<>(new RolloutOrder("svc", "v1", 60_000), 3));
+			fixture.rollouts().onOrder(new PositionedValue<>(new RolloutOrder("svc", "v1", 60_000), 3));
 			fixture.rollouts().onRead(4);
 			for (String kind : new String[] { "/firm/", "/firm/ beginning", "/once/", "svc/" }) {
 				for (int i = 0; i < 20; i++) {
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
@@ -12,11 +12,11 @@
 import io.sequoialink.decision.rollout.BadAnswerTest;
 import io.sequoialink.decision.rollout.RolloutSettings;
 import io.sequoialink.gateway.feed.StoreReply;
+import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutState;
 import io.sequoialink.gateway.fleet.RolloutStatus;
 import io.sequoialink.gateway.fleet.StorePosition;
-import io.sequoialink.gateway.fleet.ValueAtOffset;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -212,7 +212,7 @@
 		RolloutStore records = recordsInto(new ArrayList<>(), states);
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0), records,
 				() -> now[0], new Random(1));
-		watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", "v2", DURATION), 7));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
 		for (int i = 0; i < answers; i++) {
 			watch.recordAnswer("s", "v2", "r", i < bad, true);
 		}
@@ -230,9 +230,9 @@
 	void anEqualOrderOfAnotherEraIsTheSameRollOut(String target, long offset, boolean same) {
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
 				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> 1, new Random(1));
-		watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", "v2", DURATION), new StorePosition(1, 7)));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), new StorePosition(1, 7)));
 		Canary before = watch.canary("s");
-		watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", target, DURATION), new StorePosition(2, offset)));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", target, DURATION), new StorePosition(2, offset)));
 		assertThat(watch.canary("s") == before).isEqualTo(same);
 		assertThat(watch.canary("s").order().position()).isEqualTo(new StorePosition(2, offset));
 		assertThat(watch.targetVersion("s")).isEqualTo(target);
@@ -244,7 +244,7 @@
 		long[] now = { 1 };
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
 				recordsInto(new ArrayList<>(), states), () -> now[0], new Random(1));
-		watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", "v2", DURATION), 7));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
 		for (int i = 0; i < 200; i++) {
 			watch.recordAnswer("s", "v1", "r", i < 10, true);
 		}
@@ -287,7 +287,7 @@
 		long[] now = { 10_000_000_000L };
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
 				recordsInto(published, new ArrayList<>()), () -> now[0], new Random(1));
-		watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", "v2", DURATION), 7));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
 		watch.onRead(9);
 		watch.recordAnswer("s", "v2", "r", false, true);
 		now[0] += FleetAnswerCounts.GOOD_STREAM_DELAY_NANOS;
@@ -303,7 +303,7 @@
 		List<HostRolloutReport> published = new ArrayList<>();
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
 				recordsInto(published, new ArrayList<>()), () -> 10_000_000_000L, new Random(1));
-		watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", "v2", DURATION), 7));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
 		watch.recordAnswer("s", "v2", "r", true, true);
 		watch.tick();
 		assertThat(published).isEmpty();
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
@@ -12,10 +12,10 @@
 
 import io.sequoialink.gateway.feed.StoreFailure;
 import io.sequoialink.gateway.feed.StoreReply;
+import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutState;
 import io.sequoialink.gateway.fleet.RolloutStatus;
-import io.sequoialink.gateway.fleet.ValueAtOffset;
 
 /**
  * Simulates hosts that carry out a roll-out over one shared log, in simulated time and
@@ -281,7 +281,7 @@
 			if (this.watch == null) {
 				createWatch();
 			}
-			this.watch.onOrder(new ValueAtOffset<>(new RolloutOrder("s", "v2", durationMillis), ORDER_OFFSET));
+			this.watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", durationMillis), ORDER_OFFSET));
 		}
 
 		void disconnectFromLog(boolean disconnected) {
@@ -318,7 +318,7 @@
 			while (this.read < RolloutFleet.this.log.size()) {
 				Object entry = RolloutFleet.this.log.get(this.read);
 				if (entry instanceof RolloutStatus status) {
-					this.watch.onStatus(new ValueAtOffset<>(aged(status, this.read), this.read));
+					this.watch.onStatus(new PositionedValue<>(aged(status, this.read), this.read));
 				}
 				else {
 					this.watch.onReport((HostRolloutReport) entry);
