Read the newest records again after a return of the store

Callers could see: a server that is alive gets no requests from most hosts (seen as servers missing on five of six hosts), until its record changes. Cause: what a host remembers from before a return (servers that left) decides what a record of the copy means to it. The host that reads for others may have started later and remember nothing; a record that changes nothing there was not forwarded to hosts where it does. Change: each host reads the newest records again 2.5 s and 6 s after a return: two calls a topic and host. A key that the store no longer has and on which the sink fails stops no follower any more (test red before).

--- a/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/TopicFollower.java
@@ -73,6 +73,15 @@
 	 */
 	static final long OVERTAKEN_CALL_MILLIS = 500;
 
+	/**
+	 * Times after a return of the store at which the newest records are read again, in
+	 * milliseconds: when what is alive has written again, and once more after some of its
+	 * usual writes. What a host remembers from before the return may differ from what the
+	 * host remembers that reads for it, so a record that changes nothing there may change
+	 * something here.
+	 */
+	static final List<Long> READ_AGAIN_MILLIS = List.of(2500L, 6000L);
+
 	private final Map<String, StorePosition> positions = new HashMap<>();
 
 	private final Set<String> snapshotKeys = new HashSet<>();
@@ -87,6 +96,8 @@
 
 	private ReadPath snapshotPath = ReadPath.SNAPSHOT;
 
+	private boolean snapshotDue;
+
 	private long callStartedAt;
 
 	private long lastReadAt;
@@ -207,7 +218,7 @@
 			return;
 		}
 		deleteMissing(from);
-		this.nextOffset = from;
+		this.nextOffset = Math.max(this.nextOffset, from);
 		this.snapshotPath = ReadPath.SNAPSHOT;
 		this.initialized = true;
 		this.sink.caughtUp(from);
@@ -228,9 +239,17 @@
 		this.nextOffset = end;
 		this.positions.replaceAll((key, position) -> EARLIER_ERA);
 		this.outOfOrder.clear();
+		READ_AGAIN_MILLIS.forEach((millis) -> this.timer.schedule(this::readSnapshotNext, millis));
 		this.sink.storeReturned();
 	}
 
+	private void readSnapshotNext() {
+		this.snapshotDue = true;
+		if (this.scheduled != null) {
+			this.scheduled.run();
+		}
+	}
+
 	private void deleteMissing(long end) {
 		StorePosition endPosition = new StorePosition(this.era, end);
 		Set<String> missing = new HashSet<>(this.positions.keySet());
@@ -238,8 +257,8 @@
 		for (String key : missing) {
 			StorePosition known = this.positions.get(key);
 			if (known.compareTo(endPosition) < 0) {
-				this.sink.accept(new KeyedRecord(key, NO_VALUE, known), this.snapshotPath);
 				this.positions.remove(key);
+				pass(new KeyedRecord(key, NO_VALUE, known), this.snapshotPath);
 			}
 		}
 	}
@@ -258,6 +277,10 @@
 		else {
 			this.positions.put(record.key(), record.position());
 		}
+		return pass(record, path);
+	}
+
+	private boolean pass(KeyedRecord record, ReadPath path) {
 		try {
 			return this.sink.accept(record, path);
 		}
@@ -271,7 +294,8 @@
 	// recent enough.
 	private void pollUnlessForwarded() {
 		long waitMillis = this.settings.get().maxAgeMillis() - ageNanos() / NANOS_PER_MILLI;
-		if (waitMillis > 0 && !this.pollForced && this.outageSince == 0 && this.forwarding.anotherHostReads()) {
+		boolean due = this.pollForced || this.snapshotDue || this.outageSince != 0;
+		if (waitMillis > 0 && !due && this.forwarding.anotherHostReads()) {
 			schedule(this::pollUnlessForwarded, waitMillis);
 			return;
 		}
@@ -279,7 +303,8 @@
 	}
 
 	private void poll() {
-		if (this.topic.era() != this.era) {
+		if (this.topic.era() != this.era || this.snapshotDue) {
+			this.snapshotDue = false;
 			readSnapshot();
 			return;
 		}
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/TopicFollowerTests.java
@@ -84,6 +84,23 @@
 		assertThat(this.seen).containsEntry("b", "4");
 	}
 
+	// Guards against a follower that reads no more because the sink failed on a key that
+	// the store no longer has.
+	@Test
+	void aDeletionOnWhichTheSinkFailsIsSkippedAndLaterRecordsAreDelivered() {
+		this.topic.put("broken", "1");
+		this.follower.start();
+		this.topic.down(true);
+		this.topic.put("broken", "");
+		this.topic.put("a", "2");
+		this.topic.loseHistory();
+		this.topic.down(false);
+		runScheduled();
+		this.topic.put("b", "3");
+		runScheduled();
+		assertThat(this.seen).containsEntry("a", "2").containsEntry("b", "3");
+	}
+
 	@Test
 	void allPagesAreRead() {
 		this.topic.pageSize(2);
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/ForwardingFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/ForwardingFleet.java
@@ -5,14 +5,19 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 import io.sequoialink.gateway.count.LabelledCounters;
 import io.sequoialink.gateway.feed.KeyedRecord;
@@ -30,7 +35,8 @@
 
 /**
  * Simulates hosts that follow the operator's and the servers' topic of one store, in
- * simulated time and with faults. Confined to one thread.
+ * simulated time and with faults of hosts, links and the store. What a host does with the
+ * records can be replaced. Confined to one thread.
  */
 final class ForwardingFleet {
 
@@ -53,8 +59,16 @@
 
 	private static final long CALL_MILLIS = 5;
 
+	/** Time until a process that is started makes its first call. */
+	static final long START_MILLIS = 300;
+
+	/** Time after which a call without a response has failed, beyond its wait. */
+	private static final long CALL_TIMEOUT_MILLIS = 1500;
+
 	private final SplittableRandom random;
 
+	private final Function<LongSupplier, RecordSink> sinks;
+
 	private final PriorityQueue<Event> events = new PriorityQueue<>();
 
 	private final Map<String, List<KeyedRecord>> logs = Map.of(SERVERS, new ArrayList<>(), OPERATOR, new ArrayList<>());
@@ -73,20 +87,38 @@
 
 	private long era = 1;
 
+	private int pageSize = Integer.MAX_VALUE;
+
+	private boolean silent;
+
+	private final Map<String, Integer> historyStarts = new HashMap<>();
+
 	private long datagramBytes;
 
 	ForwardingFleet(int size, int zones, long seed) {
+		this(size, zones, seed, ValueSink::new);
+	}
+
+	/**
+	 * Creates a fleet.
+	 * @param sinks creates what receives the records of a host, given its clock in
+	 * nanoseconds; called again for each start of the host
+	 */
+	ForwardingFleet(int size, int zones, long seed, Function<LongSupplier, RecordSink> sinks) {
 		this.random = new SplittableRandom(seed);
+		this.sinks = sinks;
 		for (int i = 0; i < size; i++) {
 			String name = String.format("h-%03d", i);
 			this.hosts.put(name, new Host(
 					new Peer(name, "zone-" + i % zones, new InetSocketAddress("10.0.0." + i % 250, 1000 + i))));
 		}
 		put(OPERATOR, "config", "first");
-		for (Host host : this.hosts.values()) {
-			this.hosts.values().forEach((other) -> host.forwarder.onPeer(other.self, 0));
-			schedule(this.random.nextInt(300), host, () -> host.followers.values().forEach(TopicFollower::start));
-		}
+		this.hosts.values().forEach((host) -> start(host, this.random.nextInt(300)));
+	}
+
+	private void start(Host host, long delayMillis) {
+		this.hosts.values().forEach((other) -> host.forwarder.onPeer(other.self, 0));
+		schedule(delayMillis, host, () -> host.followers.values().forEach(TopicFollower::start));
 	}
 
 	// Tasks of a frozen host wait until it continues; those of a killed host are
@@ -117,7 +149,7 @@
 
 	void put(String topic, String key, String value) {
 		List<KeyedRecord> log = this.logs.get(topic);
-		log.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), new StorePosition(this.era, log.size())));
+		log.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), log.size()));
 	}
 
 	/**
@@ -126,8 +158,77 @@
 	 */
 	void returnFromCopy(int lostRecords) {
 		this.era++;
-		List<KeyedRecord> log = this.logs.get(OPERATOR);
-		log.subList(log.size() - lostRecords, log.size()).clear();
+		lose(OPERATOR, lostRecords);
+	}
+
+	/** Does the same with both topics. */
+	void returnFromCopy(int lostOperatorRecords, int lostServerRecords) {
+		returnFromCopy(lostOperatorRecords);
+		lose(SERVERS, lostServerRecords);
+	}
+
+	private void lose(String topic, int records) {
+		List<KeyedRecord> log = this.logs.get(topic);
+		log.subList(Math.max(0, log.size() - records), log.size()).clear();
+		this.historyStarts.merge(topic, log.size(), Math::min);
+	}
+
+	/** The store drops the history of a topic; the newest record of each key stays. */
+	void compact(String topic) {
+		this.historyStarts.put(topic, this.logs.get(topic).size());
+	}
+
+	/** Sets whether the store leaves calls without a response. */
+	void silence(boolean isSilent) {
+		this.silent = isSilent;
+	}
+
+	/** Sets how many records a page of newest records holds at most. */
+	void pageSize(int records) {
+		this.pageSize = records;
+	}
+
+	/** Returns the values of a topic's keys, as the store has them. */
+	Map<String, String> stored(String topic) {
+		Map<String, String> newest = new TreeMap<>();
+		this.logs.get(topic)
+			.forEach((record) -> newest.put(record.key(), new String(record.value(), StandardCharsets.UTF_8)));
+		newest.values().removeIf(String::isEmpty);
+		return newest;
+	}
+
+	/** Returns the names of all hosts, in order. */
+	List<String> hostNames() {
+		return this.hosts.keySet().stream().sorted().toList();
+	}
+
+	/** Returns the sinks of the hosts that are healthy, by name. */
+	Map<String, RecordSink> healthySinks() {
+		Map<String, RecordSink> healthy = new TreeMap<>();
+		this.hosts.forEach((name, host) -> {
+			if (host.healthy()) {
+				healthy.put(name, host.sink);
+			}
+		});
+		return healthy;
+	}
+
+	/** Replaces the process of a host by one that knows nothing. */
+	void restart(String name) {
+		Host before = this.hosts.get(name);
+		before.dead = true;
+		Host started = new Host(before.self);
+		this.hosts.put(name, started);
+		start(started, START_MILLIS);
+	}
+
+	void reconnectToStore(String name) {
+		this.disconnectedHosts.remove(name);
+	}
+
+	/** Runs a task after a delay, independent of any host. */
+	void later(long delayMillis, Runnable task) {
+		schedule(delayMillis, null, task);
 	}
 
 	/** Lets backend servers write their unchanged record every 1.2 s. */
@@ -153,7 +254,7 @@
 		long start = this.nowMillis;
 		while (this.hosts.values()
 			.stream()
-			.anyMatch((host) -> host.healthy() && !value.equals(host.values.get("change")))) {
+			.anyMatch((host) -> host.healthy() && !value.equals(((ValueSink) host.sink).values.get("change")))) {
 			run(10);
 			if (this.nowMillis - start > 20_000) {
 				break;
@@ -196,7 +297,7 @@
 	}
 
 	/** One simulated host. */
-	private final class Host implements RecordSink {
+	private final class Host {
 
 		private final Peer self;
 
@@ -204,25 +305,28 @@
 
 		private final Map<String, TopicFollower> followers = new HashMap<>();
 
-		private final Map<String, String> values = new HashMap<>();
+		private final RecordSink sink;
 
 		private boolean dead;
 
 		private long seenEra = StorePosition.NO_ERA;
 
+		private final Set<Runnable> hanging = new LinkedHashSet<>();
+
 		private long frozenUntil;
 
 		private Host(Peer self) {
 			this.self = self;
+			this.sink = ForwardingFleet.this.sinks.apply(() -> ForwardingFleet.this.nowMillis * 1_000_000L);
 			this.forwarder = new ReadForwarder(self, this::send,
 					(read) -> this.followers.get(read.topic()).forwarded(read), 4_000_000_000L,
 					() -> ForwardingFleet.this.nowMillis * 1_000_000L);
+			StoreAvailability availability = new StoreAvailability(new LabelledCounters("topic", "outcome"),
+					new LabelledCounters("topic", "outcome"));
 			POLLING.forEach((topic, pace) -> this.followers.put(topic,
-					new TopicFollower(new Store(topic), this, () -> pace, (work, delay) -> schedule(delay, this, work),
-							() -> ForwardingFleet.this.nowMillis * 1_000_000L,
-							new StoreAvailability(new LabelledCounters("topic", "outcome"),
-									new LabelledCounters("topic", "outcome")),
-							this.forwarder)));
+					new TopicFollower(new Store(topic), this.sink, () -> pace,
+							(work, delay) -> schedule(delay, this, work),
+							() -> ForwardingFleet.this.nowMillis * 1_000_000L, availability, this.forwarder)));
 		}
 
 		private boolean healthy() {
@@ -242,17 +346,6 @@
 						() -> host.forwarder.onDatagram(this.self.address().getAddress(), datagram)));
 		}
 
-		@Override
-		public boolean accept(KeyedRecord record, ReadPath path) {
-			String value = new String(record.value(), StandardCharsets.UTF_8);
-			return !value.equals(this.values.put(record.key(), value));
-		}
-
-		@Override
-		public void caughtUp(long end) {
-			// the test checks the records only
-		}
-
 		/** Access of this host to the simulated store. */
 		private final class Store implements KeyedTopic {
 
@@ -262,8 +355,14 @@
 				this.topic = topic;
 			}
 
+			// The store names its present era for all records, also for those of the
+			// copy.
 			private List<KeyedRecord> log() {
-				return ForwardingFleet.this.logs.get(this.topic);
+				return ForwardingFleet.this.logs.get(this.topic)
+					.stream()
+					.map((record) -> new KeyedRecord(record.key(), record.value(),
+							new StorePosition(ForwardingFleet.this.era, record.offset())))
+					.toList();
 			}
 
 			@Override
@@ -278,23 +377,32 @@
 
 			@Override
 			public void readSnapshot(Optional<String> after, Consumer<StoreReply<SnapshotPage>> reply) {
-				call(() -> {
-					Map<String, KeyedRecord> newest = new HashMap<>();
-					log().forEach((record) -> newest.put(record.key(), record));
-					reply.accept(StoreReply
-						.of(new SnapshotPage(List.copyOf(newest.values()), Optional.empty(), log().size())));
-				}, reply);
+				call(0, () -> reply.accept(StoreReply.of(page(after))), reply);
+			}
+
+			private SnapshotPage page(Optional<String> after) {
+				NavigableMap<String, KeyedRecord> newest = new TreeMap<>();
+				log().forEach((record) -> newest.put(record.key(), record));
+				newest.values().removeIf(KeyedRecord::deleted);
+				List<KeyedRecord> rest = after.map((key) -> newest.tailMap(key, false))
+					.orElse(newest)
+					.values()
+					.stream()
+					.toList();
+				int size = Math.min(ForwardingFleet.this.pageSize, rest.size());
+				Optional<String> next = (size < rest.size()) ? Optional.of(rest.get(size - 1).key()) : Optional.empty();
+				return new SnapshotPage(List.copyOf(rest.subList(0, size)), next, log().size());
 			}
 
 			@Override
 			public void poll(long from, int waitMillis, Consumer<StoreReply<PollResult>> reply) {
-				call(() -> answer(from, waitMillis, reply), reply);
+				call(waitMillis, () -> answer(from, waitMillis, reply), reply);
 			}
 
 			private void answer(long from, int waitMillis, Consumer<StoreReply<PollResult>> reply) {
-				int end = log().size();
+				int end = ForwardingFleet.this.logs.get(this.topic).size();
 				Host.this.seenEra = ForwardingFleet.this.era;
-				if (from > end) {
+				if (from > end || from < ForwardingFleet.this.historyStarts.getOrDefault(this.topic, 0)) {
 					reply.accept(StoreReply.of(new PollResult(List.of(), from, end, true)));
 					return;
 				}
@@ -306,13 +414,31 @@
 				reply.accept(StoreReply.of(new PollResult(records, end, end, false)));
 			}
 
-			private <T> void call(Runnable work, Consumer<StoreReply<T>> reply) {
+			private <T> void call(int waitMillis, Runnable work, Consumer<StoreReply<T>> reply) {
 				ForwardingFleet.this.storeCalls++;
 				boolean reached = !ForwardingFleet.this.disconnectedHosts.contains(Host.this.self.host());
+				if (ForwardingFleet.this.silent) {
+					Runnable end = () -> reply
+						.accept(StoreReply.failed(new StoreFailure(StoreFailure.Kind.UNKNOWN, "no response")));
+					hang(waitMillis + CALL_TIMEOUT_MILLIS, end, () -> reply
+						.accept(StoreReply.failed(new StoreFailure(StoreFailure.Kind.RENEWED, "made again"))));
+					return;
+				}
 				schedule(CALL_MILLIS, Host.this, reached ? () -> inPresentEra(work) : () -> reply
 					.accept(StoreReply.failed(new StoreFailure(StoreFailure.Kind.REFUSED, "disconnected"))));
 			}
 
+			// A call that was sent to the silent store gets no response, also once the
+			// store is back.
+			private void hang(long millis, Runnable end, Runnable aborted) {
+				Host.this.hanging.add(aborted);
+				schedule(millis, Host.this, () -> {
+					if (Host.this.hanging.remove(aborted)) {
+						end.run();
+					}
+				});
+			}
+
 			private void inPresentEra(Runnable work) {
 				boolean changed = Host.this.seenEra != StorePosition.NO_ERA
 						&& Host.this.seenEra != ForwardingFleet.this.era;
@@ -325,7 +451,9 @@
 
 			@Override
 			public void abortWaitingCalls() {
-				// long polls are short in this simulation
+				List<Runnable> due = List.copyOf(Host.this.hanging);
+				Host.this.hanging.clear();
+				due.forEach((aborted) -> schedule(0, Host.this, aborted));
 			}
 
 			@Override
@@ -337,4 +465,26 @@
 
 	}
 
+	/** Keeps the newest value of each key. */
+	private static final class ValueSink implements RecordSink {
+
+		private final Map<String, String> values = new HashMap<>();
+
+		private ValueSink(LongSupplier clock) {
+			// values have no age
+		}
+
+		@Override
+		public boolean accept(KeyedRecord record, ReadPath path) {
+			String value = new String(record.value(), StandardCharsets.UTF_8);
+			return !value.equals(this.values.put(record.key(), value));
+		}
+
+		@Override
+		public void caughtUp(long end) {
+			// the test checks the records only
+		}
+
+	}
+
 }
