Write blocked prompt parts again that the store has lost

Callers could see, after a return of the store: a host that starts lets a part crash servers again which all others block, or blocks one that was found harmless. Cause: the record of a culprit, or its deletion, is lost with what the store had not copied, and nobody wrote it again. Change: after a return the collectors (eight hosts at most) write the culprits in force that the copy lacks, 1 to 1.5 s later, unless another has; and delete the record of one that was lifted after it was found.

--- a/gateway/src/main/java/io/sequoialink/gateway/crash/CulpritListener.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/CulpritListener.java
@@ -33,4 +33,11 @@
 	 */
 	void culpritDeleted(Set<Long> traits);
 
+	/**
+	 * Called when the store has returned from an older copy, before its records are read
+	 * again; it may have lost some, and have others again that were deleted.
+	 */
+	default void storeReturned() {
+	}
+
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/crash/NewsCollectors.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/NewsCollectors.java
@@ -42,6 +42,14 @@
 			.toList();
 	}
 
+	/**
+	 * Returns whether this host is a collector.
+	 * @return whether the others report to it
+	 */
+	boolean includeSelf() {
+		return Math.min(COLLECTORS, this.others.get().size() + 1) > others().size();
+	}
+
 	/**
 	 * Returns a known host.
 	 * @param host name of the host
--- a/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
@@ -415,7 +415,38 @@
 		if (!this.traits.culpritStates().containsKey(read.traits()) && this.traits.convict(read.traits(), state)) {
 			announce(read.traits(), state, "a record in the store");
 			updateExplanations();
+			return;
 		}
+		deleteRefuted(read, state);
+	}
+
+	// A culprit that was found harmless has a record again if the deletion was lost.
+	// Hosts
+	// that start later would block its requests.
+	private void deleteRefuted(CulpritRecord read, CulpritState state) {
+		CulpritState known = this.traits.culpritStates().get(read.traits());
+		if (known == null || !known.lifted() || known.atNanos() < state.atNanos() || !this.gossip.isCollector()) {
+			return;
+		}
+		this.timer.schedule(() -> {
+			if (this.stored.remove(read.traits())) {
+				this.store.delete(read.traits());
+			}
+		}, this.random.nextInt(WRITE_SPREAD_MILLIS));
+	}
+
+	@Override
+	public void storeReturned() {
+		this.stored.clear();
+		if (!this.gossip.isCollector()) {
+			return;
+		}
+		this.traits.culpritStates().forEach((culprit, state) -> {
+			if (!state.lifted()) {
+				this.timer.schedule(() -> write(culprit, List.of()),
+						WRITE_RETRY_MILLIS + this.random.nextInt(WRITE_SPREAD_MILLIS));
+			}
+		});
 	}
 
 	@Override
--- a/gateway/src/main/java/io/sequoialink/gateway/crash/TraitGossip.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/TraitGossip.java
@@ -116,6 +116,15 @@
 		this.urgent = true;
 	}
 
+	/**
+	 * Returns whether this host is one of the few to which all report, and which write
+	 * for all.
+	 * @return whether it collects reports
+	 */
+	boolean isCollector() {
+		return this.collectors.includeSelf();
+	}
+
 	/**
 	 * Sends what this host lost in crashes to the collectors.
 	 * @param lost traits by crash
--- a/gateway/src/test/java/io/sequoialink/gateway/crash/TraitCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/crash/TraitCoordinatorTests.java
@@ -1,10 +1,13 @@
 package io.sequoialink.gateway.crash;
 
+import java.util.List;
 import java.util.Set;
 
 import io.sequoialink.decision.crash.Involvement;
 import io.sequoialink.decision.crash.TraitVerdict;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -96,6 +99,58 @@
 		assertThat(alone.storeCalls()).containsExactly("write [7, 8]", "write [7]", "delete [7, 8]");
 	}
 
+	private static TraitFleet withCulprit(int hosts) throws Exception {
+		TraitFleet fleet = new TraitFleet(1, hosts, 0);
+		for (long server = 1; server <= 3; server++) {
+			fleet.run(500);
+			fleet.host(0)
+				.coordinator()
+				.serverCrashed(server, DROPPED, new Involvement(fleet.nanos(), true), fleet.nanos() + 1);
+			fleet.run(100);
+		}
+		fleet.run(2000);
+		return fleet;
+	}
+
+	// Guards against a culprit whose record is lost with the store's copy: hosts that
+	// start
+	// later would let it crash servers. Few hosts write, whatever the size of the fleet.
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 95 })
+	void aCulpritThatTheStoreHasLostIsWrittenAgainByFewHosts(int hosts) throws Exception {
+		TraitFleet fleet = withCulprit(hosts);
+		fleet.stored().clear();
+		fleet.storeCalls().clear();
+		for (int i = 0; i < hosts; i++) {
+			fleet.host(i).coordinator().storeReturned();
+		}
+		fleet.run(3000);
+		assertThat(fleet.stored()).isNotEmpty();
+		assertThat(fleet.storeCalls()).hasSizeLessThanOrEqualTo(NewsCollectors.COLLECTORS);
+	}
+
+	// Guards against a record that comes back with the store's copy although its part was
+	// found harmless.
+	@Test
+	void aRefutedCulpritThatTheCopyHasAgainIsDeleted() throws Exception {
+		TraitFleet fleet = withCulprit(3);
+		CulpritRecord culprit = fleet.stored().get(0);
+		fleet.run(500);
+		fleet.host(1).coordinator().responseBegan(DROPPED);
+		fleet.run(2000);
+		assertThat(fleet.stored()).isEmpty();
+		fleet.stored().add(culprit);
+		for (int i = 0; i < 3; i++) {
+			fleet.host(i).coordinator().storeReturned();
+			fleet.host(i)
+				.coordinator()
+				.culpritRead(new CulpritRecord(culprit.traits(), culprit.label(), culprit.crashes(), List.of(), 5000));
+		}
+		fleet.run(2000);
+		assertThat(fleet.stored()).isEmpty();
+		assertThat(fleet.host(2).coordinator().verdict(DROPPED)).isEqualTo(TraitVerdict.FREE);
+	}
+
 	@Test
 	void crashesThatACulpritExplainsAreNamed() {
 		for (long server = 1; server <= 3; server++) {
