Keep verdicts and orders of roll-outs across a return of the store

Callers could see, after a return of the store: a roll-out to an older version begins anew from the copy; a roll-out ends by the state, or is judged by the reports, of another one; a host that starts later begins a completed roll-out again. Cause: an order of another era was news whatever it said; states and reports named their order by its offset alone, which is given out again; and a final state that the store lost was written by nobody.

--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -137,6 +137,9 @@
 	/** A roll-out ended. */
 	public static final String ROLLOUT_ENDED = "SL-3305 roll-out of {} to {} is {}, read at offset {}";
 
+	/** The copy from which the store returned has another order than this host knows. */
+	public static final String ROLLOUT_ORDER_OF_COPY = "SL-3308 roll-out of {} to {}: its order at offset {} of the store's older copy is ignored unless no other is written soon; this host knows an order for {}";
+
 	/** The response counts that led to a new state of a roll-out. */
 	public static final String ROLLOUT_EVALUATED = "SL-3307 roll-out of {} to {}: state {} follows from {} bad of {} responses of the new version and {} of {} of the old versions, reported by {} hosts; score {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
@@ -165,9 +165,15 @@
 	/**
 	 * Passes an operator's roll-out order to the roll-out coordinator.
 	 * @param order the order
+	 * @param path the way by which it came to this host
 	 */
-	public void orderRead(PositionedValue<RolloutOrder> order) {
-		this.rollouts.onOrder(order);
+	public void orderRead(PositionedValue<RolloutOrder> order, ReadPath path) {
+		if (path == ReadPath.RETURNED_COPY) {
+			this.rollouts.onOrderOfCopy(order);
+		}
+		else {
+			this.rollouts.onOrder(order);
+		}
 		this.orderRead = true;
 		this.orderListener.run();
 	}
@@ -288,6 +294,15 @@
 		}
 	}
 
+	/**
+	 * Called when the store has returned from an older copy, before the records that
+	 * hosts publish are read again.
+	 * @param era the present era of the store
+	 */
+	public void statusesReturned(long era) {
+		this.rollouts.storeReturned(era);
+	}
+
 	/**
 	 * Called when the store can be read again after an outage, or has returned from an
 	 * older copy.
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.rollout;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 import io.sequoialink.decision.rollout.BadAnswerTest;
@@ -50,6 +51,8 @@
 
 	private PositionedValue<RolloutOrder> order;
 
+	private final Set<Long> orderOffsets = new HashSet<>();
+
 	private final CanarySchedule schedule;
 
 	private final FleetAnswerCounts answerCounts;
@@ -81,6 +84,7 @@
 			long startedAtNanos) {
 		this.host = host;
 		this.order = order;
+		this.orderOffsets.add(order.offset());
 		this.schedule = schedule;
 		this.answerCounts = new FleetAnswerCounts(host, test);
 		this.startedAtNanos = startedAtNanos;
@@ -136,6 +140,27 @@
 	 */
 	void moveOrder(PositionedValue<RolloutOrder> writtenAgain) {
 		this.order = writtenAgain;
+		this.orderOffsets.add(writtenAgain.offset());
+	}
+
+	/**
+	 * Returns whether a published record belongs to this roll-out. Hosts that have not
+	 * read the order again after a return of the store still name its former position.
+	 * @param target version that the record names, empty if it names none
+	 * @param orderOffset offset of the order that the record names
+	 * @return whether both are those of this roll-out
+	 */
+	boolean isNamedBy(String target, long orderOffset) {
+		return this.orderOffsets.contains(orderOffset)
+				&& (target.isEmpty() || target.equals(this.order.value().target()));
+	}
+
+	/**
+	 * Returns the final state of this roll-out.
+	 * @return the state, empty before its end
+	 */
+	Optional<RolloutState> finalState() {
+		return ended() ? Optional.of(this.state) : Optional.empty();
 	}
 
 	/**
@@ -291,8 +316,8 @@
 	 * @return the report, earlier processes of this host included
 	 */
 	public HostRolloutReport ownReport() {
-		return new HostRolloutReport(this.order.value().service(), this.host, this.order.offset(),
-				this.answerCounts.ownByRoute(), this.sessionsPinnedHere);
+		return new HostRolloutReport(this.order.value().service(), this.host, this.order.value().target(),
+				this.order.offset(), this.answerCounts.ownByRoute(), this.sessionsPinnedHere);
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/HostRolloutReport.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/HostRolloutReport.java
@@ -8,6 +8,7 @@
  *
  * @param service service whose version changes
  * @param host name of the reporting host
+ * @param target version that is rolled out, empty if the report does not name it
  * @param orderOffset offset in the store of the operator's roll-out order, which
  * identifies the roll-out
  * @param countsByRoute answer counts by route
@@ -15,7 +16,7 @@
  * version although their hash is in the share of the sessions that goes to the new
  * version from the beginning of the roll-out
  */
-public record HostRolloutReport(String service, String host, long orderOffset,
+public record HostRolloutReport(String service, String host, String target, long orderOffset,
 		Map<String, RouteAnswerCounts> countsByRoute, Set<Long> pinnedSessions) {
 
 	/** Copies the map and the set. */
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
@@ -1,8 +1,10 @@
 package io.sequoialink.gateway.rollout;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -12,6 +14,7 @@
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
+import io.sequoialink.gateway.fleet.RolloutState;
 import io.sequoialink.gateway.fleet.RolloutStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,6 +39,12 @@
 	 */
 	public static final long MAX_STATE_AGE_NANOS = 3_000_000_000L;
 
+	/**
+	 * Time after a return of the store in which the operator writes again what it has
+	 * lost, in nanoseconds.
+	 */
+	static final long WRITE_AGAIN_NANOS = 5_000_000_000L;
+
 	private static final Logger logger = LoggerFactory.getLogger(RolloutCoordinator.class);
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -56,6 +65,8 @@
 
 	private final Map<String, RolloutPublisher> publishers = new HashMap<>();
 
+	private final Map<String, OrderOfCopy> ordersOfCopy = new HashMap<>();
+
 	private final Map<String, PositionedValue<RolloutStatus>> statuses = new HashMap<>();
 
 	private final Map<String, HostRolloutReport> reports = new HashMap<>();
@@ -64,6 +75,8 @@
 
 	private boolean recordsRead;
 
+	private OptionalLong returnedEra = OptionalLong.empty();
+
 	/**
 	 * Creates a coordinator for a host that has read no roll-out order yet.
 	 * @param host name of this host
@@ -96,6 +109,7 @@
 	 * @param order the roll-out order with the offset of its record
 	 */
 	public void onOrder(PositionedValue<RolloutOrder> order) {
+		this.ordersOfCopy.remove(order.value().service());
 		Canary current = this.canaries.get(order.value().service());
 		if (current != null && !order.mayReplace(current.order())) {
 			return;
@@ -120,6 +134,35 @@
 		this.reports.values().forEach(this::onReport);
 	}
 
+	/**
+	 * Applies an order of the copy from which the store returned. One that differs from
+	 * what this host knows may be older: it counts only if no other is written within
+	 * {@link #WRITE_AGAIN_NANOS}.
+	 * @param order the order
+	 */
+	public void onOrderOfCopy(PositionedValue<RolloutOrder> order) {
+		Canary current = this.canaries.get(order.value().service());
+		if (current == null || current.order().value().equals(order.value())) {
+			onOrder(order);
+			return;
+		}
+		logger.info(GatewayEvents.ROLLOUT_ORDER_OF_COPY, order.value().service(), order.value().target(),
+				order.offset(), current.order().value().target());
+		this.ordersOfCopy.put(order.value().service(),
+				new OrderOfCopy(order, this.clock.getAsLong() + WRITE_AGAIN_NANOS));
+	}
+
+	/**
+	 * Called when the store has returned from an older copy: what hosts published may be
+	 * lost.
+	 * @param era the present era of the store
+	 */
+	public void storeReturned(long era) {
+		this.returnedEra = OptionalLong.of(era);
+		this.statuses.clear();
+		this.publishers.values().forEach(RolloutPublisher::storeReturned);
+	}
+
 	// Requests of these sessions also arrive at other hosts, which must not treat them
 	// as new sessions.
 	private void pinRecentSessions(RolloutOrder order) {
@@ -137,7 +180,7 @@
 	public void onStatus(PositionedValue<RolloutStatus> status) {
 		this.statuses.put(status.value().service(), status);
 		Canary canary = this.canaries.get(status.value().service());
-		if (canary == null || status.value().order() != canary.order().offset()) {
+		if (canary == null || !canary.isNamedBy(status.value().target(), status.value().order())) {
 			return;
 		}
 		boolean endedBefore = canary.ended();
@@ -156,7 +199,7 @@
 	public void onReport(HostRolloutReport report) {
 		this.reports.put(report.service() + '/' + report.host(), report);
 		Canary canary = this.canaries.get(report.service());
-		if (canary != null && canary.order().offset() == report.orderOffset()) {
+		if (canary != null && canary.isNamedBy(report.target(), report.orderOffset())) {
 			canary.addReport(report);
 		}
 	}
@@ -277,6 +320,10 @@
 	 * that are due. Called a few times a second.
 	 */
 	public void tick() {
+		applyOrdersOfCopy();
+		this.canaries.forEach((service, canary) -> canary.finalState()
+			.filter((state) -> this.recordsRead && orderStored(canary) && !isPublished(canary, state))
+			.ifPresent((state) -> this.publishers.get(service).writeLostState(state, this.readUpToOffset)));
 		for (Map.Entry<String, Canary> entry : this.canaries.entrySet()) {
 			if (!entry.getValue().ended()) {
 				tick(entry.getValue(), this.publishers.get(entry.getKey()));
@@ -284,6 +331,26 @@
 		}
 	}
 
+	private void applyOrdersOfCopy() {
+		long now = this.clock.getAsLong();
+		List<OrderOfCopy> due = this.ordersOfCopy.values()
+			.stream()
+			.filter((order) -> now - order.atNanos() >= 0)
+			.toList();
+		due.forEach((order) -> onOrder(order.order()));
+	}
+
+	// A published state names the position of its order, which other hosts must know.
+	private boolean orderStored(Canary canary) {
+		return this.returnedEra.isPresent() && canary.order().position().era() == this.returnedEra.getAsLong();
+	}
+
+	private boolean isPublished(Canary canary, RolloutState state) {
+		PositionedValue<RolloutStatus> published = this.statuses.get(canary.order().value().service());
+		return published != null && published.value().state() == state
+				&& canary.isNamedBy(published.value().target(), published.value().order());
+	}
+
 	private void tick(Canary canary, RolloutPublisher publisher) {
 		boolean rollBack = canary.shouldRollBack(this.clock.getAsLong());
 		if (rollBack && !canary.stopped()) {
@@ -298,6 +365,15 @@
 		publisher.writeStateIfDue(this.readUpToOffset);
 	}
 
+	/**
+	 * An order of the store's older copy. Immutable.
+	 *
+	 * @param order the order
+	 * @param atNanos monotonic time from which it counts
+	 */
+	private record OrderOfCopy(PositionedValue<RolloutOrder> order, long atNanos) {
+	}
+
 	/**
 	 * Limits for roll-outs. Immutable.
 	 *
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
@@ -165,6 +165,26 @@
 		}
 	}
 
+	/**
+	 * Writes the final state again, which the store has lost.
+	 * @param state the state
+	 * @param readUpToOffset end offset of the last read of the published records
+	 */
+	void writeLostState(RolloutState state, long readUpToOffset) {
+		if (!this.writing) {
+			write(state, readUpToOffset);
+		}
+	}
+
+	/**
+	 * Called when the store has returned from an older copy. A state that was read before
+	 * may have to be written anew, after another random delay.
+	 */
+	void storeReturned() {
+		this.pendingState = null;
+		this.readRequested = false;
+	}
+
 	/**
 	 * Called after each read. A state write that waited for the read is made at once,
 	 * before other hosts append more.
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
@@ -70,7 +70,7 @@
 
 	@Test
 	void theViewIsIncompleteUntilTheStateOfAnOrderedRollOutIsRead() {
-		this.updates.orderRead(new PositionedValue<>(new RolloutOrder("s", "v2", 1000), 0));
+		this.updates.orderRead(new PositionedValue<>(new RolloutOrder("s", "v2", 1000), 0), ReadPath.POLL);
 		this.updates.configuration(new Configuration(1, List.of(), List.of(), List.of(), ClientLimits.INITIAL),
 				new StorePosition(1, 1), ReadPath.POLL);
 		this.updates.operatorRecordsRead();
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.sequoialink.decision.rollout.AnswerCounts;
 import io.sequoialink.decision.rollout.BadAnswerTest;
@@ -238,6 +239,84 @@
 		assertThat(watch.targetVersion("s")).isEqualTo(target);
 	}
 
+	private static PositionedValue<RolloutOrder> order(String target, long era, long offset) {
+		return new PositionedValue<>(new RolloutOrder("s", target, DURATION), new StorePosition(era, offset));
+	}
+
+	private static PositionedValue<RolloutStatus> status(String target, RolloutState state, long order) {
+		return new PositionedValue<>(new RolloutStatus("s", target, state, order, 10), new StorePosition(2, 1));
+	}
+
+	// Guards against a roll-out to an older version that comes back with the store's
+	// copy.
+	@ParameterizedTest
+	@CsvSource({ "true, v3", "false, v2" })
+	void anOlderOrderOfTheCopyCountsOnlyIfNoOtherIsWritten(boolean writtenAgain, String expected) {
+		long[] now = { 1 };
+		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
+				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> now[0], new Random(1));
+		watch.onOrder(order("v3", 1, 9));
+		watch.onOrderOfCopy(order("v2", 2, 5));
+		watch.tick();
+		assertThat(watch.targetVersion("s")).isEqualTo("v3");
+		if (writtenAgain) {
+			watch.onOrder(order("v3", 2, 6));
+		}
+		now[0] += RolloutCoordinator.WRITE_AGAIN_NANOS;
+		watch.tick();
+		assertThat(watch.targetVersion("s")).isEqualTo(expected);
+	}
+
+	// Guards against a state or a report of another roll-out, whose order had an offset
+	// that
+	// was given out again.
+	@Test
+	void recordsOfAnotherVersionWithTheSameOrderOffsetDoNotCount() {
+		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
+				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> 1, new Random(1));
+		watch.onOrder(order("v3", 2, 7));
+		watch.onStatus(status("v2", RolloutState.COMPLETED, 7));
+		watch.onReport(new HostRolloutReport("s", "h2", "v2", 7,
+				Map.of("r", new RouteAnswerCounts(new AnswerCounts(50, 50), new AnswerCounts(50, 0))), Set.of()));
+		watch.tick();
+		assertThat(watch.canary("s").ended()).isFalse();
+		assertThat(watch.canary("s").stopped()).isFalse();
+	}
+
+	@Test
+	void recordsThatNameTheFormerPositionOfTheOrderCount() {
+		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
+				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> 1, new Random(1));
+		watch.onOrder(order("v2", 1, 7));
+		watch.onOrder(order("v2", 2, 3));
+		watch.onStatus(status("v2", RolloutState.ROLLED_BACK, 7));
+		assertThat(watch.canary("s").ended()).isTrue();
+	}
+
+	// Guards against a verdict that is lost with the store's records: a host that starts
+	// later would begin the roll-out anew.
+	@ParameterizedTest
+	@CsvSource({ "true, true, 0", "true, false, 1", "false, false, 0" })
+	void aVerdictThatTheStoreHasLostIsWrittenAgainOnceItsOrderIsThere(boolean orderRead, boolean inCopy, int writes) {
+		long[] now = { 1 };
+		List<RolloutState> states = new ArrayList<>();
+		RolloutCoordinator[] watch = new RolloutCoordinator[1];
+		RolloutStore store = recordsInto(new ArrayList<>(), states, () -> watch[0]);
+		watch[0] = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0), store, () -> now[0],
+				new Random(1));
+		watch[0].onOrder(order("v2", 1, 7));
+		watch[0].onStatus(status("v2", RolloutState.COMPLETED, 7));
+		watch[0].storeReturned(2);
+		if (orderRead) {
+			watch[0].onOrder(order("v2", 2, 3));
+		}
+		if (inCopy) {
+			watch[0].onStatus(status("v2", RolloutState.COMPLETED, 7));
+		}
+		runUntilDeadline(watch[0], now);
+		assertThat(states).hasSize(writes).allMatch(RolloutState.COMPLETED::equals);
+	}
+
 	@Test
 	void highScoreDoesNotKeepAVersionUndecidedForever() {
 		List<RolloutState> states = new ArrayList<>();
@@ -308,7 +387,7 @@
 		watch.tick();
 		assertThat(published).isEmpty();
 		RouteAnswerCounts before = new RouteAnswerCounts(new AnswerCounts(9, 5), new AnswerCounts(0, 0));
-		watch.onReport(new HostRolloutReport("s", "h1", 7, Map.of("r", before), Set.of()));
+		watch.onReport(new HostRolloutReport("s", "h1", "v2", 7, Map.of("r", before), Set.of()));
 		watch.onRead(9);
 		watch.tick();
 		assertThat(published).hasSize(1);
@@ -316,6 +395,29 @@
 		assertThat(published.get(0).targetAnswers()).isEqualTo(10);
 	}
 
+	// The state that is written is read back at once.
+	private static RolloutStore recordsInto(List<HostRolloutReport> published, List<RolloutState> states,
+			Supplier<RolloutCoordinator> reader) {
+		RolloutStore writing = recordsInto(published, states);
+		return new RolloutStore() {
+			@Override
+			public void writeStatus(RolloutStatus status, OptionalLong at, Consumer<StoreReply<Long>> reply) {
+				writing.writeStatus(status, at, reply);
+				reader.get().onStatus(new PositionedValue<>(status, new StorePosition(2, 9)));
+			}
+
+			@Override
+			public void writeReport(HostRolloutReport report, Consumer<StoreReply<Long>> reply) {
+				writing.writeReport(report, reply);
+			}
+
+			@Override
+			public void readNow() {
+				writing.readNow();
+			}
+		};
+	}
+
 	private static RolloutStore recordsInto(List<HostRolloutReport> published, List<RolloutState> states) {
 		return new RolloutStore() {
 			@Override
