Take log lines, notices, latencies and the forwarded stream out of two large classes

Change: what a server says of itself (ServerNotices), the log lines and counters of an attempt's end (AttemptLog), the comparison of latencies (AttemptLatencies) and what a client has of a stream (ForwardedStream) are classes of their own; crashes are asked of the check itself. No behaviour changes, log texts and logger names stay.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -1,18 +1,16 @@
 package io.sequoialink.gateway.http;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.sequoialink.decision.crash.Involvement;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.place.PromptSize;
-import io.sequoialink.gateway.place.ResponseNotice;
 import io.sequoialink.gateway.place.SelectedServer;
-import io.sequoialink.gateway.place.ServerNoticeTable;
 import io.sequoialink.gateway.place.ServerState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,11 +30,6 @@
 
 	private static final int MISDIRECTED = 421;
 
-	/** Monotonic time of a request that is not known, before all others. */
-	private static final long UNKNOWN_TIME = Long.MIN_VALUE / 2;
-
-	private static final int UNAVAILABLE = 503;
-
 	/** Time for which a permit may be used, in nanoseconds. */
 	private static final long PERMIT_LIFETIME_NANOS = 1_000_000_000L;
 
@@ -79,6 +72,10 @@
 
 	private final LatencyCheck latency;
 
+	private final ServerNotices notices;
+
+	private final AttemptLog log;
+
 	private long headAt;
 
 	private OutboundRequest outbound;
@@ -106,7 +103,9 @@
 		this.workMillis = placed.prefillMillis();
 		this.work = work;
 		this.startedAt = exchange.now();
-		this.latency = exchange.latencyCheck(this.server, work);
+		this.notices = new ServerNotices(exchange.gateway(), this.server, exchange.id());
+		this.log = new AttemptLog(exchange, this.server, this.startedAt);
+		this.latency = exchange.latencies().check(this.server, work);
 	}
 
 	void start(OutboundRequest request) {
@@ -114,7 +113,7 @@
 		this.serverWasIdle = this.server.pendingMillis() == 0;
 		this.expectedMillis = this.server.pendingMillis() + this.workMillis;
 		this.server.attemptStarted(this.workMillis);
-		notices().sent(this.server.entry());
+		this.notices.sent();
 		this.exchange.schedule(this::checkSilence, silenceTimeout(this.expectedMillis));
 		this.latency.slowHeadMillis().ifPresent((millis) -> this.exchange.schedule(this::checkHeadDelay, millis));
 	}
@@ -167,7 +166,7 @@
 		}
 		return SilenceTimeout.forPlainResponse(this.exchange.gateway()
 			.latencyBaseline()
-			.typicalMillis(this.exchange.baselineKeys(this.work).duration()), remaining);
+			.typicalMillis(this.exchange.latencies().baselineKeys(this.work).duration()), remaining);
 	}
 
 	// Marks the server as failing if it has sent nothing at all since this attempt
@@ -203,7 +202,7 @@
 
 	@Override
 	public void lateHead(int responseStatus, ResponseMetadata metadata) {
-		recordNotice(responseStatus, metadata, UNKNOWN_TIME);
+		this.notices.record(responseStatus, metadata, ServerNotices.UNKNOWN_TIME);
 	}
 
 	@Override
@@ -214,7 +213,7 @@
 		this.progress = ResponseProgress.HEAD;
 		this.server.bytesReceived(this.headAt);
 		markResponseStarted();
-		recordNotice(responseStatus, metadata, this.startedAt);
+		this.notices.record(responseStatus, metadata, this.startedAt);
 		metadata.load().ifPresent((load) -> this.server.report(load.running(), load.waiting(), this.exchange.now()));
 		this.verdict = classify(responseStatus, responseHeaders, metadata);
 		if (this.verdict == Verdict.NONE) {
@@ -229,32 +228,8 @@
 		}
 	}
 
-	// Status 421 (misdirected request) comes from a different server than the one
-	// addressed, so its notices must not be attributed to the addressed server.
-	private void recordNotice(int responseStatus, ResponseMetadata metadata, long sentNanos) {
-		if (responseStatus == MISDIRECTED) {
-			return;
-		}
-		boolean backoffRequested = responseStatus == UNAVAILABLE;
-		notices().received(this.server.entry(), new ResponseNotice(metadata.notice().shuttingDown(),
-				backoffRequested ? metadata.notice().backoffMillis() : OptionalLong.empty()));
-		if (!backoffRequested) {
-			notices().responseStarted(this.server.entry());
-		}
-		if (metadata.signed() || metadata.notExecuted()) {
-			this.exchange.gateway()
-				.servers()
-				.limits()
-				.received(this.server, metadata.limit(), this.exchange.id(), sentNanos, this.exchange.now());
-		}
-	}
-
-	private ServerNoticeTable notices() {
-		return this.exchange.gateway().servers().notices();
-	}
-
 	private void startStream(ResponseMetadata metadata) {
-		this.continuation = this.exchange.continuation();
+		this.continuation = this.exchange.stream().part();
 		if (this.continuation.filter((part) -> !part.isSameKind(this.status, this.headers)).isPresent()) {
 			abort("response does not go on with the stream, status " + this.status);
 			return;
@@ -264,7 +239,7 @@
 		this.exchange.schedule(this::checkEventRate, LatencyCheck.FIRST_CHECK_MILLIS);
 		recordPromptCache(metadata);
 		if (metadata.confidence().isPresent() && this.exchange.tryEscalate(metadata.confidence().getAsInt())) {
-			logEnd("dropped for a larger model");
+			this.log.end("dropped for a larger model");
 			cancel();
 			this.exchange.sendToLargerModel();
 		}
@@ -353,7 +328,7 @@
 	private void markBegun() {
 		if (this.progress != ResponseProgress.BEGUN) {
 			this.progress = ResponseProgress.BEGUN;
-			this.exchange.responseBegan();
+			this.exchange.crashCheck().traits().responseBegan();
 		}
 	}
 
@@ -405,12 +380,12 @@
 	}
 
 	private boolean withoutEvents() {
-		return this.events.events() == 0 && !this.exchange.acceptsEmptyStream();
+		return this.events.events() == 0 && !this.exchange.stream().acceptsEmpty();
 	}
 
 	private void succeed() {
 		markBegun();
-		count("answered");
+		this.log.count("answered");
 		this.server.succeeded();
 		recordLatency();
 		if (this.events == null) {
@@ -446,12 +421,13 @@
 			this.exchange.notConnected("server " + serverId() + " announced its shutdown or asked for a back-off");
 			return;
 		}
-		recordFailure(failure.toString());
+		this.log.failure(failure.toString());
 		if (failure == AttemptFailure.DISCONNECTED) {
-			logLostResponse();
+			this.log.lostResponse((this.events != null) ? this.events.events() : 0,
+					(this.headers != null) ? String.valueOf((long) millisSince(this.headAt)) : "no");
 		}
 		if (failure == AttemptFailure.DISCONNECTED && this.verdict != Verdict.NOT_RUN && !provenHarmless()) {
-			this.exchange.disconnected(this.server, this.startedAt, this.progress);
+			this.exchange.crashCheck().checkForCrash(this.server, this.startedAt, this.progress);
 		}
 		if (failure == AttemptFailure.NOT_CONNECTED) {
 			this.exchange.notConnected("server " + serverId() + ": " + failure);
@@ -464,13 +440,6 @@
 		}
 	}
 
-	private void logLostResponse() {
-		int received = (this.events != null) ? this.events.events() : 0;
-		String sinceHead = (this.headers != null) ? String.valueOf((long) millisSince(this.headAt)) : "no";
-		logger.info(GatewayEvents.RESPONSE_LOST, this.exchange.id(), serverId(), received, sinceHead,
-				this.exchange.promptParts());
-	}
-
 	/**
 	 * Returns whether the server has streamed enough events to show that the request does
 	 * not crash it.
@@ -484,22 +453,13 @@
 		finish();
 		dropBuffers();
 		logFailedEnd(reason);
-		recordFailure(reason);
+		this.log.failure(reason);
 		abandon();
 		this.exchange.incomplete("server " + serverId() + ": " + reason);
 	}
 
-	private void recordFailure(String reason) {
-		if (this.server.failed(this.exchange.now())) {
-			logger.info(GatewayEvents.SERVER_AVOIDED, serverId(), reason);
-		}
-	}
-
-	private void count(String outcome) {
-		this.exchange.gateway()
-			.metrics()
-			.attempts()
-			.increment(this.exchange.serviceName(), this.server.entry().version(), outcome);
+	private void logFailedEnd(String detail) {
+		this.log.failedEnd(outcome(), detail);
 	}
 
 	private String outcome() {
@@ -510,23 +470,13 @@
 		};
 	}
 
-	private void logFailedEnd(String detail) {
-		count(outcome());
-		logEnd(detail);
-	}
-
-	private void logEnd(String detail) {
-		logger.info(GatewayEvents.ATTEMPT_ENDED, this.exchange.id(), this.exchange.attempts(), serverId(), detail,
-				Exchange.millis(this.exchange.now() - this.startedAt));
-	}
-
 	/**
 	 * Aborts the attempt without notifying the exchange, because the request is blocked.
 	 * @return whether the request may have reached its server
 	 */
 	boolean withdraw() {
 		boolean sent = this.outbound.handedOver();
-		logEnd("withdrawn");
+		this.log.end("withdrawn");
 		cancel();
 		return sent;
 	}
@@ -545,14 +495,16 @@
 
 	private void abandon() {
 		if (this.outbound.handedOver() && this.progress != ResponseProgress.BEGUN) {
-			this.exchange.abandoned(this.server, this.startedAt, this.progress);
+			this.exchange.crashCheck()
+				.traits()
+				.abandoned(this.server, new Involvement(this.startedAt, this.progress == ResponseProgress.HEAD));
 		}
 		this.outbound.cancel();
 	}
 
 	private void finish() {
 		this.done = true;
-		this.exchange.attemptEnded();
+		this.exchange.crashCheck().traits().attemptEnded();
 		this.exchange.gateway().responseBuffers().release(this.bufferedBytes);
 		this.bufferedBytes = 0;
 		markResponseStarted();
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -10,7 +10,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.sequoialink.decision.crash.Involvement;
 import io.sequoialink.decision.crash.TraitVerdict;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.Route;
@@ -72,6 +71,10 @@
 
 	private PermitAcquisition permits;
 
+	private AttemptLatencies latencies;
+
+	private ForwardedStream stream;
+
 	private RequestDispatcher dispatcher;
 
 	private ModelChoice modelChoice;
@@ -82,10 +85,6 @@
 
 	private int trialWaits;
 
-	private int emptyStreams;
-
-	private StreamContinuation forwarded;
-
 	private long retryAfterMillis = LocalResponse.DEFAULT_RETRY_MILLIS;
 
 	Exchange(GatewayContext gateway, ClientConnection client, ClientRequest request) {
@@ -137,6 +136,9 @@
 		this.modelChoice = new ModelChoice(this.gateway, this.admission, this.metadata, this.request.receivedNanos());
 		this.dispatcher = new RequestDispatcher(this.gateway, this.request, this.metadata, this.admission,
 				this.modelChoice);
+		this.latencies = new AttemptLatencies(this.gateway, this.admission);
+		this.stream = new ForwardedStream(this.client, this.dispatcher::eventForwarded,
+				this.metadata.lastEvent().isPresent());
 		this.permits = new PermitAcquisition(this.gateway, this.admission, this.metadata, this::schedule);
 	}
 
@@ -236,38 +238,11 @@
 	}
 
 	/**
-	 * Checks whether a server crashed, after it closed its connection before its response
-	 * was complete.
-	 * @param server the server
-	 * @param sentNanos monotonic time at which the request was sent to it, in nanoseconds
-	 * @param progress how far the response had got
-	 */
-	void disconnected(ServerState server, long sentNanos, ResponseProgress progress) {
-		this.crashCheck.checkForCrash(server, sentNanos, progress);
-	}
-
-	/**
-	 * An attempt is withdrawn from its server before its response has begun.
-	 * @param server the server
-	 * @param sentNanos monotonic time at which the request was sent to it, in nanoseconds
-	 * @param progress how far the response had got
-	 */
-	void abandoned(ServerState server, long sentNanos, ResponseProgress progress) {
-		this.crashCheck.traits().abandoned(server, new Involvement(sentNanos, progress == ResponseProgress.HEAD));
-	}
-
-	/**
-	 * A response has begun and its server goes on.
-	 */
-	void responseBegan() {
-		this.crashCheck.traits().responseBegan();
-	}
-
-	/**
-	 * An attempt has ended.
+	 * Returns what finds out whether the request crashes servers.
+	 * @return the check of this request
 	 */
-	void attemptEnded() {
-		this.crashCheck.traits().attemptEnded();
+	CrashingRequestCheck crashCheck() {
+		return this.crashCheck;
 	}
 
 	// Withdraws the request before its server begins a response, which would crash it.
@@ -443,9 +418,9 @@
 			this.flow.forwardingStarted();
 			this.modelChoice.recordFirstByte();
 			recordFirstByte();
-			sendStreamHead(status, headers);
+			this.stream.begin(status, headers);
 		}
-		lastId.ifPresent(this::eventForwarded);
+		lastId.ifPresent(this.stream::eventForwarded);
 		this.dispatcher.refreshSession(this.attempt.server());
 		if (this.attempt.provenHarmless()) {
 			this.crashCheck.recordHarmless();
@@ -465,7 +440,7 @@
 	void endStream(int status, HttpHeaders headers) {
 		if (!this.flow.clientHasPart()) {
 			this.flow.forwardingStarted();
-			sendStreamHead(status, headers);
+			this.stream.begin(status, headers);
 		}
 		this.flow.forwardingCompleted();
 		this.crashCheck.recordHarmless();
@@ -473,22 +448,12 @@
 		finish(200, "answered");
 	}
 
-	private void sendStreamHead(int status, HttpHeaders headers) {
-		this.forwarded = new StreamContinuation(status, StreamContinuation.contentType(headers), Optional.empty());
-		this.client.sendHead(status, HopByHopHeaders.strip(headers));
-	}
-
-	private void eventForwarded(String id) {
-		this.dispatcher.eventForwarded(id);
-		this.forwarded = new StreamContinuation(this.forwarded.status(), this.forwarded.contentType(), Optional.of(id));
-	}
-
 	/**
-	 * Returns what the client has received of a stream, for another server to go on with.
-	 * @return the part, empty if the client has received nothing
+	 * Returns what the client has received of the response, if it is a stream.
+	 * @return the stream
 	 */
-	Optional<StreamContinuation> continuation() {
-		return Optional.ofNullable(this.forwarded);
+	ForwardedStream stream() {
+		return this.stream;
 	}
 
 	/**
@@ -601,45 +566,11 @@
 	}
 
 	/**
-	 * Passes the result of an attempt to the roll-out evaluation, which compares the new
-	 * version's answers with those of the old versions.
-	 * @param server server that responded
-	 * @param bad whether it failed or was several times slower than usual
-	 */
-	private void recordRolloutResult(ServerState server, boolean bad) {
-		this.gateway.rollouts().recordAnswer(service(), server.entry().version(), route().name(), bad, streaming());
-	}
-
-	/**
-	 * Returns the latency check of an attempt, which reports its result to the roll-out
-	 * evaluation.
-	 * @param server server of the attempt
-	 * @param work size of the request's prompt
-	 * @return the latency check
-	 */
-	LatencyCheck latencyCheck(ServerState server, PromptSize work) {
-		return new LatencyCheck(this.gateway.latencyBaseline(), baselineKeys(work), () -> isRolloutTarget(server),
-				(bad) -> recordRolloutResult(server, bad));
-	}
-
-	/**
-	 * Returns the keys of the baselines (usual durations) that an attempt's latencies are
-	 * compared with.
-	 * @param work size of the request's prompt
-	 * @return keys by service and model for model servers, by route for plain services
+	 * Returns what compares the attempts' latencies with the usual ones.
+	 * @return the latency checks of this request
 	 */
-	LatencyCheck.BaselineKeys baselineKeys(PromptSize work) {
-		String whole = work.inference() ? service() + '/' + work.model() : route().name();
-		return new LatencyCheck.BaselineKeys(whole, route().name() + " beginning", streaming());
-	}
-
-	/**
-	 * Returns whether a server runs the target version of a roll-out of its service.
-	 * @param server the server
-	 * @return whether its version is being rolled out
-	 */
-	private boolean isRolloutTarget(ServerState server) {
-		return server.entry().version().equals(this.gateway.rollouts().targetVersion(service()));
+	AttemptLatencies latencies() {
+		return this.latencies;
 	}
 
 	GatewayContext gateway() {
@@ -676,18 +607,6 @@
 		return parts.stream().limit(Math.max(0, parts.size() - 1)).map((part) -> Long.toHexString(part.id())).toList();
 	}
 
-	/**
-	 * Called when a stream has ended with its connection before any event. A resumed
-	 * stream may have none left, or its server may have died; it is complete if a second
-	 * server ends it likewise.
-	 * @return whether the stream is complete
-	 */
-	boolean acceptsEmptyStream() {
-		boolean resumed = this.flow.clientHasPart() || this.metadata.lastEvent().isPresent();
-		this.emptyStreams++;
-		return resumed && this.emptyStreams > 1;
-	}
-
 	int attempts() {
 		return this.flow.attempts();
 	}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
@@ -0,0 +1,68 @@
+package io.sequoialink.gateway.http;
+
+import java.util.OptionalLong;
+
+import io.sequoialink.gateway.place.ResponseNotice;
+import io.sequoialink.gateway.place.ServerNoticeTable;
+import io.sequoialink.gateway.place.ServerState;
+
+/**
+ * Passes on what a server says of itself in the responses to one attempt: that it shuts
+ * down, asks for a back-off, or names a limit. Confined to the event loop.
+ */
+final class ServerNotices {
+
+	/** Monotonic time of a request that is not known, before all others. */
+	static final long UNKNOWN_TIME = Long.MIN_VALUE / 2;
+
+	private static final int MISDIRECTED = 421;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final GatewayContext gateway;
+
+	private final ServerState server;
+
+	private final String requestId;
+
+	ServerNotices(GatewayContext gateway, ServerState server, String requestId) {
+		this.gateway = gateway;
+		this.server = server;
+		this.requestId = requestId;
+	}
+
+	/** Records that a request is sent to the server. */
+	void sent() {
+		table().sent(this.server.entry());
+	}
+
+	/**
+	 * Records the notices of a response. Status 421 (misdirected request) comes from a
+	 * different server than the one addressed, so its notices do not count.
+	 * @param status status code
+	 * @param metadata metadata of the response
+	 * @param sentNanos monotonic time at which its request was sent,
+	 * {@link #UNKNOWN_TIME} if that is not known
+	 */
+	void record(int status, ResponseMetadata metadata, long sentNanos) {
+		if (status == MISDIRECTED) {
+			return;
+		}
+		boolean backoffRequested = status == UNAVAILABLE;
+		table().received(this.server.entry(), new ResponseNotice(metadata.notice().shuttingDown(),
+				backoffRequested ? metadata.notice().backoffMillis() : OptionalLong.empty()));
+		if (!backoffRequested) {
+			table().responseStarted(this.server.entry());
+		}
+		if (metadata.signed() || metadata.notExecuted()) {
+			this.gateway.servers()
+				.limits()
+				.received(this.server, metadata.limit(), this.requestId, sentNanos, this.gateway.clock().getAsLong());
+		}
+	}
+
+	private ServerNoticeTable table() {
+		return this.gateway.servers().notices();
+	}
+
+}
