--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
@@ -93,6 +93,16 @@
 		assertThat(this.view.server("a")).isPresent();
 	}
 
+	// A copy is seconds old; a server may come back under its identifier later.
+	@Test
+	void aDepartureIsForgottenAfterSomeMinutes() {
+		this.updates.registered(entry("a"));
+		this.updates.deregistered("a");
+		this.now += TimeUnit.SECONDS.toNanos(121);
+		this.updates.outageEnded();
+		assertThat(this.updates.registeredInCopy(entry("a"))).isTrue();
+	}
+
 	@Test
 	void aServerThatDrainsDoesNotBecomeReadyByTheCopy() {
 		this.updates.registered(entry("a"));
--- a/gateway/src/test/java/io/sequoialink/gateway/http/RepeatedRefusalTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/RepeatedRefusalTests.java
@@ -44,7 +44,8 @@
 		};
 		try (GatewayFixture fixture = GatewayFixture.withServers(script)) {
 			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(200);
-			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isIn(200, 502);
+			int status = RawHttp.status(fixture.exchange("/safe/x", ""));
+			assertThat(status).isEqualTo((withId || fixture.attemptCount() > 2) ? 200 : 502);
 		}
 	}
 
@@ -59,7 +60,7 @@
 				return;
 			}
 			ScriptedServer.pause(100);
-			if (path.startsWith("/s") && path.contains("stream") || path.contains("firm")) {
+			if (path.startsWith("/stream/") || path.startsWith("/firm/")) {
 				call.streamHead("");
 				call.chunk("id: 1\ndata: x\n\n");
 				call.endChunks();
