Keep the records of culprits in a class of their own

Change: CulpritRecords holds what the store is known to have, and the one place that writes, deletes, and waits for others to do so; the invariant that a narrower culprit is stored first is stated there.

--- a/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
@@ -56,11 +56,6 @@
 	/** Time over which news are collected before they are judged, in milliseconds. */
 	private static final long JUDGEMENT_DELAY_MILLIS = 10;
 
-	/** Time over which hosts spread the writing of a culprit, in milliseconds. */
-	private static final int WRITE_SPREAD_MILLIS = 500;
-
-	private static final long WRITE_RETRY_MILLIS = 1000;
-
 	private final SuspectTraits traits = new SuspectTraits();
 
 	private final CrashEvidence evidence = new CrashEvidence();
@@ -73,7 +68,7 @@
 
 	private final Map<Long, TraitNews.LostTraits> unreported = new HashMap<>();
 
-	private final Set<Set<Long>> stored = new HashSet<>();
+	private final CulpritRecords records;
 
 	private final Set<Long> suspectedHere = new HashSet<>();
 
@@ -85,14 +80,10 @@
 
 	private final TraitGossip gossip;
 
-	private final CulpritStore store;
-
 	private final EventLoopTimer timer;
 
 	private final LongSupplier clock;
 
-	private final RandomGenerator random;
-
 	private final LongFunction<String> serverNames;
 
 	private Runnable explanationsChanged = () -> {
@@ -113,10 +104,10 @@
 	public TraitCoordinator(TraitGossip gossip, CulpritStore store, EventLoopTimer timer, LongSupplier clock,
 			RandomGenerator random, LongFunction<String> serverNames) {
 		this.gossip = gossip;
-		this.store = store;
+		this.records = new CulpritRecords(store, this.traits::culpritStates, this::describe, gossip::isCollector, timer,
+				clock, random);
 		this.timer = timer;
 		this.clock = clock;
-		this.random = random;
 		this.serverNames = serverNames;
 	}
 
@@ -324,9 +315,7 @@
 
 	private void refute(Set<Long> culprit, long now, String cause) {
 		lift(culprit, new CulpritState(0, now, true), cause);
-		if (this.stored.remove(culprit)) {
-			this.store.delete(culprit);
-		}
+		this.records.delete(culprit);
 	}
 
 	private void withdraw(long trait, long now) {
@@ -342,7 +331,7 @@
 		if (this.traits.convict(found.traits(), state)) {
 			List<String> servers = found.servers().stream().map(this.serverNames::apply).toList();
 			announce(found.traits(), state, cause + ", servers " + servers);
-			this.timer.schedule(() -> write(found.traits(), servers), this.random.nextInt(WRITE_SPREAD_MILLIS));
+			this.records.writeSoon(found.traits(), servers);
 		}
 	}
 
@@ -372,43 +361,9 @@
 		}
 	}
 
-	// Another collector may have written the same culprit meanwhile.
-	private void write(Set<Long> culprit, List<String> servers) {
-		CulpritState state = this.traits.culpritStates().get(culprit);
-		if (state == null || state.lifted() || this.stored.contains(culprit)) {
-			return;
-		}
-		CulpritRecord culpritRecord = new CulpritRecord(culprit, describe(culprit), state.crashes(), servers,
-				ageMillis(state.atNanos()));
-		this.store.write(culpritRecord, (reply) -> reply.match((offset) -> written(culprit), (failure) -> {
-			logger.info(GatewayEvents.CULPRIT_NOT_WRITTEN, describe(culprit), failure.kind(), failure.detail());
-			this.timer.schedule(() -> write(culprit, servers), WRITE_RETRY_MILLIS);
-		}));
-	}
-
-	// A host that reads a deletion before it knows the narrower culprit takes it for a
-	// permission.
-	private void written(Set<Long> culprit) {
-		this.stored.add(culprit);
-		deleteWiderRecords(culprit);
-	}
-
-	private void deleteWiderRecords(Set<Long> culprit) {
-		for (Set<Long> wider : List.copyOf(this.stored)) {
-			if (wider.size() > culprit.size() && wider.containsAll(culprit)) {
-				this.stored.remove(wider);
-				this.store.delete(wider);
-			}
-		}
-	}
-
-	private long ageMillis(long atNanos) {
-		return TimeUnit.NANOSECONDS.toMillis(this.clock.getAsLong() - atNanos);
-	}
-
 	@Override
 	public void culpritRead(CulpritRecord read) {
-		this.stored.add(read.traits());
+		this.records.read(read.traits());
 		read.traits().forEach((trait) -> this.labels.putIfAbsent(trait, read.label()));
 		CulpritState state = new CulpritState(read.crashes(),
 				this.clock.getAsLong() - TimeUnit.MILLISECONDS.toNanos(Math.max(0, read.ageMillis())), false);
@@ -417,41 +372,17 @@
 			updateExplanations();
 			return;
 		}
-		deleteRefuted(read, state);
-	}
-
-	// A culprit that was found harmless has a record again if the deletion was lost.
-	// Hosts
-	// that start later would block its requests.
-	private void deleteRefuted(CulpritRecord read, CulpritState state) {
-		CulpritState known = this.traits.culpritStates().get(read.traits());
-		if (known == null || !known.lifted() || known.atNanos() < state.atNanos() || !this.gossip.isCollector()) {
-			return;
-		}
-		this.timer.schedule(() -> {
-			if (this.stored.remove(read.traits())) {
-				this.store.delete(read.traits());
-			}
-		}, this.random.nextInt(WRITE_SPREAD_MILLIS));
+		this.records.deleteIfLifted(read.traits(), state);
 	}
 
 	@Override
 	public void storeReturned() {
-		this.stored.clear();
-		if (!this.gossip.isCollector()) {
-			return;
-		}
-		this.traits.culpritStates().forEach((culprit, state) -> {
-			if (!state.lifted()) {
-				this.timer.schedule(() -> write(culprit, List.of()),
-						WRITE_RETRY_MILLIS + this.random.nextInt(WRITE_SPREAD_MILLIS));
-			}
-		});
+		this.records.storeReturned();
 	}
 
 	@Override
 	public void culpritDeleted(Set<Long> culprit) {
-		this.stored.remove(culprit);
+		this.records.deleted(culprit);
 		CulpritState lifted = new CulpritState(0, this.clock.getAsLong(), true);
 		boolean replaced = this.traits.culprits()
 			.stream()
