--- a/gateway/src/main/java/io/sequoialink/gateway/http/AccessLogEntry.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/AccessLogEntry.java
@@ -45,13 +45,17 @@
 	 * @param attempts number of attempts
 	 * @param server server of the last attempt with its version and model
 	 * @param millis time since the request was received, in milliseconds
+	 * @param onConnection number of requests received on the client's connection, this
+	 * one included
 	 * @param outcome value of the metric label; one of a few fixed texts
 	 * @param reason details for the log line, may be empty
 	 */
-	record Result(int status, Executed ran, int attempts, String server, long millis, String outcome, String reason) {
+	record Result(int status, Executed ran, int attempts, String server, long millis, int onConnection, String outcome,
+			String reason) {
 
 		private String detail() {
-			return this.reason.isEmpty() ? this.outcome : this.outcome + " (" + this.reason + ")";
+			String kept = (this.onConnection > 1) ? ", request " + this.onConnection + " of its connection" : "";
+			return (this.reason.isEmpty() ? this.outcome : this.outcome + " (" + this.reason + ")") + kept;
 		}
 
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -412,7 +412,7 @@
 		boolean statedNotRun = this.verdict == Verdict.NOT_RUN;
 		finish();
 		dropBuffers();
-		logFailedEnd(failure.toString());
+		logFailedEnd(describe(failure));
 		if (failure == AttemptFailure.NOT_SENT && needsPermit()) {
 			this.exchange.withheld(this.server);
 			return;
@@ -440,6 +440,11 @@
 		}
 	}
 
+	private String describe(AttemptFailure failure) {
+		String detail = this.outbound.failureDetail();
+		return detail.isEmpty() ? failure.toString() : failure + " (" + detail + ")";
+	}
+
 	/**
 	 * Returns whether the server has streamed enough events to show that the request does
 	 * not crash it.
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -77,6 +77,8 @@
 
 	private long incompleteSince;
 
+	private int requests;
+
 	ClientConnection(GatewayContext gateway, FrontendServer server) {
 		this.gateway = gateway;
 		this.server = server;
@@ -196,6 +198,7 @@
 		this.head = null;
 		this.body = null;
 		this.incompleteSince = 0;
+		this.requests++;
 		this.exchange = new Exchange(this.gateway, this, request);
 		this.exchange.start();
 	}
@@ -362,6 +365,14 @@
 		return this.channel.eventLoop().schedule(work, delayMillis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Returns how many requests have been received on this connection.
+	 * @return number of complete requests
+	 */
+	int requests() {
+		return this.requests;
+	}
+
 	/**
 	 * Returns whether a request is being processed.
 	 * @return whether its response is still incomplete
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -535,8 +535,8 @@
 		Executed ran = (this.flow != null) ? this.flow.executed() : Executed.NO;
 		int sends = (this.flow != null) ? this.flow.attempts() : 0;
 		long millis = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
-		new AccessLogEntry(id(), accountLabel(), routeLabel()).write(this.gateway.metrics(),
-				new AccessLogEntry.Result(status, ran, sends, server, millis, outcome, this.reason));
+		new AccessLogEntry(id(), accountLabel(), routeLabel()).write(this.gateway.metrics(), new AccessLogEntry.Result(
+				status, ran, sends, server, millis, this.client.requests(), outcome, this.reason));
 	}
 
 	private String accountLabel() {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/OutboundRequest.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/OutboundRequest.java
@@ -19,6 +19,8 @@
 
 	private boolean handedOver;
 
+	private String failureDetail = "";
+
 	private boolean done;
 
 	OutboundRequest(String requestId, FullHttpRequest request, ResponseListener listener) {
@@ -75,6 +77,23 @@
 		}
 	}
 
+	/**
+	 * Ends the request because no connection could be established.
+	 * @param cause why, for the log
+	 */
+	void failConnecting(Throwable cause) {
+		this.failureDetail = cause.toString();
+		fail(AttemptFailure.NOT_CONNECTED);
+	}
+
+	/**
+	 * Returns why the request failed, beyond the kind of failure.
+	 * @return text for the log, empty if there is no more to say
+	 */
+	String failureDetail() {
+		return this.failureDetail;
+	}
+
 	void fail(AttemptFailure failure) {
 		if (!this.done) {
 			this.done = true;
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
@@ -81,7 +81,7 @@
 				return;
 			}
 			this.open--;
-			outbound.fail(AttemptFailure.NOT_CONNECTED);
+			outbound.failConnecting(future.cause());
 		});
 	}
 
