--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -109,6 +111,8 @@
 
 	private volatile EntrySettings settings;
 
+	private final UnaryOperator<InetSocketAddress> serverAddresses;
+
 	private final NioEventLoopGroup eventLoopGroup = new NioEventLoopGroup(1);
 
 	private final EventLoop eventLoop = this.eventLoopGroup.next();
@@ -172,7 +176,19 @@
 	 * @param settings settings of the host
 	 */
 	public EntryHost(EntrySettings settings) {
+		this(settings, UnaryOperator.identity());
+	}
+
+	/**
+	 * Creates a host that reaches backend servers by other addresses than the registered
+	 * ones, so that tests can cut the paths of one host.
+	 * @param settings settings of the host
+	 * @param serverAddresses returns the address to connect to for a registered one;
+	 * called on the event loop
+	 */
+	EntryHost(EntrySettings settings, UnaryOperator<InetSocketAddress> serverAddresses) {
 		this.settings = settings;
+		this.serverAddresses = serverAddresses;
 		EntrySettings.Bounds bounds = settings.bounds();
 		this.store = new StoreConnectionPool(settings.store(), this.eventLoop);
 		StatusRecords statuses = new StatusRecords(StoreTopic.statuses(this.store, this.eras),
@@ -264,8 +280,8 @@
 						random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.latencyPressure, new RequestCostRatio(),
 				this.rollouts, speed, new LatencyBaseline(), this.permits, new ReturnSchedule(random),
-				new BackendPool(this.eventLoopGroup, headers), headers, this.retryBudget, this.crashes, this.traits,
-				new ResponseBufferLimit(), this.counts, System::nanoTime);
+				new BackendPool(this.eventLoopGroup, headers, this.serverAddresses), headers, this.retryBudget,
+				this.crashes, this.traits, new ResponseBufferLimit(), this.counts, System::nanoTime);
 	}
 
 	private boolean mayProbe(long server) {
--- a/entry/src/test/java/io/sequoialink/entry/LoopbackHost.java
+++ b/entry/src/test/java/io/sequoialink/entry/LoopbackHost.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
 
 import io.sequoialink.soak.FreePorts;
 import io.sequoialink.soak.SimulatedStore;
@@ -27,6 +28,15 @@
 	private static final AtomicLong LAST_REQUEST = new AtomicLong(System.nanoTime());
 
 	static LoopbackHost start(String name, SimulatedStore store) throws Exception {
+		return start(name, store, UnaryOperator.identity());
+	}
+
+	/**
+	 * Starts a host that reaches backend servers by other addresses than the registered
+	 * ones.
+	 */
+	static LoopbackHost start(String name, SimulatedStore store, UnaryOperator<InetSocketAddress> serverAddresses)
+			throws Exception {
 		InetAddress loopback = InetAddress.getLoopbackAddress();
 		int clients = FreePorts.tcp();
 		int readiness = FreePorts.tcp();
@@ -34,7 +44,7 @@
 		EntryHost host = new EntryHost(new EntrySettings(name, "a", new InetSocketAddress(loopback, clients),
 				new InetSocketAddress(loopback, readiness), store.address(),
 				Optional.of(new InetSocketAddress(loopback, datagrams)), 8000,
-				new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)));
+				new EntrySettings.Bounds(1000, 2000, 2000, 0.9, 10, 10_000, 0.15, 30, 5000)), serverAddresses);
 		host.start();
 		return new LoopbackHost(host, clients, readiness, datagrams);
 	}
--- a/entry/src/test/java/io/sequoialink/soak/LinkProxy.java
+++ b/entry/src/test/java/io/sequoialink/soak/LinkProxy.java
@@ -7,6 +7,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -15,7 +18,8 @@
 
 /**
  * TCP proxy on loopback that can delay or drop data, drop it in one direction, or reset
- * connections. Thread-safe.
+ * connections, and can take no new connections, so that connects hang or are refused.
+ * Thread-safe.
  */
 final class LinkProxy implements AutoCloseable {
 
@@ -23,24 +27,91 @@
 
 	private static final int DELAY_MILLIS = 120;
 
-	private final ServerSocket serverSocket;
+	private static final int BACKLOG = 200;
+
+	/** Connects that fill the queue of a socket that does not accept. */
+	private static final int MAX_FILLING = 16;
+
+	private static final int FILL_TIMEOUT_MILLIS = 60;
+
+	private final InetSocketAddress address;
+
+	private final List<Socket> filling = new ArrayList<>();
+
+	private volatile ServerSocket serverSocket;
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
-	private final Thread acceptThread;
+	private Thread acceptThread;
 
 	private volatile InetSocketAddress target;
 
 	private volatile Mode mode = Mode.PASS;
 
 	LinkProxy(InetSocketAddress target) throws IOException {
+		this(target, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+	}
+
+	/**
+	 * Creates a proxy that forwards everything.
+	 * @param target address to forward to
+	 * @param local address to listen on
+	 */
+	LinkProxy(InetSocketAddress target, InetSocketAddress local) throws IOException {
 		this.target = target;
-		this.serverSocket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
-		this.acceptThread = DaemonThreads.start("link", this::acceptConnections);
+		this.serverSocket = new ServerSocket(local.getPort(), BACKLOG, local.getAddress());
+		this.address = new InetSocketAddress(local.getAddress(), this.serverSocket.getLocalPort());
+		this.acceptThread = startAccepting(this.serverSocket);
+	}
+
+	private Thread startAccepting(ServerSocket socket) {
+		return DaemonThreads.start("link", () -> acceptConnections(socket));
+	}
+
+	InetSocketAddress address() {
+		return this.address;
+	}
+
+	/**
+	 * Changes what becomes of new connections. Those that exist are left as they are.
+	 * @param taking what becomes of them from now on
+	 */
+	synchronized void setNewConnections(NewConnections taking) throws IOException {
+		DaemonThreads.stopListening(this.serverSocket, this.acceptThread);
+		for (Socket socket : this.filling) {
+			socket.close();
+		}
+		this.filling.clear();
+		if (taking == NewConnections.REFUSED) {
+			return;
+		}
+		int backlog = (taking == NewConnections.SILENT) ? 1 : BACKLOG;
+		this.serverSocket = new ServerSocket(this.address.getPort(), backlog, this.address.getAddress());
+		if (taking == NewConnections.SILENT) {
+			fillQueue();
+		}
+		else {
+			this.acceptThread = startAccepting(this.serverSocket);
+		}
+	}
+
+	// The system drops the opening packets of further connections once the queue is full.
+	private void fillQueue() throws IOException {
+		for (int i = 0; i < MAX_FILLING; i++) {
+			Socket socket = new Socket();
+			this.filling.add(socket);
+			try {
+				socket.connect(this.address, FILL_TIMEOUT_MILLIS);
+			}
+			catch (SocketTimeoutException ex) {
+				return;
+			}
+		}
+		throw new IOException("connections to " + this.address + " do not hang");
 	}
 
 	int port() {
-		return this.serverSocket.getLocalPort();
+		return this.address.getPort();
 	}
 
 	void setTarget(InetSocketAddress newTarget) {
@@ -58,15 +129,15 @@
 		}
 	}
 
-	private void acceptConnections() {
-		while (!this.serverSocket.isClosed()) {
+	private void acceptConnections(ServerSocket socket) {
+		while (!socket.isClosed()) {
 			try {
-				Socket inbound = this.serverSocket.accept();
+				Socket inbound = socket.accept();
 				this.sockets.add(inbound);
 				DaemonThreads.start("link-open", () -> connectToTarget(inbound));
 			}
 			catch (IOException ex) {
-				if (!this.serverSocket.isClosed()) {
+				if (!socket.isClosed()) {
 					logger.warn("proxy accepts no more connections: {}", ex.toString());
 				}
 				return;
@@ -145,11 +216,28 @@
 	}
 
 	@Override
-	public void close() throws IOException {
+	public synchronized void close() throws IOException {
 		DaemonThreads.stopListening(this.serverSocket, this.acceptThread);
+		for (Socket socket : this.filling) {
+			socket.close();
+		}
 		this.sockets.forEach(LinkProxy::reset);
 	}
 
+	/** What becomes of new connections. */
+	enum NewConnections {
+
+		/** They are accepted. */
+		TAKEN,
+
+		/** Connects hang. */
+		SILENT,
+
+		/** Connects are refused. */
+		REFUSED
+
+	}
+
 	/** What the proxy does with data and connections. */
 	enum Mode {
 
--- /dev/null
+++ b/entry/src/test/java/io/sequoialink/soak/ServerPaths.java
@@ -0,0 +1,104 @@
+package io.sequoialink.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The paths of one host to all backend servers: a proxy of the host's own in front of
+ * each server, so that the paths of this host can be cut while other hosts reach the
+ * servers. Thread-safe.
+ */
+public final class ServerPaths implements AutoCloseable {
+
+	private final InetAddress local;
+
+	private final Map<InetSocketAddress, LinkProxy> links = new HashMap<>();
+
+	private Cut cut = Cut.NONE;
+
+	/**
+	 * Creates paths that are not cut.
+	 * @param local loopback address on which the proxies listen
+	 */
+	public ServerPaths(InetAddress local) {
+		this.local = local;
+	}
+
+	/**
+	 * Returns the address by which the host reaches a server.
+	 * @param server registered address of the server
+	 * @return address of the proxy in front of it
+	 */
+	public synchronized InetSocketAddress address(InetSocketAddress server) {
+		return this.links.computeIfAbsent(server, this::open).address();
+	}
+
+	private LinkProxy open(InetSocketAddress server) {
+		try {
+			LinkProxy link = new LinkProxy(server, new InetSocketAddress(this.local, 0));
+			apply(link, this.cut);
+			return link;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Cuts all paths, or lets them pass again.
+	 * @param newCut how they are cut from now on
+	 * @throws IOException if a proxy cannot listen again
+	 */
+	public synchronized void setCut(Cut newCut) throws IOException {
+		this.cut = newCut;
+		for (LinkProxy link : this.links.values()) {
+			apply(link, newCut);
+		}
+	}
+
+	private static void apply(LinkProxy link, Cut cut) throws IOException {
+		link.setMode(cut.open);
+		link.setNewConnections(cut.taking);
+	}
+
+	@Override
+	public synchronized void close() throws IOException {
+		for (LinkProxy link : this.links.values()) {
+			link.close();
+		}
+	}
+
+	/** How the paths are cut. */
+	public enum Cut {
+
+		/** Not at all. */
+		NONE(LinkProxy.Mode.PASS, LinkProxy.NewConnections.TAKEN),
+
+		/** Open connections fall silent, connects hang. */
+		SILENT(LinkProxy.Mode.DROP, LinkProxy.NewConnections.SILENT),
+
+		/** Open connections are reset, connects refused. */
+		RESET(LinkProxy.Mode.RESET, LinkProxy.NewConnections.REFUSED),
+
+		/** Open connections live on, connects are refused. */
+		NEW_REFUSED(LinkProxy.Mode.PASS, LinkProxy.NewConnections.REFUSED),
+
+		/** Open connections live on, connects hang. */
+		NEW_SILENT(LinkProxy.Mode.PASS, LinkProxy.NewConnections.SILENT);
+
+		private final LinkProxy.Mode open;
+
+		private final LinkProxy.NewConnections taking;
+
+		Cut(LinkProxy.Mode open, LinkProxy.NewConnections taking) {
+			this.open = open;
+			this.taking = taking;
+		}
+
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
@@ -1,10 +1,12 @@
 package io.sequoialink.gateway.http;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
@@ -27,6 +29,8 @@
 
 	private final HeaderMapping dialect;
 
+	private final UnaryOperator<InetSocketAddress> addresses;
+
 	private final Map<String, ServerConnections> servers = new HashMap<>();
 
 	/**
@@ -35,7 +39,19 @@
 	 * @param dialect reads and writes metadata in the headers
 	 */
 	public BackendPool(EventLoopGroup loop, HeaderMapping dialect) {
+		this(loop, dialect, UnaryOperator.identity());
+	}
+
+	/**
+	 * Creates a pool that reaches servers by other addresses than the registered ones, as
+	 * behind an address translation.
+	 * @param loop the event loop
+	 * @param dialect reads and writes metadata in the headers
+	 * @param addresses returns the address to connect to for a registered one
+	 */
+	public BackendPool(EventLoopGroup loop, HeaderMapping dialect, UnaryOperator<InetSocketAddress> addresses) {
 		this.dialect = dialect;
+		this.addresses = addresses;
 		this.bootstrap = newBootstrap(loop, CONNECT_MILLIS);
 	}
 
@@ -82,7 +98,7 @@
 	private ServerConnections connections(ServerEntry server) {
 		String key = server.id() + '@' + server.startMillis();
 		return this.servers.computeIfAbsent(key,
-				(id) -> new ServerConnections(server.address(), this.bootstrap, this.dialect));
+				(id) -> new ServerConnections(this.addresses.apply(server.address()), this.bootstrap, this.dialect));
 	}
 
 	/**
