Connect through another host while no server of a service can be reached

Cause: every attempt of a host left by the host's own path. Once that was gone, further attempts, at whatever server, failed alike, until the request was refused or its time was over; the hosts beside it, which it reached, were not asked. Change: a direct connect that is not answered, or two servers that refuse, make a host suspect its path to a service. It then opens connections through another host (TCP at the address of the datagrams; only known hosts, only to registered servers, 256 at a time, bounded buffers), which connects directly only, so nothing passes through a third. The bytes on such a connection are those of a direct one, so the first host alone admits, counts, limits and judges, and nothing was sent before it is open. A server that another host has just reached is used to check the direct path, which ends a false suspicion in milliseconds and a true one within 500 ms of the path's return. A refused connect proves a crash only if no other host can connect either. Measured: CutOffHostTests, 5 of 5 cases hold.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -43,6 +43,10 @@
 import io.sequoialink.gateway.http.ResponseBufferLimit;
 import io.sequoialink.gateway.http.ReturnSchedule;
 import io.sequoialink.gateway.http.StartupGate;
+import io.sequoialink.gateway.path.HelpingHosts;
+import io.sequoialink.gateway.path.ServerConnector;
+import io.sequoialink.gateway.path.ServicePaths;
+import io.sequoialink.gateway.path.TunnelServer;
 import io.sequoialink.gateway.permit.FleetPermits;
 import io.sequoialink.gateway.permit.LimitGossip;
 import io.sequoialink.gateway.place.LatencyBaseline;
@@ -161,6 +165,12 @@
 
 	private final LatencyPressure latencyPressure = new LatencyPressure();
 
+	private final ServicePaths paths = new ServicePaths(System::nanoTime);
+
+	private final ServerConnector connector;
+
+	private final Optional<TunnelServer> tunnels;
+
 	private final FrontendServer frontendServer;
 
 	private final CountDownLatch idle = new CountDownLatch(1);
@@ -211,10 +221,8 @@
 		this.noticeGossip = this.readForwarder
 			.map((forwarder) -> new ServerNoticeGossip(this.sharedNotices, forwarder, this.peerSocket,
 					this.gossipBudget, this.servers::displayName, System::nanoTime, System::currentTimeMillis, random));
-		this.permits = new FleetPermits(self(),
-				() -> this.readForwarder.map(ReadForwarder::otherPeers).orElseGet(List::of), this.serverLimits,
-				this.peerSocket, this::schedule, this.counts.permits(), this.servers::displayName, System::nanoTime,
-				random);
+		this.permits = new FleetPermits(self(), this::otherHosts, this.serverLimits, this.peerSocket, this::schedule,
+				this.counts.permits(), this.servers::displayName, System::nanoTime, random);
 		this.limitGossip = this.readForwarder.map((forwarder) -> new LimitGossip(settings.host(), this.serverLimits,
 				this.permits, new GossipTargets(forwarder, random), this.gossipBudget, this.peerSocket,
 				this.servers::displayName, System::nanoTime, System::currentTimeMillis));
@@ -235,9 +243,18 @@
 		});
 		this.retryBudget = new RetryBudget(bounds.repeatRatio(), slackPerHost(bounds),
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
+		this.connector = new ServerConnector(this.eventLoopGroup, this.serverAddresses, this.paths,
+				new HelpingHosts(self(), this::otherHosts, System::nanoTime, random), this.counts.tunnels(),
+				System::nanoTime);
+		this.tunnels = this.readForwarder
+			.map((forwarder) -> new TunnelServer(this.connector, this.fleetView, forwarder::isPeerAddress));
 		this.frontendServer = new FrontendServer(gateway(gate, random));
 	}
 
+	private List<Peer> otherHosts() {
+		return this.readForwarder.map(ReadForwarder::otherPeers).orElseGet(List::of);
+	}
+
 	private ConfigurationInquiry createInquiry(ReadForwarder forwarder, RandomGenerator random) {
 		StartupHold hold = new StartupHold(System::nanoTime);
 		this.updates.holdBackWith(hold);
@@ -255,8 +272,7 @@
 
 	private TraitCoordinator createTraitCoordinator(StatusRecords statuses, SplittableRandom random) {
 		Optional<GossipTargets> targets = this.readForwarder.map((forwarder) -> new GossipTargets(forwarder, random));
-		TraitGossip gossip = new TraitGossip(self(),
-				() -> this.readForwarder.map(ReadForwarder::otherPeers).orElseGet(List::of),
+		TraitGossip gossip = new TraitGossip(self(), this::otherHosts,
 				() -> targets.map(GossipTargets::draw).orElseGet(Set::of), this.gossipBudget, this.peerSocket,
 				System::nanoTime, System::currentTimeMillis);
 		TraitCoordinator coordinator = new TraitCoordinator(gossip, statuses, this::schedule, System::nanoTime, random,
@@ -280,8 +296,8 @@
 						random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.latencyPressure, new RequestCostRatio(),
 				this.rollouts, speed, new LatencyBaseline(), this.permits, new ReturnSchedule(random),
-				new BackendPool(this.eventLoopGroup, headers, this.serverAddresses), headers, this.retryBudget,
-				this.crashes, this.traits, new ResponseBufferLimit(), this.counts, System::nanoTime);
+				new BackendPool(this.connector, headers), headers, this.retryBudget, this.crashes, this.traits,
+				new ResponseBufferLimit(), this.counts, System::nanoTime);
 	}
 
 	private boolean mayProbe(long server) {
@@ -339,6 +355,7 @@
 			.start(this.eventLoopGroup, this.settings.readiness());
 		this.readForwarder.ifPresent((forwarder) -> this.peerSocket.start(this.eventLoopGroup,
 				this.settings.peers().orElseThrow(), (from, datagram) -> receiveDatagram(forwarder, from, datagram)));
+		this.tunnels.ifPresent((helping) -> helping.start(this.eventLoopGroup, this.settings.peers().orElseThrow()));
 		this.eventLoop.execute(this::startPeriodicTasks);
 		logger.info(GatewayEvents.STARTED, this.settings.host(), this.settings.zone(), this.settings.clients(),
 				this.settings.readiness());
@@ -396,6 +413,11 @@
 				new MetricsPage.Gauge("sequoialink_servers_limited",
 						"Backend servers known to take a limited number of requests from all hosts together",
 						this.serverLimits::count),
+				new MetricsPage.Gauge("sequoialink_paths_suspected",
+						"Services to whose servers this host connects through other hosts", this.paths::suspectedCount),
+				new MetricsPage.Gauge("sequoialink_tunnels_carried",
+						"Connections that this host carries for others that do not reach servers",
+						() -> this.tunnels.map(TunnelServer::connections).orElse(0)),
 				new MetricsPage.Gauge("sequoialink_traits_suspected",
 						"Prompt parts and fingerprints suspected of crashing backend servers",
 						this.traits::suspectedCount),
@@ -525,6 +547,7 @@
 
 	private void drain() {
 		this.frontendServer.drain();
+		this.tunnels.ifPresent(TunnelServer::drain);
 		logger.info(GatewayEvents.DRAINING, this.settings.host(), this.frontendServer.connections(),
 				this.frontendServer.activeRequests());
 		this.eventLoop.schedule(this::stopListening, KEEP_LISTENING_MILLIS, TimeUnit.MILLISECONDS);
@@ -536,7 +559,8 @@
 	}
 
 	private void signalIfIdle() {
-		if (this.frontendServer.connections() == 0) {
+		boolean carries = this.tunnels.filter((helping) -> helping.connections() > 0).isPresent();
+		if (this.frontendServer.connections() == 0 && !carries) {
 			this.idle.countDown();
 		}
 	}
--- a/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
+++ b/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
@@ -57,6 +57,8 @@
 				this.counts.forwardedReads()));
 		metrics.add(counter("sequoialink_permits",
 				"Decisions on permits for servers that take a limited number of requests", this.counts.permits()));
+		metrics.add(counter("sequoialink_tunnels", "Connections to servers that other hosts were asked for",
+				this.counts.tunnels()));
 		metrics.add(firstPartHistogram());
 		this.gauges.forEach((gauge) -> metrics.add(gauge.snapshot()));
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/entry/src/test/java/io/sequoialink/entry/CutOffHostTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/CutOffHostTests.java
@@ -14,7 +14,6 @@
 import io.sequoialink.soak.SimulatedStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -26,7 +25,6 @@
  * hosts lose their paths to all servers, while clients, the store and the other hosts
  * reach them.
  */
-@Tag("known-red")
 class CutOffHostTests {
 
 	private static final int HOSTS = 3;
--- a/entry/src/test/java/io/sequoialink/soak/FreePorts.java
+++ b/entry/src/test/java/io/sequoialink/soak/FreePorts.java
@@ -43,12 +43,15 @@
 	}
 
 	/**
-	 * Returns a port that is free for UDP.
+	 * Returns a port that is free for UDP and TCP, on which a host listens for others.
 	 * @return the port
 	 * @throws IOException if no free port is found
 	 */
 	public static synchronized int udp() throws IOException {
-		return find((port) -> new DatagramSocket(port, InetAddress.getLoopbackAddress()).close());
+		return find((port) -> {
+			new DatagramSocket(port, InetAddress.getLoopbackAddress()).close();
+			new ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close();
+		});
 	}
 
 	private static int find(Binding binding) throws IOException {
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -42,6 +42,24 @@
 	/** A request got no permit at once for a server that takes a limited number. */
 	public static final String PERMIT_DECIDED = "SL-3110 request {} and limited server {}: {}, longest wait {} ms, next permit in {} ms";
 
+	/**
+	 * No direct connection can be made to servers of a service, so the path of this host
+	 * may be broken.
+	 */
+	public static final String PATH_SUSPECTED = "SL-3111 the path to servers of {} is suspected: {} of them could not be connected to since a connection was last made, the last, {}, {}; connections are opened through other hosts";
+
+	/** A direct connection was made to a service whose path was suspected. */
+	public static final String PATH_WHOLE = "SL-3112 the path to servers of {} is whole: connected to {}, {} ms after it was suspected";
+
+	/** Another host has opened a connection to a server for this one. */
+	public static final String CONNECTED_THROUGH_HOST = "SL-3113 connected to server {} of {} through host {} after {} ms";
+
+	/** Another host could not help and is not asked for a while. */
+	public static final String HELPING_HOST_LEFT_OUT = "SL-3114 host {} is not asked for connections for {} ms: {}";
+
+	/** This host does not listen for hosts that need its help. */
+	public static final String NO_TUNNELS = "SL-3115 cannot listen on {} for connections of other hosts, so this one does not help them to reach servers: {}";
+
 	/** A new configuration was read and applied. */
 	public static final String CONFIGURATION_APPLIED = "SL-3201 configuration {} is in force, read at offset {} of era {}, by {}; before: {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
@@ -13,9 +13,12 @@
  * and outcome
  * @param permits number of decisions on permits for limited servers, by server
  * incarnation and outcome
+ * @param tunnels number of connections to servers that other hosts were asked for, by
+ * outcome
  */
 public record GatewayMetrics(LabelledCounters requests, LabelledCounters attempts, DurationHistograms firstPartTimes,
-		LabelledCounters storeCalls, LabelledCounters forwardedReads, LabelledCounters permits) {
+		LabelledCounters storeCalls, LabelledCounters forwardedReads, LabelledCounters permits,
+		LabelledCounters tunnels) {
 
 	/**
 	 * Creates metrics that are all 0.
@@ -24,7 +27,7 @@
 		this(new LabelledCounters("route", "account", "outcome", "ran"),
 				new LabelledCounters("service", "version", "outcome"), new DurationHistograms(),
 				new LabelledCounters("topic", "outcome"), new LabelledCounters("topic", "outcome"),
-				new LabelledCounters("server", "outcome"));
+				new LabelledCounters("server", "outcome"), new LabelledCounters("outcome"));
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/AttemptFailure.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/AttemptFailure.java
@@ -19,6 +19,12 @@
 	 */
 	DISCONNECTED,
 
+	/**
+	 * The connection went through another host and was lost on the way there, before the
+	 * response was complete. It says nothing about the server.
+	 */
+	HOST_LOST,
+
 	/**
 	 * This host closed the connection, for example because the response could not be
 	 * parsed.
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -421,6 +421,10 @@
 			this.exchange.notConnected("server " + serverId() + " announced its shutdown or asked for a back-off");
 			return;
 		}
+		if (failure == AttemptFailure.HOST_LOST) {
+			this.exchange.incomplete("server " + serverId() + ": " + failure);
+			return;
+		}
 		this.log.failure(failure.toString());
 		if (failure == AttemptFailure.DISCONNECTED) {
 			this.log.lostResponse((this.events != null) ? this.events.events() : 0,
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.sequoialink.gateway.path.TunnelLostException;
 
 /**
  * A connection to a backend server. Confined to the event loop. A response is accepted
@@ -46,6 +47,8 @@
 
 	private boolean reusable = true;
 
+	private boolean direct = true;
+
 	private boolean failed;
 
 	private long idleSince;
@@ -77,6 +80,22 @@
 		this.channel = context.channel();
 	}
 
+	/**
+	 * Called when the connection is open.
+	 * @param isDirect whether it does not go through another host
+	 */
+	void opened(boolean isDirect) {
+		this.direct = isDirect;
+	}
+
+	/**
+	 * Returns whether the connection does not go through another host.
+	 * @return whether it is direct
+	 */
+	boolean direct() {
+		return this.direct;
+	}
+
 	/**
 	 * Returns whether a request may be sent on this idle connection.
 	 * @param now monotonic time in nanoseconds
@@ -215,6 +234,10 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		this.failed = true;
+		if (cause instanceof TunnelLostException) {
+			end(AttemptFailure.HOST_LOST);
+			return;
+		}
 		end((cause instanceof IOException) ? AttemptFailure.DISCONNECTED : AttemptFailure.ABORTED);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
@@ -1,78 +1,34 @@
 package io.sequoialink.gateway.http;
 
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.UnaryOperator;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
-import jdk.net.ExtendedSocketOptions;
+import io.sequoialink.gateway.path.ServerConnector;
 
 /**
  * Connections from this host to all backend servers. Confined to the event loop.
  */
 public final class BackendPool {
 
-	/** Connect timeout in milliseconds. */
-	private static final int CONNECT_MILLIS = 500;
-
-	private final Bootstrap bootstrap;
+	private final ServerConnector connector;
 
 	private final HeaderMapping dialect;
 
-	private final UnaryOperator<InetSocketAddress> addresses;
-
 	private final Map<String, ServerConnections> servers = new HashMap<>();
 
 	/**
 	 * Creates a pool.
-	 * @param loop the event loop
+	 * @param connector opens connections
 	 * @param dialect reads and writes metadata in the headers
 	 */
-	public BackendPool(EventLoopGroup loop, HeaderMapping dialect) {
-		this(loop, dialect, UnaryOperator.identity());
-	}
-
-	/**
-	 * Creates a pool that reaches servers by other addresses than the registered ones, as
-	 * behind an address translation.
-	 * @param loop the event loop
-	 * @param dialect reads and writes metadata in the headers
-	 * @param addresses returns the address to connect to for a registered one
-	 */
-	public BackendPool(EventLoopGroup loop, HeaderMapping dialect, UnaryOperator<InetSocketAddress> addresses) {
+	public BackendPool(ServerConnector connector, HeaderMapping dialect) {
+		this.connector = connector;
 		this.dialect = dialect;
-		this.addresses = addresses;
-		this.bootstrap = newBootstrap(loop, CONNECT_MILLIS);
-	}
-
-	/**
-	 * Returns a bootstrap whose connections use TCP keep-alive probes. They detect within
-	 * a few seconds, on an idle connection, that the peer's machine has failed or become
-	 * unreachable; they do not detect a hung process, for which the operating system
-	 * still acknowledges the probes.
-	 * @param loop the event loop
-	 * @param connectMillis connect timeout in milliseconds
-	 * @return a new bootstrap without a handler
-	 */
-	public static Bootstrap newBootstrap(EventLoopGroup loop, int connectMillis) {
-		return new Bootstrap().group(loop)
-			.channel(NioSocketChannel.class)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.SO_KEEPALIVE, true)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), 1)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2);
 	}
 
 	/**
@@ -97,8 +53,7 @@
 
 	private ServerConnections connections(ServerEntry server) {
 		String key = server.id() + '@' + server.startMillis();
-		return this.servers.computeIfAbsent(key,
-				(id) -> new ServerConnections(this.addresses.apply(server.address()), this.bootstrap, this.dialect));
+		return this.servers.computeIfAbsent(key, (id) -> new ServerConnections(server, this.connector, this.dialect));
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/CrashingRequestCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/CrashingRequestCheck.java
@@ -1,15 +1,13 @@
 package io.sequoialink.gateway.http;
 
-import java.net.ConnectException;
-
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ConnectTimeoutException;
 import io.sequoialink.decision.crash.CrashVerdict;
 import io.sequoialink.decision.crash.Involvement;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.crash.CrashCoordinator;
+import io.sequoialink.gateway.path.ServerConnector;
 import io.sequoialink.gateway.place.ServerState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -112,7 +110,7 @@
 		long lostNanos = this.gateway.clock().getAsLong();
 		String incarnation = server.entry().id() + '@' + server.entry().startMillis();
 		this.gateway.pool().probe(server.entry(), (failure) -> {
-			if (failure.filter(CrashingRequestCheck::connectionRefused).isPresent()) {
+			if (failure.filter(ServerConnector::refused).isPresent()) {
 				crashes().serverCrashed(suspected, incarnation, sentNanos, lostNanos);
 				if (progress != ResponseProgress.BEGUN) {
 					boolean answering = progress == ResponseProgress.HEAD;
@@ -125,10 +123,6 @@
 		});
 	}
 
-	private static boolean connectionRefused(Throwable failure) {
-		return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
-	}
-
 	/**
 	 * Returns whether the request must not be retried because servers closed their
 	 * connections while they ran it. This limits how many servers a crashing request
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
@@ -1,6 +1,5 @@
 package io.sequoialink.gateway.http;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -8,9 +7,10 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.Channel;
+import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.path.ConnectionAttempt;
+import io.sequoialink.gateway.path.ServerConnector;
 
 /**
  * Connections from this host to one backend server. Confined to the event loop. Each
@@ -21,9 +21,9 @@
 	/** A connection that has been idle for longer is closed instead of being reused. */
 	static final long MAX_IDLE_NANOS = 2_000_000_000L;
 
-	private final InetSocketAddress address;
+	private final ServerEntry server;
 
-	private final Bootstrap bootstrap;
+	private final ServerConnector connector;
 
 	private final HeaderMapping dialect;
 
@@ -35,9 +35,9 @@
 
 	private boolean closed;
 
-	ServerConnections(InetSocketAddress address, Bootstrap bootstrap, HeaderMapping dialect) {
-		this.address = address;
-		this.bootstrap = bootstrap;
+	ServerConnections(ServerEntry server, ServerConnector connector, HeaderMapping dialect) {
+		this.server = server;
+		this.connector = connector;
 		this.dialect = dialect;
 	}
 
@@ -62,26 +62,43 @@
 	private BackendConnection takeIdle(OutboundRequest outbound) {
 		long now = System.nanoTime();
 		BackendConnection connection = this.idle.pollFirst();
-		while (connection != null && !(connection.usable(now) && connection.mayCarry(outbound))) {
+		while (connection != null && !mayUse(connection, outbound, now)) {
 			connection.close();
 			connection = this.idle.pollFirst();
 		}
 		return connection;
 	}
 
+	private boolean mayUse(BackendConnection connection, OutboundRequest outbound, long now) {
+		return connection.usable(now) && connection.mayCarry(outbound)
+				&& this.connector.prefers(this.server.service(), connection.direct());
+	}
+
 	private void connect(OutboundRequest outbound) {
 		this.open++;
 		BackendConnection connection = new BackendConnection(this);
-		Bootstrap attempt = this.bootstrap.clone().handler(connection.initializer());
-		ChannelFuture connecting = attempt.connect(this.address);
-		outbound.connecting(connecting.channel());
-		connecting.addListener((future) -> {
-			if (future.isSuccess()) {
+		this.connector.open(this.server, connection.initializer(), new ConnectionAttempt() {
+			@Override
+			public boolean cancelled() {
+				return outbound.done();
+			}
+
+			@Override
+			public void connecting(Channel channel) {
+				outbound.connecting(channel);
+			}
+
+			@Override
+			public void opened(boolean direct) {
+				connection.opened(direct);
 				connection.send(outbound);
-				return;
 			}
-			this.open--;
-			outbound.failConnecting(future.cause());
+
+			@Override
+			public void failed(Throwable cause) {
+				ServerConnections.this.open--;
+				outbound.failConnecting(cause);
+			}
 		});
 	}
 
@@ -95,12 +112,10 @@
 		if (this.probeCallbacks.size() > 1) {
 			return;
 		}
-		Bootstrap attempt = this.bootstrap.clone().handler(new ChannelInboundHandlerAdapter());
-		attempt.connect(this.address).addListener((ChannelFuture connecting) -> {
+		this.connector.probe(this.server, (failure) -> {
 			List<Consumer<Optional<Throwable>>> waiting = List.copyOf(this.probeCallbacks);
 			this.probeCallbacks.clear();
-			waiting.forEach((waiter) -> waiter.accept(Optional.ofNullable(connecting.cause())));
-			connecting.channel().close();
+			waiting.forEach((waiter) -> waiter.accept(failure));
 		});
 	}
 
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/HelpingHosts.java
@@ -0,0 +1,188 @@
+package io.sequoialink.gateway.path;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.relay.Peer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Chooses the hosts through which this host reaches servers that it does not reach
+ * itself. Confined to the event loop.
+ *
+ * <p>
+ * Hosts of the same availability zone come first. Of these, a few are used that are drawn
+ * by rendezvous hashing, so that many hosts that are cut off spread over those that are
+ * not, without exchanging messages. A host that could not help is left out for a while.
+ */
+public final class HelpingHosts {
+
+	private static final Logger logger = LoggerFactory.getLogger(HelpingHosts.class);
+
+	/** Number of hosts among which connections are spread. */
+	private static final int USED_HOSTS = 3;
+
+	/** Time for which a host that could not help is left out. */
+	private static final long LEFT_OUT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/** Each further failure in a row doubles that time, this many times at most. */
+	private static final int MAX_DOUBLINGS = 4;
+
+	/**
+	 * Time for which a host that helped is not blamed if a server does not answer it.
+	 */
+	private static final long TRUSTED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private final Peer self;
+
+	private final Supplier<List<Peer>> others;
+
+	private final LongSupplier clock;
+
+	private final RandomGenerator random;
+
+	private final Map<String, Record> records = new HashMap<>();
+
+	/**
+	 * Creates a choice among hosts that nothing is known of.
+	 * @param self this host
+	 * @param others returns the other hosts that are known
+	 * @param clock monotonic time in nanoseconds
+	 * @param random source of randomness
+	 */
+	public HelpingHosts(Peer self, Supplier<List<Peer>> others, LongSupplier clock, RandomGenerator random) {
+		this.self = self;
+		this.others = others;
+		this.clock = clock;
+		this.random = random;
+	}
+
+	/**
+	 * Returns whether another host is known at all.
+	 * @return false if servers can only be reached directly
+	 */
+	boolean anyKnown() {
+		return !this.others.get().isEmpty();
+	}
+
+	/**
+	 * Returns whether a host is known that may be asked now.
+	 * @return whether {@link #choose(Set)} would find one
+	 */
+	public boolean anyUsable() {
+		long now = this.clock.getAsLong();
+		return this.others.get().stream().anyMatch((peer) -> usable(peer, now));
+	}
+
+	/**
+	 * Chooses a host for a connection.
+	 * @param asked names of the hosts that could not help with it
+	 * @return the host, empty if none is left
+	 */
+	Optional<Peer> choose(Set<String> asked) {
+		long now = this.clock.getAsLong();
+		List<Peer> usable = this.others.get()
+			.stream()
+			.filter((peer) -> !asked.contains(peer.host()) && usable(peer, now))
+			.toList();
+		List<Peer> sameZone = usable.stream().filter((peer) -> peer.zone().equals(this.self.zone())).toList();
+		List<Peer> nearest = sameZone.isEmpty() ? usable : sameZone;
+		List<Peer> drawn = nearest.stream()
+			.sorted(Comparator.comparingLong((Peer peer) -> weight(peer)))
+			.limit(USED_HOSTS)
+			.toList();
+		return drawn.isEmpty() ? Optional.empty() : Optional.of(drawn.get(this.random.nextInt(drawn.size())));
+	}
+
+	/**
+	 * Chooses any host, so that hosts of other zones are asked as well.
+	 * @param asked names of the hosts that were asked already
+	 * @return the host, empty if none is left
+	 */
+	Optional<Peer> chooseAny(Set<String> asked) {
+		long now = this.clock.getAsLong();
+		List<Peer> usable = this.others.get()
+			.stream()
+			.filter((peer) -> !asked.contains(peer.host()) && usable(peer, now))
+			.toList();
+		return usable.isEmpty() ? Optional.empty() : Optional.of(usable.get(this.random.nextInt(usable.size())));
+	}
+
+	private long weight(Peer peer) {
+		return Hashing.wyhashFinal4().hashStream().putString(this.self.host()).putString(peer.host()).getAsLong();
+	}
+
+	private boolean usable(Peer peer, long now) {
+		Record record = this.records.get(peer.host());
+		return record == null || record.failures == 0 || now - record.leftOutUntil >= 0;
+	}
+
+	/**
+	 * Records that a host opened a connection to a server.
+	 * @param peer the host
+	 */
+	void helped(Peer peer) {
+		Record record = this.records.computeIfAbsent(peer.host(), (host) -> new Record());
+		record.failures = 0;
+		record.hasHelped = true;
+		record.helpedAt = this.clock.getAsLong();
+	}
+
+	/**
+	 * Records that a host did not help.
+	 * @param peer the host
+	 * @param reason why, for the log
+	 */
+	void failed(Peer peer, String reason) {
+		long now = this.clock.getAsLong();
+		Record record = this.records.computeIfAbsent(peer.host(), (host) -> new Record());
+		long leftOut = LEFT_OUT_NANOS << Math.min(MAX_DOUBLINGS, record.failures);
+		record.failures++;
+		record.leftOutUntil = now + leftOut;
+		logger.info(GatewayEvents.HELPING_HOST_LEFT_OUT, peer.host(), TimeUnit.NANOSECONDS.toMillis(leftOut), reason);
+		Set<String> known = new HashSet<>();
+		this.others.get().forEach((other) -> known.add(other.host()));
+		this.records.keySet().retainAll(known);
+	}
+
+	/**
+	 * Records that a server did not answer a host, which may be cut off itself unless it
+	 * has just helped.
+	 * @param peer the host
+	 * @param reason what happened, for the log
+	 */
+	void doubted(Peer peer, String reason) {
+		Record record = this.records.get(peer.host());
+		boolean trusted = record != null && record.hasHelped
+				&& this.clock.getAsLong() - record.helpedAt < TRUSTED_NANOS;
+		if (!trusted) {
+			failed(peer, reason);
+		}
+	}
+
+	/** What is known of a host as a helping host. */
+	private static final class Record {
+
+		private int failures;
+
+		private long leftOutUntil;
+
+		private boolean hasHelped;
+
+		private long helpedAt;
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -0,0 +1,306 @@
+package io.sequoialink.gateway.path;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoopGroup;
+import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.count.LabelledCounters;
+import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.relay.Peer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Opens connections to backend servers: directly, or through another host while the
+ * direct path to the servers of a service is suspected to be broken. Confined to the
+ * event loop.
+ *
+ * <p>
+ * A connection through another host carries the same bytes as a direct one, so this host
+ * alone counts, limits and judges the requests on it. Nothing is sent to the server
+ * before the connection is open, so a connection that could not be opened never carried a
+ * request. A host opens such connections directly only, so no request passes through more
+ * than two hosts.
+ */
+public final class ServerConnector {
+
+	private static final Logger logger = LoggerFactory.getLogger(ServerConnector.class);
+
+	/** Connect timeout for servers, in milliseconds. */
+	private static final int CONNECT_MILLIS = 500;
+
+	/** Connect timeout for other hosts, in milliseconds. */
+	private static final int HOST_CONNECT_MILLIS = 250;
+
+	/** Number of hosts that are asked for one connection. */
+	private static final int MAX_ASKED = 3;
+
+	/** Number of hosts that are asked whether a server has ended. */
+	private static final int MAX_WITNESSES = 2;
+
+	private final Bootstrap toServers;
+
+	private final Bootstrap toHosts;
+
+	private final UnaryOperator<InetSocketAddress> addresses;
+
+	private final ServicePaths paths;
+
+	private final HelpingHosts hosts;
+
+	private final LabelledCounters counts;
+
+	private final LongSupplier clock;
+
+	/**
+	 * Creates a connector.
+	 * @param loop the event loop
+	 * @param addresses returns the address to connect to for a server's registered one
+	 * @param paths beliefs about the direct paths
+	 * @param hosts chooses the hosts that help
+	 * @param counts counts the connections through other hosts, by outcome
+	 * @param clock monotonic time in nanoseconds
+	 */
+	public ServerConnector(EventLoopGroup loop, UnaryOperator<InetSocketAddress> addresses, ServicePaths paths,
+			HelpingHosts hosts, LabelledCounters counts, LongSupplier clock) {
+		this.toServers = KeepAlive.newBootstrap(loop, CONNECT_MILLIS);
+		this.toHosts = KeepAlive.newBootstrap(loop, HOST_CONNECT_MILLIS);
+		this.addresses = addresses;
+		this.paths = paths;
+		this.hosts = hosts;
+		this.counts = counts;
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns whether an open connection to a service's servers may be used for another
+	 * request: through another host only while the direct path is suspected, directly
+	 * only while it is not.
+	 * @param service name of the service
+	 * @param direct whether the connection is direct
+	 * @return whether to use it
+	 */
+	public boolean prefers(String service, boolean direct) {
+		boolean suspected = this.paths.suspected(service);
+		return direct ? !(suspected && this.hosts.anyUsable()) : suspected;
+	}
+
+	/**
+	 * Opens a connection to a server.
+	 * @param server the server
+	 * @param handlers adds the handlers of the connection
+	 * @param attempt receives the outcome
+	 */
+	public void open(ServerEntry server, ChannelHandler handlers, ConnectionAttempt attempt) {
+		boolean suspected = this.paths.suspected(server.service());
+		if (suspected && this.hosts.anyUsable()) {
+			openThroughHost(server, handlers, attempt, new HashSet<>());
+		}
+		else if (this.paths.broken(server.service()) && this.hosts.anyKnown()
+				&& !this.paths.tryCheck(server.service())) {
+			attempt.failed(noPath(server));
+		}
+		else {
+			openDirectly(server, handlers, attempt);
+		}
+	}
+
+	private static IOException noPath(ServerEntry server) {
+		return new ConnectException("neither this host nor those that it asked reach servers of " + server.service());
+	}
+
+	private void openDirectly(ServerEntry server, ChannelHandler handlers, ConnectionAttempt attempt) {
+		ChannelFuture connecting = connect(server, handlers, (cause) -> {
+			if (cause.isEmpty()) {
+				attempt.opened(true);
+			}
+			else if (!attempt.cancelled() && this.paths.suspected(server.service()) && this.hosts.anyUsable()) {
+				openThroughHost(server, handlers, attempt, new HashSet<>());
+			}
+			else {
+				attempt.failed(cause.get());
+			}
+		});
+		attempt.connecting(connecting.channel());
+	}
+
+	// A connect that this host gave up itself ends with another exception and says
+	// nothing about the path.
+	private ChannelFuture connect(ServerEntry server, ChannelHandler handlers, Consumer<Optional<Throwable>> ended) {
+		long startedNanos = this.clock.getAsLong();
+		ChannelFuture connecting = this.toServers.clone()
+			.handler(handlers)
+			.connect(this.addresses.apply(server.address()));
+		connecting.addListener((future) -> {
+			if (future.isSuccess()) {
+				this.paths.connected(server, startedNanos);
+			}
+			else if (future.cause() instanceof ConnectException) {
+				this.paths.failed(server, !refused(future.cause()));
+			}
+			ended.accept(Optional.ofNullable(future.cause()));
+		});
+		return connecting;
+	}
+
+	/**
+	 * Returns whether a connection was refused, as by a machine on which no server
+	 * listens.
+	 * @param cause why a connection could not be opened
+	 * @return false if there was no answer
+	 */
+	public static boolean refused(Throwable cause) {
+		return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+	}
+
+	private void openThroughHost(ServerEntry server, ChannelHandler handlers, ConnectionAttempt attempt,
+			Set<String> asked) {
+		Optional<Peer> host = (asked.size() < MAX_ASKED) ? this.hosts.choose(asked) : Optional.empty();
+		if (host.isEmpty()) {
+			this.counts.increment("no_host");
+			attempt.failed(noPath(server));
+			return;
+		}
+		asked.add(host.get().host());
+		long startedNanos = this.clock.getAsLong();
+		ChannelFuture connecting = ask(host.get(), server, handlers, (answer) -> {
+			if (attempt.cancelled()) {
+				attempt.failed(noPath(server));
+			}
+			else if (answer == TunnelAnswer.CONNECTED) {
+				logger.info(GatewayEvents.CONNECTED_THROUGH_HOST, server.id(), server.service(), host.get().host(),
+						(this.clock.getAsLong() - startedNanos) / 1_000_000);
+				attempt.opened(false);
+				checkDirectPath(server);
+			}
+			else if (answer == TunnelAnswer.REFUSED || answer == TunnelAnswer.SILENT
+					|| answer == TunnelAnswer.UNKNOWN_SERVER) {
+				attempt.failed(new ConnectException("host " + host.get().host() + " says: " + answer));
+			}
+			else {
+				openThroughHost(server, handlers, attempt, asked);
+			}
+		});
+		attempt.connecting(connecting.channel());
+	}
+
+	// The answer is CUT_OFF if the host itself did not answer.
+	private ChannelFuture ask(Peer host, ServerEntry server, ChannelHandler handlers, Consumer<TunnelAnswer> receiver) {
+		TunnelClientHandler handler = new TunnelClientHandler(host, this.hosts,
+				new TunnelFrames.Target(server.id(), server.startMillis()), handlers, this.clock, (answer) -> {
+					this.counts.increment(answer.name().toLowerCase(Locale.ROOT));
+					receiver.accept(answer);
+				});
+		ChannelFuture connecting = this.toHosts.clone().handler(handler.initializer()).connect(host.address());
+		connecting.addListener((future) -> {
+			if (!future.isSuccess()) {
+				handler.notReached(future.cause());
+			}
+		});
+		return connecting;
+	}
+
+	// A server to which another host has just connected is alive, so that a direct
+	// connection to it tells whether the direct path is whole.
+	private void checkDirectPath(ServerEntry server) {
+		if (this.paths.suspected(server.service()) && this.paths.tryCheck(server.service())) {
+			ChannelFuture connecting = connect(server, new ChannelInboundHandlerAdapter(), (cause) -> {
+				// the outcome has been recorded
+			});
+			connecting.addListener((future) -> connecting.channel().close());
+		}
+	}
+
+	/**
+	 * Checks whether a server refuses all connections, as it does after a crash. A
+	 * refusal counts only if no other host can connect, since the path of this host may
+	 * be broken.
+	 * @param server the server
+	 * @param callback receives the connection error, or empty if a connection was made
+	 */
+	public void probe(ServerEntry server, Consumer<Optional<Throwable>> callback) {
+		if (this.paths.suspected(server.service()) && this.hosts.anyUsable()) {
+			askWitness(server, new IOException("the direct path is suspected"), new HashSet<>(), callback);
+			return;
+		}
+		ChannelFuture connecting = connect(server, new ChannelInboundHandlerAdapter(), (cause) -> {
+			if (cause.filter(ServerConnector::refused).isPresent()) {
+				askWitness(server, cause.get(), new HashSet<>(), callback);
+			}
+			else {
+				callback.accept(cause);
+			}
+		});
+		connecting.addListener((future) -> connecting.channel().close());
+	}
+
+	private void askWitness(ServerEntry server, Throwable result, Set<String> asked,
+			Consumer<Optional<Throwable>> callback) {
+		Optional<Peer> host = (asked.size() < MAX_WITNESSES) ? this.hosts.chooseAny(asked) : Optional.empty();
+		if (host.isEmpty()) {
+			boolean undecided = refused(result) && this.hosts.anyKnown() && this.paths.broken(server.service())
+					&& asked.isEmpty();
+			callback.accept(Optional.of(undecided ? noPath(server) : result));
+			return;
+		}
+		asked.add(host.get().host());
+		ChannelFuture connecting = ask(host.get(), server, new ChannelInboundHandlerAdapter(), (answer) -> {
+			if (answer == TunnelAnswer.CONNECTED) {
+				callback.accept(Optional.empty());
+				return;
+			}
+			boolean refused = answer == TunnelAnswer.REFUSED;
+			askWitness(server, refused ? new ConnectException("refused, also to host " + host.get().host()) : result,
+					asked, callback);
+		});
+		connecting.addListener((future) -> connecting.channel()
+			.eventLoop()
+			.schedule((Runnable) connecting.channel()::close, 2L * CONNECT_MILLIS, TimeUnit.MILLISECONDS));
+	}
+
+	/**
+	 * Returns the beliefs about the direct paths.
+	 * @return the paths
+	 */
+	ServicePaths paths() {
+		return this.paths;
+	}
+
+	/**
+	 * Opens a connection for another host, directly only.
+	 * @param server the server
+	 * @param handlers handlers of the connection
+	 * @param ended receives the connection error, or empty if the connection is open
+	 * @return the channel that connects
+	 */
+	Channel openForOtherHost(ServerEntry server, ChannelHandler handlers, Consumer<Optional<Throwable>> ended) {
+		long startedNanos = this.clock.getAsLong();
+		ChannelFuture connecting = this.toServers.clone()
+			.handler(handlers)
+			.connect(this.addresses.apply(server.address()));
+		connecting.addListener((future) -> {
+			if (future.isSuccess()) {
+				this.paths.connected(server, startedNanos);
+			}
+			ended.accept(Optional.ofNullable(future.cause()));
+		});
+		return connecting.channel();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
@@ -0,0 +1,223 @@
+package io.sequoialink.gateway.path;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPromise;
+import io.sequoialink.gateway.relay.Peer;
+
+/**
+ * This host's end of a connection to a server through another host: asks for it, then
+ * passes the bytes of the server's connection to the handlers behind. Confined to the
+ * event loop. The end of the server's connection appears as the end of this one; its
+ * loss, and the loss of the connection between the hosts, as exceptions before.
+ */
+final class TunnelClientHandler extends ChannelDuplexHandler {
+
+	/** Time within which the other host answers, in milliseconds. */
+	private static final long ANSWER_MILLIS = 300;
+
+	/**
+	 * Time without a byte after a request after which a host counts as silent if the
+	 * connection is given up.
+	 */
+	private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private enum State {
+
+		ASKING, OPEN, ENDED
+
+	}
+
+	private final Peer host;
+
+	private final HelpingHosts hosts;
+
+	private final TunnelFrames.Target target;
+
+	private final ChannelHandler handlers;
+
+	private final LongSupplier clock;
+
+	private final Consumer<TunnelAnswer> receiver;
+
+	private State state = State.ASKING;
+
+	private boolean awaitsBytes;
+
+	private long writtenNanos;
+
+	/**
+	 * Creates a handler.
+	 * @param host the host that is asked
+	 * @param hosts is told how the host fared
+	 * @param target the server
+	 * @param handlers handlers of the connection, added once it is open
+	 * @param clock monotonic time in nanoseconds
+	 * @param receiver receives the answer; {@link TunnelAnswer#CUT_OFF} without one
+	 */
+	TunnelClientHandler(Peer host, HelpingHosts hosts, TunnelFrames.Target target, ChannelHandler handlers,
+			LongSupplier clock, Consumer<TunnelAnswer> receiver) {
+		this.host = host;
+		this.hosts = hosts;
+		this.target = target;
+		this.handlers = handlers;
+		this.clock = clock;
+		this.receiver = receiver;
+	}
+
+	ChannelInitializer<Channel> initializer() {
+		return new ChannelInitializer<>() {
+			@Override
+			protected void initChannel(Channel channel) {
+				channel.pipeline().addLast(TunnelFrames.decoder(), TunnelClientHandler.this);
+			}
+		};
+	}
+
+	/**
+	 * The other host could not be reached.
+	 * @param cause why
+	 */
+	void notReached(Throwable cause) {
+		if (cause instanceof ConnectException) {
+			unanswered(cause.toString());
+		}
+		givenUp();
+	}
+
+	private void givenUp() {
+		if (this.state == State.ASKING) {
+			this.state = State.ENDED;
+			this.receiver.accept(TunnelAnswer.CUT_OFF);
+		}
+	}
+
+	private void unanswered(String reason) {
+		if (this.state == State.ASKING) {
+			this.state = State.ENDED;
+			this.hosts.failed(this.host, reason);
+			this.receiver.accept(TunnelAnswer.CUT_OFF);
+		}
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		context.writeAndFlush(TunnelFrames.open(this.target));
+		context.executor().schedule(() -> {
+			if (this.state == State.ASKING) {
+				unanswered("no answer within " + ANSWER_MILLIS + " ms");
+				context.close();
+			}
+		}, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		ByteBuf frame = (ByteBuf) message;
+		TunnelFrames.Kind kind = TunnelFrames.readKind(frame);
+		if (this.state == State.OPEN && kind == TunnelFrames.Kind.DATA) {
+			this.awaitsBytes = false;
+			context.fireChannelRead(frame);
+			return;
+		}
+		try {
+			readControl(context, kind, frame);
+		}
+		finally {
+			frame.release();
+		}
+	}
+
+	private void readControl(ChannelHandlerContext context, TunnelFrames.Kind kind, ByteBuf payload) {
+		if (this.state == State.ASKING && kind == TunnelFrames.Kind.ANSWER) {
+			answered(context, TunnelFrames.readAnswer(payload));
+		}
+		else if (this.state == State.OPEN && kind == TunnelFrames.Kind.END) {
+			this.state = State.ENDED;
+			context.close();
+		}
+		else if (this.state == State.OPEN && kind == TunnelFrames.Kind.RESET) {
+			this.state = State.ENDED;
+			context.fireExceptionCaught(new IOException("connection reset, according to host " + this.host.host()));
+			context.close();
+		}
+		else if (this.state != State.ENDED) {
+			context.close();
+		}
+	}
+
+	private void answered(ChannelHandlerContext context, TunnelAnswer answer) {
+		if (answer == TunnelAnswer.CONNECTED) {
+			this.state = State.OPEN;
+			this.hosts.helped(this.host);
+			context.pipeline().addLast(this.handlers);
+			this.receiver.accept(answer);
+			return;
+		}
+		this.state = State.ENDED;
+		boolean mayBeServer = answer == TunnelAnswer.REFUSED || answer == TunnelAnswer.SILENT;
+		if (mayBeServer) {
+			this.hosts.doubted(this.host, "it does not reach server " + this.target.id() + ": " + answer);
+		}
+		else if (answer != TunnelAnswer.UNKNOWN_SERVER) {
+			this.hosts.failed(this.host, "it answered " + answer);
+		}
+		context.close();
+		this.receiver.accept(answer);
+	}
+
+	@Override
+	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+		ByteBuf data = (ByteBuf) message;
+		if (data.isReadable()) {
+			this.awaitsBytes = true;
+			this.writtenNanos = this.clock.getAsLong();
+			context.write(TunnelFrames.header(context.alloc(), TunnelFrames.Kind.DATA, data.readableBytes()));
+		}
+		context.write(data, promise);
+	}
+
+	@Override
+	public void close(ChannelHandlerContext context, ChannelPromise promise) {
+		boolean silent = this.state == State.OPEN && this.awaitsBytes
+				&& this.clock.getAsLong() - this.writtenNanos > SILENT_NANOS;
+		if (silent) {
+			this.hosts.failed(this.host, "nothing came back through it");
+		}
+		givenUp();
+		this.state = State.ENDED;
+		context.close(promise);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		unanswered("connection ended without an answer");
+		if (this.state == State.OPEN) {
+			this.state = State.ENDED;
+			this.hosts.failed(this.host, "connection lost");
+			context.fireExceptionCaught(new TunnelLostException(this.host.host()));
+		}
+		context.fireChannelInactive();
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		if (this.state == State.OPEN) {
+			this.state = State.ENDED;
+			this.hosts.failed(this.host, cause.toString());
+			context.fireExceptionCaught(new TunnelLostException(this.host.host()));
+		}
+		context.close();
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/relay/ReadForwarder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/relay/ReadForwarder.java
@@ -161,7 +161,7 @@
 	 * @param address the IP address
 	 * @return whether a known host receives datagrams there
 	 */
-	boolean isPeerAddress(InetAddress address) {
+	public boolean isPeerAddress(InetAddress address) {
 		return this.peers.values().stream().anyMatch((peer) -> peer.address().getAddress().equals(address));
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.sequoialink.decision.cascade.ConfidenceCascade;
@@ -44,6 +45,9 @@
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.fleet.WeightedService;
+import io.sequoialink.gateway.path.HelpingHosts;
+import io.sequoialink.gateway.path.ServerConnector;
+import io.sequoialink.gateway.path.ServicePaths;
 import io.sequoialink.gateway.permit.FleetPermits;
 import io.sequoialink.gateway.place.LatencyBaseline;
 import io.sequoialink.gateway.place.LoadBalancer;
@@ -142,12 +146,19 @@
 						new SplittableRandom(1))),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new LatencyPressure(), new RequestCostRatio(),
 				this.rollouts, speed, this.latencyBaseline, this.permits, new ReturnSchedule(new SplittableRandom(2)),
-				new BackendPool(this.loops, headerMapping), headerMapping,
+				new BackendPool(connector(), headerMapping), headerMapping,
 				new RetryBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashCoordinator, this.traitCoordinator,
 				this.responseBuffers, this.counts, System::nanoTime);
 		this.frontend = new FrontendServer(gateway);
 	}
 
+	private ServerConnector connector() {
+		Peer self = new Peer("h", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+		HelpingHosts hosts = new HelpingHosts(self, List::of, System::nanoTime, new SplittableRandom(6));
+		return new ServerConnector(this.loops, UnaryOperator.identity(), new ServicePaths(System::nanoTime), hosts,
+				this.counts.tunnels(), System::nanoTime);
+	}
+
 	private LoadBalancer observed(LoadBalancer choice) {
 		return (request) -> {
 			Optional<SelectedServer> placed = choice.choose(request);
