Give each channel that is tried handlers of its own; tests of connections through another host

Callers saw: the request whose direct connect failed first, and which was then connected through another host, got no answer until its deadline (504 after 5 s in the test). Cause: the handlers of the channel that did not connect were added to the second one, which Netty refuses for handlers that are not shared, and closes it. CutOffHostTests did not show it, since its first requests fail before the count begins. Change: ConnectionAttempt makes new handlers for each channel.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.path.ConnectionAttempt;
 import io.sequoialink.gateway.path.ServerConnector;
@@ -76,30 +77,7 @@
 
 	private void connect(OutboundRequest outbound) {
 		this.open++;
-		BackendConnection connection = new BackendConnection(this);
-		this.connector.open(this.server, connection.initializer(), new ConnectionAttempt() {
-			@Override
-			public boolean cancelled() {
-				return outbound.done();
-			}
-
-			@Override
-			public void connecting(Channel channel) {
-				outbound.connecting(channel);
-			}
-
-			@Override
-			public void opened(boolean direct) {
-				connection.opened(direct);
-				connection.send(outbound);
-			}
-
-			@Override
-			public void failed(Throwable cause) {
-				ServerConnections.this.open--;
-				outbound.failConnecting(cause);
-			}
-		});
+		this.connector.open(this.server, new Opening(outbound));
 	}
 
 	/**
@@ -168,4 +146,45 @@
 		}
 	}
 
+	/** Opens the connection for a request. */
+	private final class Opening implements ConnectionAttempt {
+
+		private final OutboundRequest outbound;
+
+		private BackendConnection connection;
+
+		private Opening(OutboundRequest outbound) {
+			this.outbound = outbound;
+		}
+
+		@Override
+		public boolean cancelled() {
+			return this.outbound.done();
+		}
+
+		@Override
+		public ChannelHandler newHandlers() {
+			this.connection = new BackendConnection(ServerConnections.this);
+			return this.connection.initializer();
+		}
+
+		@Override
+		public void connecting(Channel channel) {
+			this.outbound.connecting(channel);
+		}
+
+		@Override
+		public void opened(boolean direct) {
+			this.connection.opened(direct);
+			this.connection.send(this.outbound);
+		}
+
+		@Override
+		public void failed(Throwable cause) {
+			ServerConnections.this.open--;
+			this.outbound.failConnecting(cause);
+		}
+
+	}
+
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ConnectionAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ConnectionAttempt.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.path;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 
 /**
  * What a connection is opened for. Called on the event loop; exactly one of
@@ -15,6 +16,13 @@
 	 */
 	boolean cancelled();
 
+	/**
+	 * Returns new handlers of the connection. Called for each channel that is tried,
+	 * since a channel that did not connect keeps its handlers.
+	 * @return adds the handlers
+	 */
+	ChannelHandler newHandlers();
+
 	/**
 	 * Called before connecting, possibly several times. Closing the channel cancels.
 	 * @param channel the channel that connects now
@@ -22,7 +30,7 @@
 	void connecting(Channel channel);
 
 	/**
-	 * The connection to the server is open and its handlers have been added.
+	 * The connection to the server is open and the last handlers have been added.
 	 * @param direct whether it does not go through another host
 	 */
 	void opened(boolean direct);
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -16,9 +16,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.ReferenceCountUtil;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.count.LabelledCounters;
 import io.sequoialink.gateway.fleet.ServerEntry;
@@ -104,20 +106,19 @@
 	/**
 	 * Opens a connection to a server.
 	 * @param server the server
-	 * @param handlers adds the handlers of the connection
 	 * @param attempt receives the outcome
 	 */
-	public void open(ServerEntry server, ChannelHandler handlers, ConnectionAttempt attempt) {
+	public void open(ServerEntry server, ConnectionAttempt attempt) {
 		boolean suspected = this.paths.suspected(server.service());
 		if (suspected && this.hosts.anyUsable()) {
-			openThroughHost(server, handlers, attempt, new HashSet<>());
+			openThroughHost(server, attempt, new HashSet<>());
 		}
 		else if (this.paths.broken(server.service()) && this.hosts.anyKnown()
 				&& !this.paths.tryCheck(server.service())) {
 			attempt.failed(noPath(server));
 		}
 		else {
-			openDirectly(server, handlers, attempt);
+			openDirectly(server, attempt);
 		}
 	}
 
@@ -125,13 +126,13 @@
 		return new ConnectException("neither this host nor those that it asked reach servers of " + server.service());
 	}
 
-	private void openDirectly(ServerEntry server, ChannelHandler handlers, ConnectionAttempt attempt) {
-		ChannelFuture connecting = connect(server, handlers, (cause) -> {
+	private void openDirectly(ServerEntry server, ConnectionAttempt attempt) {
+		ChannelFuture connecting = connect(server, attempt.newHandlers(), (cause) -> {
 			if (cause.isEmpty()) {
 				attempt.opened(true);
 			}
 			else if (!attempt.cancelled() && this.paths.suspected(server.service()) && this.hosts.anyUsable()) {
-				openThroughHost(server, handlers, attempt, new HashSet<>());
+				openThroughHost(server, attempt, new HashSet<>());
 			}
 			else {
 				attempt.failed(cause.get());
@@ -169,8 +170,7 @@
 		return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
 	}
 
-	private void openThroughHost(ServerEntry server, ChannelHandler handlers, ConnectionAttempt attempt,
-			Set<String> asked) {
+	private void openThroughHost(ServerEntry server, ConnectionAttempt attempt, Set<String> asked) {
 		Optional<Peer> host = (asked.size() < MAX_ASKED) ? this.hosts.choose(asked) : Optional.empty();
 		if (host.isEmpty()) {
 			this.counts.increment("no_host");
@@ -179,7 +179,7 @@
 		}
 		asked.add(host.get().host());
 		long startedNanos = this.clock.getAsLong();
-		ChannelFuture connecting = ask(host.get(), server, handlers, (answer) -> {
+		ChannelFuture connecting = ask(host.get(), server, attempt.newHandlers(), (answer) -> {
 			if (attempt.cancelled()) {
 				attempt.failed(noPath(server));
 			}
@@ -194,7 +194,7 @@
 				attempt.failed(new ConnectException("host " + host.get().host() + " says: " + answer));
 			}
 			else {
-				openThroughHost(server, handlers, attempt, asked);
+				openThroughHost(server, attempt, asked);
 			}
 		});
 		attempt.connecting(connecting.channel());
@@ -220,7 +220,7 @@
 	// connection to it tells whether the direct path is whole.
 	private void checkDirectPath(ServerEntry server) {
 		if (this.paths.suspected(server.service()) && this.paths.tryCheck(server.service())) {
-			ChannelFuture connecting = connect(server, new ChannelInboundHandlerAdapter(), (cause) -> {
+			ChannelFuture connecting = connect(server, new UnusedConnectionHandler(), (cause) -> {
 				// the outcome has been recorded
 			});
 			connecting.addListener((future) -> connecting.channel().close());
@@ -239,7 +239,7 @@
 			askWitness(server, new IOException("the direct path is suspected"), new HashSet<>(), callback);
 			return;
 		}
-		ChannelFuture connecting = connect(server, new ChannelInboundHandlerAdapter(), (cause) -> {
+		ChannelFuture connecting = connect(server, new UnusedConnectionHandler(), (cause) -> {
 			if (cause.filter(ServerConnector::refused).isPresent()) {
 				askWitness(server, cause.get(), new HashSet<>(), callback);
 			}
@@ -260,7 +260,7 @@
 			return;
 		}
 		asked.add(host.get().host());
-		ChannelFuture connecting = ask(host.get(), server, new ChannelInboundHandlerAdapter(), (answer) -> {
+		ChannelFuture connecting = ask(host.get(), server, new UnusedConnectionHandler(), (answer) -> {
 			if (answer == TunnelAnswer.CONNECTED) {
 				callback.accept(Optional.empty());
 				return;
@@ -303,4 +303,20 @@
 		return connecting.channel();
 	}
 
+	/** Handler of a connection that was only opened to see that it can be. */
+	private static final class UnusedConnectionHandler extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			ReferenceCountUtil.release(message);
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			logger.debug("connection that was opened as a check was lost: {}", cause.toString());
+			context.close();
+		}
+
+	}
+
 }
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
@@ -0,0 +1,282 @@
+package io.sequoialink.gateway.http;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The data path of a host whose own connections to all servers are refused, over
+ * loopback, with another host that reaches them, or with one that is scripted byte by
+ * byte.
+ */
+class CutOffGatewayTests {
+
+	private static final String HELLO = "hello\n\n";
+
+	private static final ScriptedServer.Script GOOD = (call) -> call.respond(200, "seal: s\r\nx-own: 1\r\n", HELLO);
+
+	private static final int DATA = 2;
+
+	private static final int END = 3;
+
+	private static GatewayFixture cutOff(ScriptedServer.Script... scripts) throws Exception {
+		GatewayFixture fixture = GatewayFixture.withServers(scripts);
+		fixture.startHelpingHost();
+		fixture.setCutOff(true);
+		return fixture;
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "/safe/x?q=1", "/once/x?q=1", "/firm/x?q=1" })
+	void aRequestIsForwardedUnchangedThroughAnotherHost(String path) throws Exception {
+		ScriptedServer.Script script = path.startsWith("/firm") ? CutOffGatewayTests::stream : GOOD;
+		try (GatewayFixture fixture = cutOff(script, script)) {
+			String response = fixture.exchange(path, "");
+			assertThat(RawHttp.status(response)).isEqualTo(200);
+			assertThat(RawHttp.header(response, "seal")).isEqualTo("s");
+			assertThat(fixture.attemptCount()).isEqualTo(1);
+			String request = fixture.server(fixture.server(1).requests().isEmpty() ? 2 : 1).requests().get(0);
+			assertThat(request).startsWith("GET " + path + " HTTP/1.1\r\n");
+			assertThat(RawHttp.header(request, "account")).isEqualTo("acme");
+			assertThat(RawHttp.header(request, "key")).isNull();
+		}
+	}
+
+	private static void stream(ScriptedServer.Call call) throws IOException {
+		call.streamHead("");
+		call.chunk("id: 1\ndata: d1\n\n");
+		call.endChunks();
+	}
+
+	@Test
+	void aResponseThatEndsWithTheServersConnectionIsComplete() throws Exception {
+		ScriptedServer.Script untilClose = (call) -> {
+			call.write("HTTP/1.1 200 OK\r\nid: " + call.header("id") + "\r\nseal: s\r\n\r\nwhole");
+			call.close();
+		};
+		try (GatewayFixture fixture = cutOff(untilClose, untilClose)) {
+			String response = fixture.exchange("/once/x", "");
+			assertThat(RawHttp.status(response)).isEqualTo(200);
+			assertThat(RawHttp.body(response)).isEqualTo("whole");
+		}
+	}
+
+	// Guards against responses that another host passes on as complete although their
+	// server broke off.
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("io.sequoialink.gateway.http.GatewayTests#invalidResponses")
+	void aResponseThatBreaksOffBehindAnotherHostIsNotForwarded(String name, ScriptedServer.Script invalid)
+			throws Exception {
+		try (GatewayFixture fixture = cutOff(invalid, invalid)) {
+			String response = fixture.exchange("/once/x", "");
+			assertThat(RawHttp.status(response)).isEqualTo(502);
+			assertThat(RawHttp.header(response, "seal")).isNull();
+			assertThat(fixture.attemptCount()).isEqualTo(1);
+		}
+	}
+
+	// Guards against a response without a length that looks complete because the process
+	// of the helping host ended: the system then ends its connections regularly.
+	@ParameterizedTest(name = "ended by {0}, complete: {1}")
+	@CsvSource({ "host, false", "server, true" })
+	void onlyTheServerEndsAResponseWithItsConnection(String endedBy, boolean complete) throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD);
+				ScriptedHost host = new ScriptedHost((request, out) -> {
+					frame(out, DATA,
+							"HTTP/1.1 200 OK\r\nid: " + RawHttp.header(request, "id") + "\r\nseal: s\r\n\r\nwhole");
+					if (endedBy.equals("server")) {
+						frame(out, END, "");
+					}
+				})) {
+			fixture.addHost("scripted", host.address());
+			fixture.setCutOff(true);
+			String response = fixture.exchange("/once/x", "");
+			assertThat(RawHttp.status(response)).isEqualTo(complete ? 200 : 502);
+			assertThat(host.requests()).hasSize(1);
+		}
+	}
+
+	private static void frame(OutputStream out, int kind, String payload) throws IOException {
+		byte[] bytes = payload.getBytes(StandardCharsets.US_ASCII);
+		out.write(ByteBuffer.allocate(5 + bytes.length).put((byte) kind).putInt(bytes.length).put(bytes).array());
+		out.flush();
+	}
+
+	@Test
+	void aRequestThatMayBeRepeatedIsSentAgainWhenTheHelpingHostIsLost() throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD);
+				ScriptedHost host = new ScriptedHost((request, out) -> {
+				})) {
+			fixture.addHost("scripted", host.address());
+			fixture.setCutOff(true);
+			fixture.startHelpingHost();
+			for (int i = 0; i < 6; i++) {
+				assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(200);
+			}
+			assertThat(host.requests()).hasSizeLessThanOrEqualTo(1);
+		}
+	}
+
+	@Test
+	void withoutAnotherHostARequestIsRejectedAsNotRun() throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD)) {
+			fixture.setCutOff(true);
+			String response = fixture.exchange("/once/x", "");
+			assertThat(RawHttp.status(response)).isEqualTo(503);
+			assertThat(fixture.attemptCount()).isZero();
+		}
+	}
+
+	@Test
+	void aHostThatIsNotKnownIsNotHelped() throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD)) {
+			fixture.startHelpingHost("helper", (address) -> false);
+			fixture.setCutOff(true);
+			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(503);
+			assertThat(fixture.attemptCount()).isZero();
+		}
+	}
+
+	@Test
+	void aHostThatDrainsOpensNoFurtherConnections() throws Exception {
+		try (GatewayFixture fixture = cutOff(GOOD, GOOD)) {
+			fixture.onLoop(() -> fixture.helping().drain());
+			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(503);
+			assertThat(fixture.attemptCount()).isZero();
+		}
+	}
+
+	@Test
+	void connectionsAreDirectAgainOnceThePathIsWhole() throws Exception {
+		try (GatewayFixture fixture = cutOff(GOOD, GOOD)) {
+			fixture.exchange("/safe/x", "");
+			assertThat(fixture.paths().suspected("svc")).isTrue();
+			fixture.setCutOff(false);
+			long until = System.nanoTime() + 3_000_000_000L;
+			while (fixture.paths().suspected("svc")) {
+				assertThat(System.nanoTime()).isLessThan(until);
+				assertThat(RawHttp.status(fixture.exchange("/once/x", ""))).isEqualTo(200);
+				Thread.sleep(50);
+			}
+			fixture.exchange("/safe/x", "");
+			fixture.exchange("/safe/x", "");
+			assertThat(fixture.helping().connections()).as("connections through the other host").isLessThanOrEqualTo(1);
+		}
+	}
+
+	// Guards against a host that blames requests for crashes when its own path to the
+	// servers breaks: their connections are reset and new ones refused, as after a crash.
+	@Test
+	void aBrokenPathIsNotTakenForACrash() throws Exception {
+		GatewayFixture[] cut = new GatewayFixture[1];
+		ScriptedServer.Script resetsBehindTheCut = (call) -> {
+			cut[0].setCutOff(true);
+			call.reset();
+		};
+		try (GatewayFixture fixture = GatewayFixture.withServers(resetsBehindTheCut, resetsBehindTheCut,
+				resetsBehindTheCut)) {
+			cut[0] = fixture;
+			fixture.startHelpingHost();
+			for (int i = 0; i < 5; i++) {
+				fixture.setCutOff(false);
+				assertThat(RawHttp.status(fixture.exchange("/once/bad", ""))).isEqualTo(502);
+				Thread.sleep(100);
+			}
+			assertThat(fixture.published()).isEmpty();
+		}
+	}
+
+	@Test
+	void aCrashIsFoundOutThroughAnotherHost() throws Exception {
+		ScriptedServer.Script crashes = ScriptedServer.Call::crash;
+		try (GatewayFixture fixture = cutOff(crashes, crashes, crashes, crashes)) {
+			long until = System.nanoTime() + 5_000_000_000L;
+			while (fixture.firstPublishedCrashCount() < 2) {
+				assertThat(System.nanoTime()).isLessThan(until);
+				fixture.exchange("/once/bad", "");
+				Thread.sleep(100);
+			}
+		}
+	}
+
+	/**
+	 * A host that accepts each request for a connection and writes frames by a script,
+	 * then ends its connection regularly.
+	 */
+	private static final class ScriptedHost implements AutoCloseable {
+
+		private final ServerSocket listening = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+
+		private final List<String> requests = new CopyOnWriteArrayList<>();
+
+		private final Script script;
+
+		private ScriptedHost(Script script) throws IOException {
+			this.script = script;
+			Thread serving = new Thread(this::serve, "scripted-host");
+			serving.setDaemon(true);
+			serving.start();
+		}
+
+		private InetSocketAddress address() {
+			return new InetSocketAddress(InetAddress.getLoopbackAddress(), this.listening.getLocalPort());
+		}
+
+		private List<String> requests() {
+			return this.requests;
+		}
+
+		private void serve() {
+			while (!this.listening.isClosed()) {
+				try (Socket socket = this.listening.accept()) {
+					DataInputStream in = new DataInputStream(socket.getInputStream());
+					readFrame(in);
+					socket.getOutputStream().write(new byte[] { 1, 0, 0, 0, 1, 0 });
+					String request = readFrame(in);
+					this.requests.add(request);
+					this.script.respond(request, socket.getOutputStream());
+					socket.shutdownOutput();
+				}
+				catch (IOException ex) {
+					// the other side has ended the connection
+				}
+			}
+		}
+
+		private static String readFrame(DataInputStream in) throws IOException {
+			in.readByte();
+			return new String(in.readNBytes(in.readInt()), StandardCharsets.US_ASCII);
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.listening.close();
+		}
+
+		/** Writes frames in response to a request. */
+		@FunctionalInterface
+		private interface Script {
+
+			void respond(String request, OutputStream out) throws IOException;
+
+		}
+
+	}
+
+}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -17,6 +18,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -48,6 +50,7 @@
 import io.sequoialink.gateway.path.HelpingHosts;
 import io.sequoialink.gateway.path.ServerConnector;
 import io.sequoialink.gateway.path.ServicePaths;
+import io.sequoialink.gateway.path.TunnelServer;
 import io.sequoialink.gateway.permit.FleetPermits;
 import io.sequoialink.gateway.place.LatencyBaseline;
 import io.sequoialink.gateway.place.LoadBalancer;
@@ -128,6 +131,17 @@
 	private final RolloutCoordinator rollouts = new RolloutCoordinator("h", new RolloutCoordinator.Options(0.1, 0),
 			records(), System::nanoTime, new SplittableRandom(1));
 
+	/** An address on loopback at which nothing listens. */
+	private static final InetSocketAddress UNREACHABLE = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+
+	private final ServicePaths paths = new ServicePaths(System::nanoTime);
+
+	private final List<Peer> peers = new CopyOnWriteArrayList<>();
+
+	private volatile boolean cutOff;
+
+	private TunnelServer helping;
+
 	private final FrontendServer frontend;
 
 	private final ServerTable table;
@@ -154,9 +168,58 @@
 
 	private ServerConnector connector() {
 		Peer self = new Peer("h", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
-		HelpingHosts hosts = new HelpingHosts(self, List::of, System::nanoTime, new SplittableRandom(6));
-		return new ServerConnector(this.loops, UnaryOperator.identity(), new ServicePaths(System::nanoTime), hosts,
+		HelpingHosts hosts = new HelpingHosts(self, () -> this.peers, System::nanoTime, new SplittableRandom(6));
+		return new ServerConnector(this.loops, (address) -> this.cutOff ? UNREACHABLE : address, this.paths, hosts,
+				this.counts.tunnels(), System::nanoTime);
+	}
+
+	/**
+	 * Starts another host, which reaches all servers.
+	 */
+	void startHelpingHost() throws Exception {
+		startHelpingHost("helper", (address) -> true);
+	}
+
+	void startHelpingHost(String name, Predicate<InetAddress> knownHost) throws Exception {
+		ServerConnector connector = new ServerConnector(this.loops, UnaryOperator.identity(),
+				new ServicePaths(System::nanoTime),
+				new HelpingHosts(new Peer(name, "z", UNREACHABLE), List::of, System::nanoTime, new SplittableRandom(7)),
 				this.counts.tunnels(), System::nanoTime);
+		this.helping = new TunnelServer(connector, this.view, knownHost);
+		InetSocketAddress address = freeAddress();
+		this.helping.start(this.loops, address);
+		onLoop(() -> {
+			// the address has been bound
+		});
+		addHost(name, address);
+	}
+
+	TunnelServer helping() {
+		return this.helping;
+	}
+
+	static InetSocketAddress freeAddress() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+		}
+	}
+
+	/**
+	 * Adds a host that may be asked for connections.
+	 */
+	void addHost(String name, InetSocketAddress address) {
+		this.peers.add(new Peer(name, "z", address));
+	}
+
+	/**
+	 * Refuses this host's own connections to all servers, or lets them pass again.
+	 */
+	void setCutOff(boolean cut) {
+		this.cutOff = cut;
+	}
+
+	ServicePaths paths() {
+		return this.paths;
 	}
 
 	private LoadBalancer observed(LoadBalancer choice) {
