Reject as not run what never left the host, and count connects that were given up

Cause: a request whose time was over, or whose server sent nothing, counted as sent while its connection was still being opened. And such a connect, given up before its timeout of 500 ms, told the host nothing about its path. Change: an attempt that was not handed to a connection is withdrawn first, and the request is rejected as not run, or another server is tried; a connect that is given up after 100 ms or more without an answer counts as unanswered. Measured: CutOffGatewayTests, four cases of it, 504 instead of 503 before; RequestFlowTests, GatewayTests, CrashingRequestTests, SlowVersionTests hold.

--- a/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
@@ -199,6 +199,15 @@
 		return (this.phase == Phase.WAITING) ? finish(NextStep.REPORT_UNKNOWN) : NextStep.NOTHING;
 	}
 
+	/**
+	 * Records that the current attempt was given up before anything of it was sent.
+	 */
+	public void attemptWithdrawn() {
+		if (this.phase == Phase.IN_FLIGHT) {
+			this.phase = Phase.WAITING;
+		}
+	}
+
 	/**
 	 * Records that the request's time limit is exceeded.
 	 * @return the next step
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -178,9 +178,15 @@
 		}
 		this.server.unresponsive(this.exchange.now());
 		logger.info(GatewayEvents.SERVER_AVOIDED, serverId(), "no response");
-		if (this.exchange.mayAbandonSilentServer()) {
-			abort("no response");
+		if (!this.exchange.mayAbandonSilentServer()) {
+			return;
+		}
+		if (cancelUnsent()) {
+			logFailedEnd("no connection");
+			this.exchange.notConnected("server " + serverId() + ": no connection yet");
+			return;
 		}
+		abort("no response");
 	}
 
 	@Override
@@ -502,6 +508,18 @@
 		abandon();
 	}
 
+	/**
+	 * Aborts the attempt without notifying the exchange if nothing has been sent.
+	 * @return whether it was aborted, so that the request never reaches the server
+	 */
+	boolean cancelUnsent() {
+		if (this.done || this.outbound.handedOver()) {
+			return false;
+		}
+		cancel();
+		return true;
+	}
+
 	private void abandon() {
 		if (this.outbound.handedOver() && this.progress != ResponseProgress.BEGUN) {
 			this.exchange.crashCheck()
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -502,6 +502,7 @@
 		if (this.flow.done()) {
 			return;
 		}
+		withdrawUnsent();
 		NextStep next = this.flow.timedOut();
 		if (next == NextStep.CLOSE_CONNECTION) {
 			this.reason = "deadline passed";
@@ -509,6 +510,13 @@
 		perform(next);
 	}
 
+	// While a connection is being opened, nothing has reached a server yet.
+	private void withdrawUnsent() {
+		if (this.attempt != null && this.attempt.cancelUnsent()) {
+			this.flow.attemptWithdrawn();
+		}
+	}
+
 	/**
 	 * The client has closed its connection.
 	 */
@@ -518,6 +526,7 @@
 			finish(0, "client gone");
 			return;
 		}
+		withdrawUnsent();
 		perform(this.flow.clientDisconnected());
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -47,6 +48,12 @@
 	/** Connect timeout for servers, in milliseconds. */
 	private static final int CONNECT_MILLIS = 500;
 
+	/**
+	 * Time from which a connect that is given up before its timeout counts as unanswered.
+	 * Within a region a server answers in a few milliseconds.
+	 */
+	private static final long SILENT_CONNECT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
 	/** Connect timeout for other hosts, in milliseconds. */
 	private static final int HOST_CONNECT_MILLIS = 250;
 
@@ -141,8 +148,13 @@
 		attempt.connecting(connecting.channel());
 	}
 
-	// A connect that this host gave up itself ends with another exception and says
-	// nothing about the path.
+	// A connect that this host gave up itself, because the request's time was over, ends
+	// with another exception.
+	private static boolean saysOfPath(Throwable cause, long nanos) {
+		boolean givenUp = cause instanceof ClosedChannelException;
+		return cause instanceof ConnectException || (givenUp && nanos >= SILENT_CONNECT_NANOS);
+	}
+
 	private ChannelFuture connect(ServerEntry server, ChannelHandler handlers, Consumer<Optional<Throwable>> ended) {
 		long startedNanos = this.clock.getAsLong();
 		ChannelFuture connecting = this.toServers.clone()
@@ -152,7 +164,7 @@
 			if (future.isSuccess()) {
 				this.paths.connected(server, startedNanos);
 			}
-			else if (future.cause() instanceof ConnectException) {
+			else if (saysOfPath(future.cause(), this.clock.getAsLong() - startedNanos)) {
 				this.paths.failed(server, !refused(future.cause()));
 			}
 			ended.accept(Optional.ofNullable(future.cause()));
--- a/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
@@ -51,6 +51,15 @@
 		}
 	}
 
+	@Test
+	void requestOfWhichNothingWasSentIsRejectedWhenItsTimeIsOver() {
+		RequestFlow flow = new RequestFlow(false, 2);
+		flow.attemptStarted();
+		flow.attemptWithdrawn();
+		assertThat(flow.timedOut()).isEqualTo(NextStep.REJECT);
+		assertThat(flow.executed()).isEqualTo(Executed.NO);
+	}
+
 	@Test
 	void aRequestThatMayHaveBeenExecutedIsNotSentAgain() {
 		RequestFlow flow = new RequestFlow(false, 3);
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
@@ -143,6 +143,54 @@
 		}
 	}
 
+	// Guards against 504, "outcome unknown", for requests that never left the host:
+	// clients
+	// may not repeat those that run at most once after that.
+	@ParameterizedTest
+	@ValueSource(strings = { "/brief/x", "/brief-once/x" })
+	void aRequestOfWhichNothingWasSentIsRejectedAsNotRunAtItsDeadline(String path) throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD);
+				SilentAddress silent = new SilentAddress()) {
+			fixture.setCutOff(silent.address());
+			String response = fixture.exchange(path, "");
+			assertThat(RawHttp.status(response)).isEqualTo(503);
+			assertThat(Double.parseDouble(RawHttp.header(response, "retry-after"))).isPositive();
+			fixture.setCutOff(false);
+			Thread.sleep(700);
+			assertThat(fixture.attemptCount()).isZero();
+		}
+	}
+
+	@Test
+	void aSilentPathCostsOneConnectTimeout() throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD);
+				SilentAddress silent = new SilentAddress()) {
+			fixture.startHelpingHost();
+			fixture.setCutOff(silent.address());
+			assertThat(millisOf(fixture)).isLessThan(900);
+			assertThat(millisOf(fixture)).isLessThan(300);
+		}
+	}
+
+	// Guards against a host that never finds out that it is cut off, because all of its
+	// requests give up their connects before the connect timeout.
+	@Test
+	void requestsWithLittleTimeFindOutThatThePathIsSilent() throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD);
+				SilentAddress silent = new SilentAddress()) {
+			fixture.startHelpingHost();
+			fixture.setCutOff(silent.address());
+			fixture.exchange("/brief-once/x", "");
+			assertThat(RawHttp.status(fixture.exchange("/brief-once/x", ""))).isEqualTo(200);
+		}
+	}
+
+	private static long millisOf(GatewayFixture fixture) throws IOException {
+		long began = System.nanoTime();
+		assertThat(RawHttp.status(fixture.exchange("/once/x", ""))).isEqualTo(200);
+		return (System.nanoTime() - began) / 1_000_000;
+	}
+
 	@Test
 	void aHostThatIsNotKnownIsNotHelped() throws Exception {
 		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD)) {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -72,7 +72,7 @@
  * idempotent with two attempts, {@code /once/} non-idempotent with two attempts, {@code
  * /stream/} resumable with three, {@code /firm/} a stream that must not be retried,
  * {@code /sized/} a stream with two models, {@code /brief/} idempotent with a timeout of
- * 300 ms.
+ * 300 ms, {@code /brief-once/} non-idempotent with the same.
  */
 final class GatewayFixture implements AutoCloseable {
 
@@ -138,7 +138,7 @@
 
 	private final List<Peer> peers = new CopyOnWriteArrayList<>();
 
-	private volatile boolean cutOff;
+	private volatile InetSocketAddress cutOff;
 
 	private TunnelServer helping;
 
@@ -169,8 +169,8 @@
 	private ServerConnector connector() {
 		Peer self = new Peer("h", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
 		HelpingHosts hosts = new HelpingHosts(self, () -> this.peers, System::nanoTime, new SplittableRandom(6));
-		return new ServerConnector(this.loops, (address) -> this.cutOff ? UNREACHABLE : address, this.paths, hosts,
-				this.counts.tunnels(), System::nanoTime);
+		return new ServerConnector(this.loops, (address) -> (this.cutOff != null) ? this.cutOff : address, this.paths,
+				hosts, this.counts.tunnels(), System::nanoTime);
 	}
 
 	/**
@@ -215,7 +215,14 @@
 	 * Refuses this host's own connections to all servers, or lets them pass again.
 	 */
 	void setCutOff(boolean cut) {
-		this.cutOff = cut;
+		this.cutOff = cut ? UNREACHABLE : null;
+	}
+
+	/**
+	 * Directs this host's own connections to all servers to another address.
+	 */
+	void setCutOff(InetSocketAddress instead) {
+		this.cutOff = instead;
 	}
 
 	ServicePaths paths() {
@@ -279,6 +286,7 @@
 		List<Route> routes = List.of(route("/safe/", RequestKind.IDEMPOTENT, 5000, 2, false, List.of()),
 				route("/brief/", RequestKind.IDEMPOTENT, 300, 2, false, List.of()),
 				route("/once/", RequestKind.NON_IDEMPOTENT, 5000, 2, false, List.of()),
+				route("/brief-once/", RequestKind.NON_IDEMPOTENT, 300, 2, false, List.of()),
 				route("/stream/", RequestKind.STREAMING, 5000, 3, true, List.of()),
 				route("/firm/", RequestKind.STREAMING, 5000, 3, false, List.of()),
 				route("/sized/", RequestKind.STREAMING, 5000, 3, true, List.of("small", "large")));
