--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -438,6 +438,20 @@
 			return RawHttp.readMessage(this.in);
 		}
 
+		/**
+		 * Reads the head of a response, and its body if it has a length or chunks.
+		 * @return the message, followed by {@code <cut>} if it was incomplete
+		 */
+		String readHead() {
+			try {
+				String message = read();
+				return (message != null) ? message : "<cut>";
+			}
+			catch (IOException ex) {
+				return "<cut>";
+			}
+		}
+
 		/**
 		 * Reads until the connection ends.
 		 * @return all bytes, followed by {@code <cut>} if the connection was reset
