Refuse what arrives when the host has nearly stopped, and answer what it can't finish

Callers saw (report of other operators): in a planned stop of one host, in calm, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated. Cause: a draining host took every complete request, whatever was left of its time, and its process ended with requests under way, whose connections the system closed. Change: once it no longer listens, and before that if three times the usual duration of a plain request is not left, a draining host rejects new requests as not run, to return in 50 ms at another host. 0.2 s before its process ends it ends what is under way with the response that its state permits: not run, unknown outcome, or a cut.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -96,6 +96,12 @@
 	 */
 	private static final long EXIT_MARGIN_MILLIS = 300;
 
+	/**
+	 * Time before that in which the requests that are still under way get their last
+	 * responses, in milliseconds.
+	 */
+	private static final long LAST_RESPONSES_MILLIS = 200;
+
 	private static final long POLL_MILLIS = 100;
 
 	/**
@@ -535,8 +541,11 @@
 		this.draining = true;
 		this.eventLoop.execute(this::drain);
 		try {
-			boolean idleInTime = this.idle.await(this.settings.bounds().stopMillis() - EXIT_MARGIN_MILLIS,
-					TimeUnit.MILLISECONDS);
+			boolean idleInTime = this.idle.await(untilLastResponses(), TimeUnit.MILLISECONDS);
+			if (!idleInTime) {
+				this.eventLoop.execute(this.frontendServer::endRequests);
+				this.idle.await(LAST_RESPONSES_MILLIS, TimeUnit.MILLISECONDS);
+			}
 			logger.info(GatewayEvents.STOPPED, this.settings.host(),
 					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began), idleInTime ? "no" : "some");
 		}
@@ -545,8 +554,12 @@
 		}
 	}
 
+	private long untilLastResponses() {
+		return this.settings.bounds().stopMillis() - EXIT_MARGIN_MILLIS - LAST_RESPONSES_MILLIS;
+	}
+
 	private void drain() {
-		this.frontendServer.drain();
+		this.frontendServer.drain(untilLastResponses());
 		this.tunnels.ifPresent(TunnelServer::drain);
 		logger.info(GatewayEvents.DRAINING, this.settings.host(), this.frontendServer.connections(),
 				this.frontendServer.activeRequests());
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalDouble;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -355,6 +356,24 @@
 		}
 	}
 
+	/**
+	 * Ends the request that is being processed, because the host stops.
+	 */
+	void endRequest() {
+		if (this.exchange != null) {
+			this.exchange.hostStops();
+		}
+	}
+
+	/**
+	 * Returns whether the host will probably stop before a new request has ended.
+	 * @param usualMillis usual duration of such requests in milliseconds, if known
+	 * @return whether the request should be sent to another host
+	 */
+	boolean hostStopsBefore(OptionalDouble usualMillis) {
+		return this.server.stopsBefore(usualMillis);
+	}
+
 	/**
 	 * Schedules a task on the connection's event loop.
 	 * @param work the task
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
@@ -120,10 +121,21 @@
 			finishLocally(this.admission.rejection().get());
 			return;
 		}
+		if (this.client.hostStopsBefore(usualMillis())) {
+			this.reason = "the host stops";
+			finishLocally(LocalResponse.notRun("not run", LocalResponse.STOPPING_RETRY_MILLIS));
+			return;
+		}
 		prepare();
 		send();
 	}
 
+	// How long a stream takes depends on its length, which is not known before.
+	private OptionalDouble usualMillis() {
+		return route().streaming() ? OptionalDouble.empty()
+				: this.gateway.latencyBaseline().typicalMillis(route().name());
+	}
+
 	private void prepare() {
 		Route route = route();
 		this.flow = new RequestFlow(route.retryable(), route.maxAttempts());
@@ -499,13 +511,30 @@
 	}
 
 	private void deadlineExpired() {
+		end("deadline passed");
+	}
+
+	/**
+	 * The host stops, so the request ends as if its time were over.
+	 */
+	void hostStops() {
+		if (this.flow == null) {
+			this.started = true;
+			finishLocally(LocalResponse.notRun("not run", LocalResponse.STOPPING_RETRY_MILLIS));
+			return;
+		}
+		this.retryAfterMillis = LocalResponse.STOPPING_RETRY_MILLIS;
+		end("the host stops");
+	}
+
+	private void end(String cause) {
 		if (this.flow.done()) {
 			return;
 		}
 		withdrawUnsent();
 		NextStep next = this.flow.timedOut();
 		if (next == NextStep.CLOSE_CONNECTION) {
-			this.reason = "deadline passed";
+			this.reason = cause;
 		}
 		perform(next);
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/FrontendServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/FrontendServer.java
@@ -4,6 +4,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -31,6 +32,12 @@
 
 	private static final int MAX_CHUNK_BYTES = 65536;
 
+	/**
+	 * A draining host takes a request only if at least this many times its usual duration
+	 * are left.
+	 */
+	private static final double USUAL_DURATIONS_LEFT = 3;
+
 	private final GatewayContext gateway;
 
 	private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -39,6 +46,10 @@
 
 	private boolean draining;
 
+	private long stopNanos;
+
+	private boolean listens = true;
+
 	/**
 	 * Creates a server that is not listening yet.
 	 * @param gateway state shared by all exchanges
@@ -106,9 +117,32 @@
 	/**
 	 * Closes each connection after its current or next response, so that clients
 	 * reconnect to other hosts.
+	 * @param stopMillis time until {@link #endRequests()} is called, in milliseconds
 	 */
-	public void drain() {
+	public void drain(long stopMillis) {
 		this.draining = true;
+		this.stopNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(stopMillis);
+	}
+
+	/**
+	 * Returns whether the host will probably stop before a new request has ended.
+	 * @param usualMillis usual duration of such requests in milliseconds, if known
+	 * @return whether the request should be sent to another host
+	 */
+	boolean stopsBefore(OptionalDouble usualMillis) {
+		if (!this.draining) {
+			return false;
+		}
+		double left = (this.stopNanos - System.nanoTime()) / 1e6;
+		return !this.listens || USUAL_DURATIONS_LEFT * usualMillis.orElse(0) > left;
+	}
+
+	/**
+	 * Ends all requests that are under way with the responses that their state permits,
+	 * before the process ends.
+	 */
+	public void endRequests() {
+		List.copyOf(this.connections).forEach(ClientConnection::endRequest);
 	}
 
 	boolean draining() {
@@ -120,6 +154,7 @@
 	 * or processed.
 	 */
 	public void stopListening() {
+		this.listens = false;
 		this.listening.close();
 		List.copyOf(this.connections).forEach(ClientConnection::closeIfIdle);
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/LocalResponse.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/LocalResponse.java
@@ -22,6 +22,12 @@
 	 */
 	static final long DEFAULT_RETRY_MILLIS = 300;
 
+	/**
+	 * Retry delay for a request that comes when the host is about to stop, in
+	 * milliseconds: other hosts can run it at once.
+	 */
+	static final long STOPPING_RETRY_MILLIS = 50;
+
 	/**
 	 * Retry delay for a request whose fingerprint is blocked, in milliseconds. It is
 	 * long, because the request would be rejected again.
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
@@ -380,7 +380,7 @@
 				GatewayFixture.Client client = fixture.connect()) {
 			client.send("/stream/x", "");
 			sleep(100);
-			fixture.onLoop(fixture.frontend()::drain);
+			fixture.onLoop(() -> fixture.frontend().drain(5000));
 			assertThat(RawHttp.body(client.read())).isEqualTo(event(1));
 			assertThat(client.readByte()).isEqualTo(-1);
 		}
