Give the slots of brittle servers out over all hosts together

Cause: nothing read the header, and only servers' own rejections held a host back, each host for itself. Change: the servers of a service that says so are brittle on each host from its first answer on. One host, drawn as the owners of permits are, keeps the account of a server's slots: the others report what they have there at each end of a request and ask before they send one. A slot is given while fewer requests than slots are known; a rejection lowers the number, and half of the bearable rejections in a second stop it. Without the keeper, as many hosts as there are slots use one each. Balancer, waits and refusals are those of limited servers (RequestPermits).

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -48,6 +48,7 @@
 import io.sequoialink.gateway.path.ServicePaths;
 import io.sequoialink.gateway.path.TunnelServer;
 import io.sequoialink.gateway.permit.FleetPermits;
+import io.sequoialink.gateway.permit.FleetSlots;
 import io.sequoialink.gateway.permit.LimitGossip;
 import io.sequoialink.gateway.place.LatencyBaseline;
 import io.sequoialink.gateway.place.LowestLatencyBalancer;
@@ -155,6 +156,8 @@
 
 	private final FleetPermits permits;
 
+	private final FleetSlots slots;
+
 	private final Optional<LimitGossip> limitGossip;
 
 	private final ServerTable servers;
@@ -229,6 +232,8 @@
 					this.gossipBudget, this.servers::displayName, System::nanoTime, System::currentTimeMillis, random));
 		this.permits = new FleetPermits(self(), this::otherHosts, this.serverLimits, this.peerSocket, this::schedule,
 				this.counts.permits(), this.servers::displayName, System::nanoTime, random);
+		this.slots = new FleetSlots(self(), this::otherHosts, this.permits, this.fleetView::servers,
+				ServerState::incarnation, this::requestsInFlight, this.peerSocket, this::schedule, System::nanoTime);
 		this.limitGossip = this.readForwarder.map((forwarder) -> new LimitGossip(settings.host(), this.serverLimits,
 				this.permits, new GossipTargets(forwarder, random), this.gossipBudget, this.peerSocket,
 				this.servers::displayName, System::nanoTime, System::currentTimeMillis));
@@ -257,6 +262,13 @@
 		this.frontendServer = new FrontendServer(gateway(gate, random));
 	}
 
+	private int requestsInFlight(ServerEntry server) {
+		return this.servers.find(server.id())
+			.filter((state) -> state.entry().startMillis() == server.startMillis())
+			.map(ServerState::inFlight)
+			.orElse(0);
+	}
+
 	private List<Peer> otherHosts() {
 		return this.readForwarder.map(ReadForwarder::otherPeers).orElseGet(List::of);
 	}
@@ -298,10 +310,10 @@
 		PlatformHeaders headers = new PlatformHeaders();
 		PrefillSpeed speed = new PrefillSpeed();
 		return new GatewayContext(gate, this.fleetView, this.servers,
-				new LowestLatencyBalancer(this.servers, speed, this.settings.zone(), this.permits, System::nanoTime,
+				new LowestLatencyBalancer(this.servers, speed, this.settings.zone(), this.slots, System::nanoTime,
 						random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.latencyPressure, new RequestCostRatio(),
-				this.rollouts, speed, new LatencyBaseline(), this.permits, new ReturnSchedule(random),
+				this.rollouts, speed, new LatencyBaseline(), this.slots, new ReturnSchedule(random),
 				new BackendPool(this.connector, headers), headers, this.retryBudget, this.crashes, this.traits,
 				new ResponseBufferLimit(), this.counts, System::nanoTime);
 	}
@@ -331,6 +343,9 @@
 		else if (LimitGossip.isLimitDatagram(datagram)) {
 			this.limitGossip.ifPresent((gossip) -> gossip.onDatagram(from, datagram));
 		}
+		else if (FleetSlots.isSlotDatagram(datagram)) {
+			this.slots.onDatagram(from, datagram);
+		}
 		else if (ConfigurationInquiry.isInquiryDatagram(datagram)) {
 			this.inquiry.ifPresent((startup) -> startup.onDatagram(from, datagram));
 		}
@@ -419,6 +434,9 @@
 				new MetricsPage.Gauge("sequoialink_servers_limited",
 						"Backend servers known to take a limited number of requests from all hosts together",
 						this.serverLimits::count),
+				new MetricsPage.Gauge("sequoialink_services_brittle",
+						"Services whose servers fall over if they must turn away too many requests",
+						this.slots::brittleCount),
 				new MetricsPage.Gauge("sequoialink_paths_suspected",
 						"Services to whose servers this host connects through other hosts", this.paths::suspectedCount),
 				new MetricsPage.Gauge("sequoialink_tunnels_carried",
@@ -444,6 +462,8 @@
 				LimitGossip.ROUND_MILLIS, LimitGossip.ROUND_MILLIS, TimeUnit.MILLISECONDS));
 		this.eventLoop.scheduleAtFixedRate(this.traits::runRound, TraitGossip.ROUND_MILLIS, TraitGossip.ROUND_MILLIS,
 				TimeUnit.MILLISECONDS);
+		this.eventLoop.scheduleAtFixedRate(this.slots::runRound, FleetSlots.ROUND_MILLIS, FleetSlots.ROUND_MILLIS,
+				TimeUnit.MILLISECONDS);
 		this.eventLoop.scheduleAtFixedRate(this::tick, POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -60,6 +60,12 @@
 	/** This host does not listen for hosts that need its help. */
 	public static final String NO_TUNNELS = "SL-3115 cannot listen on {} for connections of other hosts, so this one does not help them to reach servers: {}";
 
+	/** The servers of a service say that they are brittle, or bear another number. */
+	public static final String SERVICE_BRITTLE = "SL-3116 servers of {} are brittle: one that turns away more than {} requests in a second falls over, according to {}; all hosts together send them no more than they have slots for";
+
+	/** The servers of a service no longer say that they are brittle. */
+	public static final String SERVICE_NOT_BRITTLE = "SL-3117 servers of {} are no longer brittle, according to {}";
+
 	/** A new configuration was read and applied. */
 	public static final String CONFIGURATION_APPLIED = "SL-3201 configuration {} is in force, read at offset {} of era {}, by {}; before: {}";
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -536,6 +536,7 @@
 		this.bufferedBytes = 0;
 		markResponseStarted();
 		this.server.attemptEnded();
+		this.exchange.gateway().permits().ended(this.server.incarnation());
 	}
 
 	private void dropBuffers() {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/PermitAcquisition.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/PermitAcquisition.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.sequoialink.decision.limits.PermitDecision;
@@ -134,6 +135,10 @@
 		double perSecond = usable.stream()
 			.mapToDouble((state) -> permits().limitPerSecond(state.incarnation()).orElse(0))
 			.sum();
+		if (perSecond == 0 && usable.stream().noneMatch(this::limitsRate)) {
+			return Optional.of(new Rejection("its servers are brittle and have no free slot", LocalResponse
+				.withJitter(LocalResponse.DEFAULT_RETRY_MILLIS, ThreadLocalRandom.current().nextDouble())));
+		}
 		long earliest = usable.stream()
 			.mapToLong((state) -> permits().earliestNanos(state.incarnation()))
 			.min()
@@ -143,6 +148,10 @@
 		return Optional.of(new Rejection("its servers take " + perSecond + " requests a second", retryAfterMillis));
 	}
 
+	private boolean limitsRate(ServerState state) {
+		return permits().limitPerSecond(state.incarnation()).isPresent();
+	}
+
 	/**
 	 * Why a request is rejected. Immutable.
 	 *
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.http;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 import io.sequoialink.decision.limits.NamedLimit;
@@ -17,7 +18,10 @@
  * @param notice the server's notice about future requests; its back-off time is only
  * valid with status 503
  * @param limit what it says of the requests that the server takes from all hosts together
+ * @param bearableRejections requests that the server can turn away in a second without
+ * falling over; empty unless it says that it is brittle
  */
 public record ResponseMetadata(Optional<String> requestId, boolean signed, boolean notExecuted,
-		Optional<ServerLoad> load, OptionalInt confidence, ResponseNotice notice, NamedLimit limit) {
+		Optional<ServerLoad> load, OptionalInt confidence, ResponseNotice notice, NamedLimit limit,
+		OptionalDouble bearableRejections) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
@@ -54,7 +54,11 @@
 		if (!backoffRequested) {
 			table().responseStarted(this.server.entry());
 		}
+		if (backoffRequested && metadata.notExecuted() && metadata.notice().backoffMillis().isEmpty()) {
+			this.gateway.permits().turnedAway(this.server.incarnation());
+		}
 		if (metadata.signed() || metadata.notExecuted()) {
+			this.gateway.permits().heard(this.server.entry(), metadata.bearableRejections(), sentNanos);
 			this.gateway.servers()
 				.limits()
 				.received(this.server, metadata.limit(), this.requestId, sentNanos, this.gateway.clock().getAsLong());
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/PermitOwners.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/PermitOwners.java
@@ -74,6 +74,16 @@
 		return owner;
 	}
 
+	/**
+	 * Returns all known hosts.
+	 * @param nowNanos current monotonic time in nanoseconds
+	 * @return the hosts, this one included
+	 */
+	Collection<Peer> hosts(long nowNanos) {
+		refresh(nowNanos);
+		return this.hosts.values();
+	}
+
 	int hostCount(long nowNanos) {
 		refresh(nowNanos);
 		return this.hosts.size();
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/RequestPermits.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/RequestPermits.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 
 import io.sequoialink.decision.limits.PermitDecision;
+import io.sequoialink.gateway.fleet.ServerEntry;
 
 /**
  * Permits to send requests to backend servers that take a limited number from all hosts
@@ -77,6 +78,31 @@
 	 */
 	void acquire(long server, long maxWaitNanos, Consumer<PermitDecision> receiver);
 
+	/**
+	 * Records whether an answer says that its server is brittle: that it falls over if it
+	 * must turn away too many requests.
+	 * @param server the server
+	 * @param rejections requests that it can turn away in a second; empty if the answer
+	 * does not say so
+	 * @param sentNanos monotonic time at which the request was sent, in nanoseconds
+	 */
+	default void heard(ServerEntry server, OptionalDouble rejections, long sentNanos) {
+	}
+
+	/**
+	 * A request of this host at a server has ended.
+	 * @param server hash of the server's incarnation
+	 */
+	default void ended(long server) {
+	}
+
+	/**
+	 * A server has turned away a request of this host, because it has no room.
+	 * @param server hash of the server's incarnation
+	 */
+	default void turnedAway(long server) {
+	}
+
 	/**
 	 * Returns the number of hosts that share the limits.
 	 * @return known hosts, this one included
--- a/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -42,8 +43,9 @@
 				Optional.empty(), number(headers, "confidence"),
 				new ResponseNotice("1".equals(headers.get("leaving")),
 						number(headers, "spare").stream().asLongStream().findFirst()),
-				headers.contains("limit") ? NamedLimit.of(Double.parseDouble(headers.get("limit")))
-						: NamedLimit.ABSENT);
+				headers.contains("limit") ? NamedLimit.of(Double.parseDouble(headers.get("limit"))) : NamedLimit.ABSENT,
+				headers.contains("brittle") ? OptionalDouble.of(Double.parseDouble(headers.get("brittle")))
+						: OptionalDouble.empty());
 	}
 
 	@Override
