--- a/decision/src/main/java/io/sequoialink/decision/limits/SlotAccount.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/SlotAccount.java
@@ -24,7 +24,10 @@
 	/** Age from which a host's report is dropped. */
 	static final long REPORT_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-	/** Time after which one more request is tried than the server last took. */
+	/** Part of its slots by which more requests are tried than the server last took. */
+	private static final int RAISE_PARTS = 16;
+
+	/** Time between two such raises. */
 	static final long RAISE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/** Window over which a server counts the requests that it turns away. */
@@ -88,8 +91,10 @@
 		for (long i = 0; i < Math.min(count, 1024); i++) {
 			this.turnedAway.addLast(nowNanos);
 		}
-		this.capacity = Math.max(1, Math.min(this.capacity, inUse(nowNanos)));
-		this.raisedNanos = nowNanos;
+		if (nowNanos - this.firstReportNanos >= LEARNING_NANOS) {
+			this.capacity = Math.max(1, Math.min(this.capacity, inUse(nowNanos)));
+			this.raisedNanos = nowNanos;
+		}
 	}
 
 	/**
@@ -141,7 +146,7 @@
 			this.raisedNanos = nowNanos;
 		}
 		else if (nowNanos - this.raisedNanos >= RAISE_NANOS) {
-			this.capacity++;
+			this.capacity = Math.min(slots, this.capacity + Math.max(1, slots / RAISE_PARTS));
 			this.raisedNanos = nowNanos;
 		}
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
@@ -54,6 +54,12 @@
 	/** Requests of this host that may wait for a slot at a time. */
 	private static final int MAX_WAITING = 16;
 
+	/**
+	 * Number of questions in a row without an answer after which a keeper counts as
+	 * silent. Single datagrams are lost now and then while it gives the slots to others.
+	 */
+	private static final int UNANSWERED_TO_BE_SILENT = 3;
+
 	/** Time for which a keeper that did not answer is not asked. */
 	private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -81,6 +87,8 @@
 
 	private final Map<String, Long> silentUntil = new HashMap<>();
 
+	private final Map<String, Integer> unanswered = new HashMap<>();
+
 	private long lastNumber;
 
 	private long lastSequence;
@@ -247,9 +255,13 @@
 	private void giveUp(long number, SlotMessage.Report question) {
 		Question asked = this.questions.remove(number);
 		if (asked != null) {
-			this.silentUntil.put(asked.keeper.host(), this.clock.getAsLong() + SILENT_NANOS);
 			use(asked.server).lastDecided = Math.max(use(asked.server).lastDecided, number);
-			asked.receiver.accept(mayUseOwnPart(asked.server, question));
+			int unanswered = this.unanswered.merge(asked.keeper.host(), 1, Integer::sum);
+			boolean silent = unanswered >= UNANSWERED_TO_BE_SILENT;
+			if (silent) {
+				this.silentUntil.put(asked.keeper.host(), this.clock.getAsLong() + SILENT_NANOS);
+			}
+			asked.receiver.accept(silent && mayUseOwnPart(asked.server, question));
 		}
 	}
 
@@ -353,6 +365,7 @@
 				return;
 			}
 			this.silentUntil.remove(peer.host());
+			this.unanswered.remove(peer.host());
 			process(peer, message);
 		}
 		catch (IOException ex) {
