--- a/entry/src/main/java/io/sequoialink/entry/EntryMain.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryMain.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 
 import io.sequoialink.gateway.http.ListeningSocket;
 import io.sequoialink.platform.ProcessEnvironment;
@@ -58,7 +59,7 @@
 		try {
 			ServerSocketChannel early = listens ? openEarly(arguments[1]) : null;
 			LogConfiguration.suppressLogging();
-			start(settingsFile(arguments, listens ? 2 : 0), early);
+			start(settingsFile(arguments, listens ? 2 : 0), early, EntryHost::new);
 		}
 		catch (SettingsException ex) {
 			ex.errors().forEach(System.err::println);
@@ -88,11 +89,20 @@
 		return Path.of(file);
 	}
 
-	private static void start(Path file, ServerSocketChannel early)
+	/**
+	 * Starts a host with the settings of a file.
+	 * @param file the settings file
+	 * @param early listening socket for clients, {@code null} if none is open yet
+	 * @param factory creates the host
+	 * @throws SettingsException if the settings are invalid
+	 * @throws IOException if the host cannot listen on the client address
+	 * @throws InterruptedException if interrupted while sockets are bound
+	 */
+	static void start(Path file, ServerSocketChannel early, Function<EntrySettings, EntryHost> factory)
 			throws SettingsException, IOException, InterruptedException {
 		EntrySettings settings = SettingsReader.read(file);
 		BoundedLogAppender log = LogConfiguration.configure(settings.host());
-		EntryHost host = new EntryHost(settings);
+		EntryHost host = factory.apply(settings);
 		host.start(clientSocket(settings, early));
 		SettingsFileWatcher watch = new SettingsFileWatcher(file, host::apply);
 		host.scheduleAtFixedRate(SettingsFileWatcher.CHECK_PERIOD_MILLIS, watch::reloadIfModified);
--- a/entry/src/test/java/io/sequoialink/soak/Client.java
+++ b/entry/src/test/java/io/sequoialink/soak/Client.java
@@ -105,11 +105,13 @@
 			close();
 		}
 		if (!ensureConnected(to)) {
+			this.checker.recordRefusedConnection(to.name(), !fresh);
 			this.checker.increment("connection refused or timed out");
 			return new Result(0, false, 100);
 		}
 		String id = "q" + LAST_ID.incrementAndGet();
 		TrackedRequest request = this.checker.recordSent(id, kind, this.account, this.host.name(), path);
+		request.firstTry = !fresh && this.crashingPart.isEmpty() && !body.startsWith("poison");
 		if (!this.crashingPart.isEmpty()) {
 			this.checker.recordCrashingPart(request, this.crashingPart);
 		}
--- a/entry/src/test/java/io/sequoialink/soak/HeaderNames.java
+++ b/entry/src/test/java/io/sequoialink/soak/HeaderNames.java
@@ -29,6 +29,8 @@
 	static final String SERVER_LEAVING = "server-leaving";
 
 	/** Requests per second that a server takes from all hosts together. */
+	static final String SERVER_BRITTLE = "server-brittle";
+
 	static final String SERVER_LIMIT = "server-limit";
 
 	/** Parts of the prompt with their numbers of tokens. */
--- a/gateway/src/main/java/io/sequoialink/gateway/path/HelpingHosts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/HelpingHosts.java
@@ -200,14 +200,23 @@
 	 * @param reason what happened, for the log
 	 */
 	void doubted(Peer peer, String reason) {
-		Record record = this.records.get(peer.host());
-		boolean trusted = record != null && record.hasHelped
-				&& this.clock.getAsLong() - record.helpedAt < TRUSTED_NANOS;
-		if (!trusted) {
+		if (!trusted(peer)) {
+			Record record = this.records.computeIfAbsent(peer.host(), (host) -> new Record());
+			record.failures = 0;
 			failed(peer, reason);
 		}
 	}
 
+	/**
+	 * Returns whether a host has just helped, so that what it says of a server counts.
+	 * @param peer the host
+	 * @return whether it opened a connection of late
+	 */
+	boolean trusted(Peer peer) {
+		Record record = this.records.get(peer.host());
+		return record != null && record.hasHelped && this.clock.getAsLong() - record.helpedAt < TRUSTED_NANOS;
+	}
+
 	/** What is known of a host as a helping host. */
 	private static final class Record {
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -106,8 +106,7 @@
 	 * @return whether to use it
 	 */
 	public boolean prefers(String service, boolean direct) {
-		boolean suspected = this.paths.suspected(service);
-		return direct ? !(suspected && this.hosts.anyUsable()) : suspected;
+		return direct ? !(this.paths.silent(service) && this.hosts.anyUsable()) : this.paths.suspected(service);
 	}
 
 	/**
@@ -116,8 +115,7 @@
 	 * @param attempt receives the outcome
 	 */
 	public void open(ServerEntry server, ConnectionAttempt attempt) {
-		boolean suspected = this.paths.suspected(server.service());
-		if (suspected && this.hosts.anyUsable()) {
+		if (this.paths.silent(server.service()) && this.hosts.anyUsable()) {
 			openThroughHost(server, attempt, new HashSet<>());
 		}
 		else if (this.paths.broken(server.service()) && this.hosts.anyKnown()
@@ -201,8 +199,8 @@
 				attempt.opened(false);
 				checkDirectPath(server);
 			}
-			else if (answer == TunnelAnswer.REFUSED || answer == TunnelAnswer.SILENT
-					|| answer == TunnelAnswer.UNKNOWN_SERVER) {
+			else if (answer == TunnelAnswer.UNKNOWN_SERVER
+					|| (saysOfServer(answer) && this.hosts.trusted(host.get()))) {
 				attempt.failed(new ConnectException("host " + host.get().host() + " says: " + answer));
 			}
 			else {
@@ -212,6 +210,11 @@
 		attempt.connecting(connecting.channel());
 	}
 
+	// Another host may be cut off without having noticed, unless it has just helped.
+	private static boolean saysOfServer(TunnelAnswer answer) {
+		return answer == TunnelAnswer.REFUSED || answer == TunnelAnswer.SILENT;
+	}
+
 	// The answer is CUT_OFF if the host itself did not answer.
 	private ChannelFuture ask(Peer host, ServerEntry server, ChannelHandler handlers, Consumer<TunnelAnswer> receiver) {
 		TunnelClientHandler handler = new TunnelClientHandler(host, this.hosts,
@@ -247,13 +250,13 @@
 	 * @param callback receives the connection error, or empty if a connection was made
 	 */
 	public void probe(ServerEntry server, Consumer<Optional<Throwable>> callback) {
-		if (this.paths.suspected(server.service()) && this.hosts.anyUsable()) {
-			askWitness(server, new IOException("the direct path is suspected"), new HashSet<>(), callback);
+		if (this.paths.silent(server.service()) && this.hosts.anyUsable()) {
+			askWitness(server, new IOException("the direct path is suspected"), false, new HashSet<>(), callback);
 			return;
 		}
 		ChannelFuture connecting = connect(server, new UnusedConnectionHandler(), (cause) -> {
 			if (cause.filter(ServerConnector::refused).isPresent()) {
-				askWitness(server, cause.get(), new HashSet<>(), callback);
+				askWitness(server, cause.get(), false, new HashSet<>(), callback);
 			}
 			else {
 				callback.accept(cause);
@@ -262,13 +265,12 @@
 		connecting.addListener((future) -> connecting.channel().close());
 	}
 
-	private void askWitness(ServerEntry server, Throwable result, Set<String> asked,
+	private void askWitness(ServerEntry server, Throwable result, boolean witnessed, Set<String> asked,
 			Consumer<Optional<Throwable>> callback) {
 		Optional<Peer> host = (asked.size() < MAX_WITNESSES) ? this.hosts.chooseAny(asked) : Optional.empty();
 		if (host.isEmpty()) {
-			boolean undecided = refused(result) && this.hosts.anyKnown() && this.paths.broken(server.service())
-					&& asked.isEmpty();
-			callback.accept(Optional.of(undecided ? noPath(server) : result));
+			boolean undecided = this.hosts.anyKnown() && !witnessed && !this.paths.connectedOfLate();
+			callback.accept(Optional.of(undecided ? new IOException("no host can tell") : result));
 			return;
 		}
 		asked.add(host.get().host());
@@ -279,7 +281,7 @@
 			}
 			boolean refused = answer == TunnelAnswer.REFUSED;
 			askWitness(server, refused ? new ConnectException("refused, also to host " + host.get().host()) : result,
-					asked, callback);
+					witnessed || refused, asked, callback);
 		});
 		connecting.addListener((future) -> connecting.channel()
 			.eventLoop()
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
@@ -17,8 +17,9 @@
  * <p>
  * Only the outcomes of opening connections count: responses on open connections may go on
  * while no new connection can be made. A path that is suspected need not be broken, since
- * a few servers may just as well be down; connections are then opened through other
- * hosts, and the first direct connection that can be made ends the suspicion.
+ * a few servers may just as well be down. A suspected path that refuses connections costs
+ * no time, so each is still tried directly first; on one that is silent, other hosts are
+ * asked first. The first direct connection that can be made ends the suspicion.
  */
 public final class ServicePaths {
 
@@ -39,10 +40,17 @@
 	/** Time between two attempts to connect directly on a suspected path. */
 	static final long CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	/** Age from which a direct connection no longer says that a path is whole. */
+	private static final long CONNECTED_OF_LATE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private final LongSupplier clock;
 
 	private final Map<String, Path> paths = new HashMap<>();
 
+	private boolean connectedOnce;
+
+	private long connectedAt;
+
 	/**
 	 * Creates paths that are believed to be whole.
 	 * @param clock monotonic time in nanoseconds
@@ -62,14 +70,33 @@
 		return path != null && path.suspected;
 	}
 
+	/**
+	 * Returns whether a direct connection to a service's servers would probably hang,
+	 * rather than be refused at once.
+	 * @param service name of the service
+	 * @return whether the path is suspected because a server did not answer
+	 */
+	public boolean silent(String service) {
+		Path path = this.paths.get(service);
+		return path != null && path.silent;
+	}
+
+	/**
+	 * Returns whether this host has connected directly to any server of late.
+	 * @return whether not all of its paths can be broken
+	 */
+	boolean connectedOfLate() {
+		return this.connectedOnce && this.clock.getAsLong() - this.connectedAt < CONNECTED_OF_LATE_NANOS;
+	}
+
 	/**
 	 * Returns whether a direct connection is known to be hopeless.
 	 * @param service name of the service
-	 * @return whether the path is suspected and several servers are out of reach
+	 * @return whether several servers are out of reach, and do not refuse at once
 	 */
 	public boolean broken(String service) {
 		Path path = this.paths.get(service);
-		return path != null && path.suspected && path.failedAt.size() >= FAILURES_TO_CONFIRM;
+		return path != null && path.silent && path.failedAt.size() >= FAILURES_TO_CONFIRM;
 	}
 
 	/**
@@ -103,6 +130,8 @@
 	 * @param startedNanos monotonic time at which connecting began, in nanoseconds
 	 */
 	void connected(ServerEntry server, long startedNanos) {
+		this.connectedOnce = true;
+		this.connectedAt = this.clock.getAsLong();
 		Path path = this.paths.get(server.service());
 		if (path == null || (path.suspected && startedNanos - path.suspectedAt < 0)) {
 			return;
@@ -126,6 +155,7 @@
 			path.failedAt.values().removeIf((at) -> now - at > FAILURE_EXPIRY_NANOS);
 		}
 		path.failedAt.put(server.id(), now);
+		path.silent |= silent;
 		if (!path.suspected && (silent || path.failedAt.size() >= REFUSALS_TO_SUSPECT)) {
 			path.suspected = true;
 			path.suspectedAt = now;
@@ -141,6 +171,8 @@
 
 		private boolean suspected;
 
+		private boolean silent;
+
 		private long suspectedAt;
 
 		private boolean checked;
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
@@ -149,7 +149,7 @@
 		}
 		ServicePaths paths = this.connector.paths();
 		String service = server.get().service();
-		return (paths.suspected(service) && !paths.tryCheck(service)) ? Optional.of(TunnelAnswer.CUT_OFF)
+		return (paths.silent(service) && !paths.tryCheck(service)) ? Optional.of(TunnelAnswer.CUT_OFF)
 				: Optional.empty();
 	}
 
@@ -163,6 +163,19 @@
 			.filter((entry) -> entry.startMillis() == target.startMillis() && !entry.draining());
 	}
 
+	/**
+	 * Returns the answer for a connection that failed.
+	 * @param server the server
+	 * @param cause why
+	 * @return that the server is out of reach, unless this host itself may be cut off
+	 */
+	TunnelAnswer failure(ServerEntry server, Throwable cause) {
+		if (this.connector.paths().suspected(server.service())) {
+			return TunnelAnswer.CUT_OFF;
+		}
+		return ServerConnector.refused(cause) ? TunnelAnswer.REFUSED : TunnelAnswer.SILENT;
+	}
+
 	ServerConnector connector() {
 		return this.connector;
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
@@ -70,7 +70,7 @@
 		ServerEntry entry = this.owner.find(target).orElseThrow();
 		this.server = this.owner.connector().openForOtherHost(entry, new ServerSide(), (cause) -> {
 			if (cause.isPresent()) {
-				refuse(ServerConnector.refused(cause.get()) ? TunnelAnswer.REFUSED : TunnelAnswer.SILENT);
+				refuse(this.owner.failure(entry, cause.get()));
 				return;
 			}
 			if (!this.client.isActive()) {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
@@ -250,6 +250,22 @@
 		}
 	}
 
+	// Guards against hosts that reject what a server could run, because several others
+	// have
+	// ended and the hosts take that for a broken path and ask each other.
+	@Test
+	void aServerThatIsUpIsFoundWhileMostHaveEndedAndNoHostHelps() throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD, GOOD, GOOD, GOOD)) {
+			fixture.addHost("gone", GatewayFixture.freeAddress());
+			for (int number = 1; number <= 4; number++) {
+				fixture.server(number).refuseConnections();
+			}
+			for (int i = 0; i < 10; i++) {
+				assertThat(RawHttp.status(fixture.exchange("/once/x", ""))).isEqualTo(200);
+			}
+		}
+	}
+
 	@Test
 	void aCrashIsFoundOutThroughAnotherHost() throws Exception {
 		ScriptedServer.Script crashes = ScriptedServer.Call::crash;
--- a/gateway/src/test/java/io/sequoialink/gateway/path/ServicePathsTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/ServicePathsTests.java
@@ -37,7 +37,8 @@
 		this.paths.failed(server("a"), false);
 		this.paths.failed(server("b"), false);
 		assertThat(this.paths.suspected("svc")).isTrue();
-		assertThat(this.paths.broken("svc")).isTrue();
+		assertThat(this.paths.silent("svc")).isFalse();
+		assertThat(this.paths.broken("svc")).as("refusals cost no time").isFalse();
 		assertThat(this.paths.suspected("other")).isFalse();
 	}
 
@@ -53,7 +54,10 @@
 	void oneServerThatDoesNotAnswerMakesThePathSuspectedButNotBroken() {
 		this.paths.failed(server("a"), true);
 		assertThat(this.paths.suspected("svc")).isTrue();
+		assertThat(this.paths.silent("svc")).isTrue();
 		assertThat(this.paths.broken("svc")).isFalse();
+		this.paths.failed(server("b"), true);
+		assertThat(this.paths.broken("svc")).isTrue();
 	}
 
 	@Test
