Ask hosts that have helped before others, and leave out shortly those that can't tell

Cause: while servers crashed, the one host that was not cut off had answered CUT_OFF, as others had, and was then not asked for up to 16 s. Change: a host that gets refusals while it suspects its path answers UNDECIDED, for which it is left out 200 ms; hosts that helped within 5 s come first, with one connection in four looking for a further one while few are known.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/HelpingHosts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/HelpingHosts.java
@@ -34,12 +34,25 @@
 	/** Number of hosts among which connections are spread. */
 	private static final int USED_HOSTS = 3;
 
+	/**
+	 * One in so many connections looks for a further host while few are known to help.
+	 */
+	private static final int EXPLORE_ONE_IN = 4;
+
+	/** Time for which a host is left out that could not tell whether it is cut off. */
+	private static final long UNDECIDED_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
 	/** Time for which a host that could not help is left out. */
 	private static final long LEFT_OUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	/** Each further failure in a row doubles that time, this many times at most. */
 	private static final int MAX_DOUBLINGS = 4;
 
+	/**
+	 * Time for which a host that helped is asked before others, of whatever zone.
+	 */
+	private static final long KNOWN_HELPER_NANOS = TimeUnit.SECONDS.toNanos(5);
+
 	/**
 	 * Time for which a host that helped is not blamed if a server does not answer it.
 	 */
@@ -112,6 +125,9 @@
 			.toList();
 		List<Peer> sameZone = usable.stream().filter(this::sameZone).toList();
 		List<Peer> nearest = (sameZone.isEmpty() || zoneDoubted(now)) ? usable : sameZone;
+		List<Peer> helpers = usable.stream().filter((peer) -> helpedSince(peer, now - KNOWN_HELPER_NANOS)).toList();
+		boolean explores = helpers.size() < USED_HOSTS && this.random.nextInt(EXPLORE_ONE_IN) == 0;
+		nearest = (helpers.isEmpty() || explores) ? nearest : helpers;
 		List<Peer> drawn = nearest.stream()
 			.sorted(Comparator.comparingLong((Peer peer) -> weight(peer)))
 			.limit(USED_HOSTS)
@@ -137,6 +153,11 @@
 		return usable.isEmpty() ? Optional.empty() : Optional.of(usable.get(this.random.nextInt(usable.size())));
 	}
 
+	private boolean helpedSince(Peer peer, long sinceNanos) {
+		Record record = this.records.get(peer.host());
+		return record != null && record.hasHelped && record.helpedAt - sinceNanos > 0;
+	}
+
 	private boolean sameZone(Peer peer) {
 		return peer.zone().equals(this.self.zone());
 	}
@@ -172,10 +193,7 @@
 		Record record = this.records.computeIfAbsent(peer.host(), (host) -> new Record());
 		long leftOut = LEFT_OUT_NANOS << Math.min(MAX_DOUBLINGS, record.failures);
 		record.failures++;
-		if (sameZone(peer)) {
-			this.zoneFailures++;
-			this.zoneFailedAt = now;
-		}
+		recordZoneFailure(peer);
 		record.leftOutUntil = now + leftOut;
 		logger.info(GatewayEvents.HELPING_HOST_LEFT_OUT, peer.host(), TimeUnit.NANOSECONDS.toMillis(leftOut), reason);
 		Set<String> known = new HashSet<>();
@@ -193,6 +211,24 @@
 		failed(peer, "it is busy");
 	}
 
+	/**
+	 * Records that a host could not connect and does not know whether it is cut off.
+	 * @param peer the host
+	 */
+	void undecided(Peer peer) {
+		Record record = this.records.computeIfAbsent(peer.host(), (host) -> new Record());
+		record.failures = 1;
+		record.leftOutUntil = this.clock.getAsLong() + UNDECIDED_NANOS;
+		recordZoneFailure(peer);
+	}
+
+	private void recordZoneFailure(Peer peer) {
+		if (sameZone(peer)) {
+			this.zoneFailures++;
+			this.zoneFailedAt = this.clock.getAsLong();
+		}
+	}
+
 	/**
 	 * Records that a server did not answer a host, which may be cut off itself unless it
 	 * has just helped.
@@ -213,8 +249,7 @@
 	 * @return whether it opened a connection of late
 	 */
 	boolean trusted(Peer peer) {
-		Record record = this.records.get(peer.host());
-		return record != null && record.hasHelped && this.clock.getAsLong() - record.helpedAt < TRUSTED_NANOS;
+		return helpedSince(peer, this.clock.getAsLong() - TRUSTED_NANOS);
 	}
 
 	/** What is known of a host as a helping host. */
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelAnswer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelAnswer.java
@@ -25,7 +25,13 @@
 	UNKNOWN_SERVER,
 
 	/** The asked host opens no further connections for others. */
-	BUSY;
+	BUSY,
+
+	/**
+	 * The server refused the connection, but so do others: the asked host may be cut off,
+	 * or several servers have ended.
+	 */
+	UNDECIDED;
 
 	private static final TunnelAnswer[] ALL = values();
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
@@ -169,10 +169,13 @@
 		if (mayBeServer) {
 			this.hosts.doubted(this.host, "it does not reach server " + this.target.id() + ": " + answer);
 		}
+		else if (answer == TunnelAnswer.UNDECIDED) {
+			this.hosts.undecided(this.host);
+		}
 		else if (answer == TunnelAnswer.BUSY) {
 			this.hosts.busy(this.host);
 		}
-		else if (answer != TunnelAnswer.UNKNOWN_SERVER) {
+		else if (answer == TunnelAnswer.CUT_OFF) {
 			this.hosts.failed(this.host, "it answered " + answer);
 		}
 		context.close();
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
@@ -171,7 +171,7 @@
 	 */
 	TunnelAnswer failure(ServerEntry server, Throwable cause) {
 		if (this.connector.paths().suspected(server.service())) {
-			return TunnelAnswer.CUT_OFF;
+			return ServerConnector.refused(cause) ? TunnelAnswer.UNDECIDED : TunnelAnswer.CUT_OFF;
 		}
 		return ServerConnector.refused(cause) ? TunnelAnswer.REFUSED : TunnelAnswer.SILENT;
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/path/HelpingHostsTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/HelpingHostsTests.java
@@ -86,9 +86,10 @@
 	// What each host that is not cut off carries for others, in connections of one host,
 	// and how many questions it takes until all connections find a host that helps.
 	@ParameterizedTest
-	@CsvSource({ "6, 4, 2", "6, 4, 5", "95, 4, 32", "95, 4, 24", "95, 4, 57", "330, 8, 110", "330, 8, 41",
-			"330, 8, 198" })
-	void hostsThatAreCutOffSpreadOverTheOthers(int size, int zones, int cut) {
+	@CsvSource({ "6, 4, 2, false", "6, 4, 5, false", "95, 4, 32, false", "95, 4, 24, false", "95, 4, 57, false",
+			"330, 8, 110, false", "330, 8, 41, false", "330, 8, 198, false", "6, 4, 4, true", "95, 4, 57, true",
+			"330, 8, 41, true", "330, 8, 198, true" })
+	void hostsThatAreCutOffSpreadOverTheOthers(int size, int zones, int cut, boolean refused) {
 		List<Peer> all = fleet(size, zones);
 		boolean wholeZone = cut == size / zones || cut == size / zones + 1;
 		Set<Peer> cutOff = new HashSet<>();
@@ -109,7 +110,12 @@
 						hosts.busy(host);
 					}
 					else if (cutOff.contains(host)) {
-						hosts.failed(host, "test");
+						if (refused) {
+							hosts.undecided(host);
+						}
+						else {
+							hosts.failed(host, "test");
+						}
 					}
 					else {
 						hosts.helped(host);
@@ -124,8 +130,9 @@
 		double most = carried.values().stream().mapToInt((count) -> count).max().orElse(0) / (double) CONNECTIONS;
 		double mean = (cutOff.size() - unserved / (double) CONNECTIONS) / (size - cutOff.size());
 		double share = unserved / (double) (cutOff.size() * CONNECTIONS);
-		logger.info("{} hosts, {} cut off: mean carried {}, most {}, questions a connection {}, unserved {}", size,
-				cutOff.size(), mean, most, questions / (double) (cutOff.size() * CONNECTIONS), share);
+		logger.info(
+				"{} hosts, {} cut off, refused {}: mean carried {}, most {}, questions a connection {}, unserved {}",
+				size, cutOff.size(), refused, mean, most, questions / (double) (cutOff.size() * CONNECTIONS), share);
 		assertThat(most).as("hosts whose connections one host carries").isLessThanOrEqualTo(MOST_CARRIED);
 		assertThat(share).as("connections that find no host").isLessThan(1 / 3.0);
 	}
