--- a/entry/src/test/java/io/sequoialink/soak/DisturbanceTracker.java
+++ b/entry/src/test/java/io/sequoialink/soak/DisturbanceTracker.java
@@ -14,12 +14,30 @@
 
 	private final Map<String, Long> lastEndNanos = new HashMap<>();
 
+	private int storeCalms;
+
 	private final LongSupplier clock;
 
 	DisturbanceTracker(LongSupplier clock) {
 		this.clock = clock;
 	}
 
+	/**
+	 * Lets no new disturbance of the store begin until {@link #endStoreCalm()}, so that
+	 * rules that ask for a stable store are checked at all.
+	 */
+	synchronized void beginStoreCalm() {
+		this.storeCalms++;
+	}
+
+	synchronized void endStoreCalm() {
+		this.storeCalms--;
+	}
+
+	synchronized boolean storeCalm() {
+		return this.storeCalms > 0;
+	}
+
 	/**
 	 * Marks a component as disturbed until {@link #end} was called as often as this
 	 * method.
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
@@ -9,6 +9,7 @@
 import io.sequoialink.gateway.fleet.ServerEntry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * What this host believes about its direct network paths to the servers of each service.
@@ -159,7 +160,8 @@
 		if (!path.suspected && (silent || path.failedAt.size() >= REFUSALS_TO_SUSPECT)) {
 			path.suspected = true;
 			path.suspectedAt = now;
-			logger.warn(GatewayEvents.PATH_SUSPECTED, server.service(), path.failedAt.size(), server.id(),
+			logger.atLevel(silent ? Level.WARN : Level.INFO)
+				.log(GatewayEvents.PATH_SUSPECTED, server.service(), path.failedAt.size(), server.id(),
 					silent ? "did not answer" : "refused");
 		}
 	}
