Bound the frames between hosts, and take gauges and datagrams out of the large host class

Change: payloads of 64 KB at most, longer ones in several; one connect; FleetGauges and PeerDatagrams are classes of their own, no behaviour changes there.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -1,9 +1,9 @@
 package io.sequoialink.entry;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -333,27 +333,6 @@
 					now + TimeUnit.MILLISECONDS.toNanos(millis)));
 	}
 
-	private void receiveDatagram(ReadForwarder reads, InetAddress from, byte[] datagram) {
-		if (ServerNoticeGossip.isNoticeDatagram(datagram)) {
-			this.noticeGossip.ifPresent((gossip) -> gossip.onDatagram(from, datagram));
-		}
-		else if (TraitGossip.isTraitDatagram(datagram)) {
-			this.traits.onDatagram(from, datagram);
-		}
-		else if (LimitGossip.isLimitDatagram(datagram)) {
-			this.limitGossip.ifPresent((gossip) -> gossip.onDatagram(from, datagram));
-		}
-		else if (FleetSlots.isSlotDatagram(datagram)) {
-			this.slots.onDatagram(from, datagram);
-		}
-		else if (ConfigurationInquiry.isInquiryDatagram(datagram)) {
-			this.inquiry.ifPresent((startup) -> startup.onDatagram(from, datagram));
-		}
-		else {
-			reads.onDatagram(from, datagram);
-		}
-	}
-
 	/**
 	 * Opens the client address, starts to serve on it and starts to read the platform's
 	 * store.
@@ -375,7 +354,8 @@
 		new ReadinessServer(new PlatformHeaders().readinessPath(), this::ready, Map.of(METRICS_PATH, metrics()::render))
 			.start(this.eventLoopGroup, this.settings.readiness());
 		this.readForwarder.ifPresent((forwarder) -> this.peerSocket.start(this.eventLoopGroup,
-				this.settings.peers().orElseThrow(), (from, datagram) -> receiveDatagram(forwarder, from, datagram)));
+				this.settings.peers().orElseThrow(), new PeerDatagrams(forwarder, this.noticeGossip, this.traits,
+						this.limitGossip, this.slots, this.inquiry)));
 		this.tunnels.ifPresent((helping) -> helping.start(this.eventLoopGroup, this.settings.peers().orElseThrow()));
 		this.eventLoop.execute(this::startPeriodicTasks);
 		logger.info(GatewayEvents.STARTED, this.settings.host(), this.settings.zone(), this.settings.clients(),
@@ -407,7 +387,7 @@
 	}
 
 	private MetricsPage metrics() {
-		return new MetricsPage(this.counts, List.of(
+		List<MetricsPage.Gauge> gauges = new ArrayList<>(List.of(
 				new MetricsPage.Gauge("sequoialink_ready", "1 while the host takes new connections",
 						() -> ready() ? 1 : 0),
 				new MetricsPage.Gauge("sequoialink_configuration_version", "Version of the configuration in force",
@@ -423,35 +403,11 @@
 				new MetricsPage.Gauge("sequoialink_client_connections", "Open connections of clients",
 						this.frontendServer::connections),
 				new MetricsPage.Gauge("sequoialink_requests_under_way", "Requests that wait for their answer",
-						this.frontendServer::activeRequests),
-				new MetricsPage.Gauge("sequoialink_servers_leaving",
-						"Backend servers that said to this host that they leave", this.servers::shuttingDownCount),
-				new MetricsPage.Gauge("sequoialink_servers_spared",
-						"Backend servers that asked to be spared until later", this.servers::backoffCount),
-				new MetricsPage.Gauge("sequoialink_servers_signalled",
-						"Backend servers that said to some host of late that they leave or want to be spared",
-						() -> this.sharedNotices.countAvoided(System.nanoTime())),
-				new MetricsPage.Gauge("sequoialink_servers_limited",
-						"Backend servers known to take a limited number of requests from all hosts together",
-						this.serverLimits::count),
-				new MetricsPage.Gauge("sequoialink_services_brittle",
-						"Services whose servers fall over if they must turn away too many requests",
-						this.slots::brittleCount),
-				new MetricsPage.Gauge("sequoialink_paths_suspected",
-						"Services to whose servers this host connects through other hosts", this.paths::suspectedCount),
-				new MetricsPage.Gauge("sequoialink_tunnels_carried",
-						"Connections that this host carries for others that do not reach servers",
-						() -> this.tunnels.map(TunnelServer::connections).orElse(0)),
-				new MetricsPage.Gauge("sequoialink_traits_suspected",
-						"Prompt parts and fingerprints suspected of crashing backend servers",
-						this.traits::suspectedCount),
-				new MetricsPage.Gauge("sequoialink_traits_blocked",
-						"Prompt parts and fingerprints, or sets of them, whose requests are blocked",
-						this.traits::blockedCount),
-				new MetricsPage.Gauge("sequoialink_sighting_bytes", "Bytes sent to tell hosts of backend servers",
-						this.gossipBudget::bytesSent),
-				new MetricsPage.Gauge("sequoialink_strain", "How hard pressed the engines are, from 0 to 1",
-						() -> this.latencyPressure.value())));
+						this.frontendServer::activeRequests)));
+		gauges.addAll(new FleetGauges(this.servers, this.sharedNotices, this.serverLimits, this.slots, this.paths,
+				this.tunnels, this.traits, this.gossipBudget, this.latencyPressure)
+			.list());
+		return new MetricsPage(this.counts, gauges);
 	}
 
 	private void startPeriodicTasks() {
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -154,6 +154,13 @@
 	}
 
 	private ChannelFuture connect(ServerEntry server, ChannelHandler handlers, Consumer<Optional<Throwable>> ended) {
+		return connect(server, handlers, true, ended);
+	}
+
+	// What other hosts ask for does not count against this host's path: they ask for
+	// servers that they could not connect to.
+	private ChannelFuture connect(ServerEntry server, ChannelHandler handlers, boolean countsFailure,
+			Consumer<Optional<Throwable>> ended) {
 		long startedNanos = this.clock.getAsLong();
 		ChannelFuture connecting = this.toServers.clone()
 			.handler(handlers)
@@ -162,7 +169,7 @@
 			if (future.isSuccess()) {
 				this.paths.connected(server, startedNanos);
 			}
-			else if (saysOfPath(future.cause(), this.clock.getAsLong() - startedNanos)) {
+			else if (countsFailure && saysOfPath(future.cause(), this.clock.getAsLong() - startedNanos)) {
 				this.paths.failed(server, !refused(future.cause()));
 			}
 			ended.accept(Optional.ofNullable(future.cause()));
@@ -304,17 +311,7 @@
 	 * @return the channel that connects
 	 */
 	Channel openForOtherHost(ServerEntry server, ChannelHandler handlers, Consumer<Optional<Throwable>> ended) {
-		long startedNanos = this.clock.getAsLong();
-		ChannelFuture connecting = this.toServers.clone()
-			.handler(handlers)
-			.connect(this.addresses.apply(server.address()));
-		connecting.addListener((future) -> {
-			if (future.isSuccess()) {
-				this.paths.connected(server, startedNanos);
-			}
-			ended.accept(Optional.ofNullable(future.cause()));
-		});
-		return connecting.channel();
+		return connect(server, handlers, false, ended).channel();
 	}
 
 	/** Handler of a connection that was only opened to see that it can be. */
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
@@ -162,7 +162,7 @@
 			path.suspectedAt = now;
 			logger.atLevel(silent ? Level.WARN : Level.INFO)
 				.log(GatewayEvents.PATH_SUSPECTED, server.service(), path.failedAt.size(), server.id(),
-					silent ? "did not answer" : "refused");
+						silent ? "did not answer" : "refused");
 		}
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
@@ -188,11 +188,21 @@
 		if (data.isReadable()) {
 			this.awaitsBytes = true;
 			this.writtenNanos = this.clock.getAsLong();
-			context.write(TunnelFrames.header(context.alloc(), TunnelFrames.Kind.DATA, data.readableBytes()));
+		}
+		while (data.readableBytes() > TunnelFrames.MAX_PAYLOAD_BYTES) {
+			writeHeader(context, TunnelFrames.MAX_PAYLOAD_BYTES);
+			context.write(data.readRetainedSlice(TunnelFrames.MAX_PAYLOAD_BYTES));
+		}
+		if (data.isReadable()) {
+			writeHeader(context, data.readableBytes());
 		}
 		context.write(data, promise);
 	}
 
+	private static void writeHeader(ChannelHandlerContext context, int payloadBytes) {
+		context.write(TunnelFrames.header(context.alloc(), TunnelFrames.Kind.DATA, payloadBytes));
+	}
+
 	@Override
 	public void close(ChannelHandlerContext context, ChannelPromise promise) {
 		boolean silent = this.state == State.OPEN && this.awaitsBytes
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelFrames.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelFrames.java
@@ -27,8 +27,11 @@
 
 	static final int HEADER_BYTES = 5;
 
-	/** A reader of the operating system's buffers gets less at a time. */
-	private static final int MAX_PAYLOAD_BYTES = 16 << 20;
+	/**
+	 * Most bytes of a payload, so that a frame that is not complete takes little memory;
+	 * as many as are read from a socket at a time.
+	 */
+	static final int MAX_PAYLOAD_BYTES = 64 << 10;
 
 	private static final int LENGTH_OFFSET = 1;
 
@@ -42,7 +45,7 @@
 	 * @return a new decoder
 	 */
 	static ChannelHandler decoder() {
-		return new LengthFieldBasedFrameDecoder(MAX_PAYLOAD_BYTES, LENGTH_OFFSET, LENGTH_BYTES);
+		return new LengthFieldBasedFrameDecoder(HEADER_BYTES + MAX_PAYLOAD_BYTES, LENGTH_OFFSET, LENGTH_BYTES);
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
@@ -7,10 +7,12 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -133,6 +135,48 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 65_535, 65_536, 65_537, 200_000 })
+	void longResponsesPassThroughAnotherHostWhole(int length) throws Exception {
+		String body = "x".repeat(length);
+		ScriptedServer.Script script = (call) -> call.respond(200, "seal: s\r\n", body);
+		try (GatewayFixture fixture = cutOff(script, script)) {
+			assertThat(RawHttp.body(fixture.exchange("/safe/x", ""))).isEqualTo(body);
+		}
+	}
+
+	// A connection that brings anything but frames is closed, and takes no memory.
+	@ParameterizedTest
+	@ValueSource(strings = { "GET / HTTP/1.1\r\n\r\n", "\u0002\u0000\u0000\u0000\u0001x",
+			"\u0000\u007f\u007f\u007f\u007f", "\u0000\u0000\u0000\u0000\u0001x", "\u0009\u0000\u0000\u0000\u0000" })
+	void bytesThatAreNoFrameEndTheConnection(String bytes) throws Exception {
+		try (GatewayFixture fixture = cutOff(GOOD, GOOD);
+				Socket socket = new Socket(InetAddress.getLoopbackAddress(), fixture.helpingAddress().getPort())) {
+			socket.setSoTimeout(5000);
+			socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+			assertThat(readEnd(socket)).isNotPositive();
+			long until = System.nanoTime() + 2_000_000_000L;
+			while (connections(fixture) > 0) {
+				assertThat(System.nanoTime()).isLessThan(until);
+			}
+		}
+	}
+
+	private static int connections(GatewayFixture fixture) throws Exception {
+		AtomicInteger open = new AtomicInteger();
+		fixture.onLoop(() -> open.set(fixture.helping().connections()));
+		return open.get();
+	}
+
+	private static int readEnd(Socket socket) throws IOException {
+		try {
+			return socket.getInputStream().read();
+		}
+		catch (SocketException ex) {
+			return 0;
+		}
+	}
+
 	@Test
 	void withoutAnotherHostARequestIsRejectedAsNotRun() throws Exception {
 		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD)) {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -194,6 +194,10 @@
 		addHost(name, address);
 	}
 
+	InetSocketAddress helpingAddress() {
+		return this.peers.get(0).address();
+	}
+
 	TunnelServer helping() {
 		return this.helping;
 	}
