--- a/gateway/src/main/java/io/sequoialink/gateway/permit/BrittleServices.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/BrittleServices.java
@@ -58,6 +58,13 @@
 		}
 	}
 
+	/**
+	 * Looks the registrations up again, as they may have changed.
+	 */
+	void refresh() {
+		this.index = Map.of();
+	}
+
 	boolean any() {
 		return !this.services.isEmpty();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
@@ -329,6 +329,7 @@
 	 */
 	public void runRound() {
 		long now = this.clock.getAsLong();
+		this.brittle.refresh();
 		this.uses.entrySet().removeIf((entry) -> this.brittle.rejections(entry.getKey()).isEmpty());
 		this.accounts.values().removeIf((account) -> !account.inUseByAny(now));
 		this.uses.keySet().stream().filter((server) -> dueForReport(server, now)).toList().forEach(this::report);
