--- a/entry/src/test/java/io/sequoialink/soak/BackendServerPool.java
+++ b/entry/src/test/java/io/sequoialink/soak/BackendServerPool.java
@@ -54,7 +54,8 @@
 					"i-" + this.startedCount, this.startedCount);
 			InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.link().port());
 			this.hosts.forEach((host) -> host.paths().address(address));
-			server.onClose(() -> closePaths(address));
+			server.onClose(() -> onPaths((paths) -> paths.refuse(address)),
+					() -> onPaths((paths) -> paths.remove(address)));
 			this.running.add(server);
 			if (this.rejections >= 0 && service.equals("small")) {
 				server.brittleness().begin(this.rejections, System.nanoTime());
@@ -66,13 +67,13 @@
 		}
 	}
 
-	private void closePaths(InetSocketAddress server) {
+	private void onPaths(PathAction action) {
 		for (HostProcess host : this.hosts) {
 			try {
-				host.paths().remove(server);
+				action.run(host.paths());
 			}
 			catch (IOException ex) {
-				logger.warn("could not close the path of {} to {}", host.name(), server, ex);
+				logger.warn("could not close a path of {}", host.name(), ex);
 			}
 		}
 	}
@@ -212,4 +213,12 @@
 		this.running.forEach(SimulatedBackendServer::close);
 	}
 
+	/** Changes the paths of one host. */
+	@FunctionalInterface
+	private interface PathAction {
+
+		void run(ServerPaths paths) throws IOException;
+
+	}
+
 }
--- a/entry/src/test/java/io/sequoialink/soak/ServerPaths.java
+++ b/entry/src/test/java/io/sequoialink/soak/ServerPaths.java
@@ -28,6 +28,18 @@
 		this.local = local;
 	}
 
+	/**
+	 * Takes no new connections to a server that ends, while the open ones are left.
+	 * @param server registered address of the server
+	 * @throws IOException if the proxy cannot stop listening
+	 */
+	public synchronized void refuse(InetSocketAddress server) throws IOException {
+		LinkProxy link = this.links.get(server);
+		if (link != null) {
+			link.setNewConnections(LinkProxy.NewConnections.REFUSED);
+		}
+	}
+
 	/**
 	 * Removes the path to a server that has ended.
 	 * @param server registered address of the server
--- a/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
@@ -90,6 +90,9 @@
 
 	private final Random cutHeads;
 
+	private volatile Runnable closing = () -> {
+	};
+
 	private volatile Runnable closed = () -> {
 	};
 
@@ -422,11 +425,14 @@
 	}
 
 	/**
-	 * Sets what is done once the server is closed.
-	 * @param task the task
+	 * Sets what is done when the server ends: no path to it may take connections once the
+	 * first of its connections is lost, as hosts then look whether it is still there.
+	 * @param before called before its connections are lost
+	 * @param after called once it is closed
 	 */
-	void onClose(Runnable task) {
-		this.closed = task;
+	void onClose(Runnable before, Runnable after) {
+		this.closing = before;
+		this.closed = after;
 	}
 
 	/**
@@ -441,6 +447,7 @@
 	@Override
 	public void close() {
 		try {
+			this.closing.run();
 			DaemonThreads.stopListening(this.serverSocket, this.acceptThread);
 			this.link.close();
 			this.closed.run();
