Check a silent path beside each connection through another host, and blame hosts less for slow servers

Cause: a host on a silent path tried it directly only after another host had helped, or when no host could be asked; since hosts are asked as a last resort that depended on a second attempt within 50 ms. A client that left a slow answer after a second made the helping host count as failed, for up to 16 s. Measured: CutOffGatewayTests hold; its new case (the only other host is gone, the path returns) held before too, by that second attempt.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -116,6 +116,7 @@
 	 */
 	public void open(ServerEntry server, ConnectionAttempt attempt) {
 		if (this.paths.silent(server.service()) && this.hosts.anyUsable()) {
+			checkDirectPath(server);
 			openThroughHost(server, attempt, new HashSet<>());
 		}
 		else if (this.paths.broken(server.service()) && this.hosts.anyKnown()
@@ -238,8 +239,10 @@
 		return connecting;
 	}
 
-	// A server to which another host has just connected is alive, so that a direct
-	// connection to it tells whether the direct path is whole.
+	// Beside each connection through another host, so that a path that is whole again is
+	// found whether or not another host helps. A server to which one has just connected
+	// is
+	// alive, so that a direct connection to it tells most.
 	private void checkDirectPath(ServerEntry server) {
 		if (this.paths.suspected(server.service()) && this.paths.tryCheck(server.service())) {
 			ChannelFuture connecting = connect(server, new UnusedConnectionHandler(), (cause) -> {
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
@@ -208,7 +208,7 @@
 		boolean silent = this.state == State.OPEN && this.awaitsBytes
 				&& this.clock.getAsLong() - this.writtenNanos > SILENT_NANOS;
 		if (silent) {
-			this.hosts.failed(this.host, "nothing came back through it");
+			this.hosts.doubted(this.host, "nothing came back through it");
 		}
 		givenUp();
 		this.state = State.ENDED;
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
@@ -272,6 +272,27 @@
 		}
 	}
 
+	// Guards against a host that never tries its own path again, because it goes on
+	// asking
+	// hosts that do not answer: with a request now and then, one can always be asked.
+	@Test
+	void aPathThatIsWholeAgainIsFoundAlthoughNoOtherHostAnswers() throws Exception {
+		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD);
+				SilentAddress silent = new SilentAddress()) {
+			fixture.addHost("gone", GatewayFixture.freeAddress());
+			fixture.setCutOff(silent.address());
+			for (int i = 0; i < 3; i++) {
+				fixture.exchange("/brief-once/x", "");
+			}
+			fixture.setCutOff(false);
+			long until = System.nanoTime() + 3_000_000_000L;
+			while (RawHttp.status(fixture.exchange("/once/x", "")) != 200) {
+				assertThat(System.nanoTime()).as("served again in time").isLessThan(until);
+				Thread.sleep(120);
+			}
+		}
+	}
+
 	// Guards against a host that blames requests for crashes when its own path to the
 	// servers breaks: their connections are reset and new ones refused, as after a crash.
 	@Test
