Blame a request for a crash only after the own path to other servers was tried

Callers could see: a cut by resets that strikes a host and the hosts it asks in the same moment (most of a zone) counts as a crash of each server whose response was lost, and requests that share a prompt part with those are told to stay away for a minute. Cause: a host that is cut off answered REFUSED in good faith, as a witness and for connections; it knew of its own path only from connects it had made before. Evidence: CutOffGatewayTests.aBrokenPathIsNotTakenForACrash with the other host cut off too: a request was blamed (red). Change: a host that is refused connects to two other servers of the service at once; only if one takes the connection it says REFUSED, else UNDECIDED. If no witness can tell, the asking host does the same. What a host says after that is believed, so it is no longer left out for it. Measured: CutOffGatewayTests 39 cases, CrashingRequestTests, CrashingPromptPartTests, ConnectionEndedResponseTests, ServicePathsTests hold.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -44,6 +44,7 @@
 import io.sequoialink.gateway.http.ReturnSchedule;
 import io.sequoialink.gateway.http.StartupGate;
 import io.sequoialink.gateway.path.HelpingHosts;
+import io.sequoialink.gateway.path.OtherServers;
 import io.sequoialink.gateway.path.ServerConnector;
 import io.sequoialink.gateway.path.ServicePaths;
 import io.sequoialink.gateway.path.TunnelServer;
@@ -255,8 +256,8 @@
 		this.retryBudget = new RetryBudget(bounds.repeatRatio(), slackPerHost(bounds),
 				TimeUnit.MILLISECONDS.toNanos(bounds.repeatWindowMillis()));
 		this.connector = new ServerConnector(this.eventLoopGroup, this.serverAddresses, this.paths,
-				new HelpingHosts(self(), this::otherHosts, System::nanoTime, random), this.counts.tunnels(),
-				System::nanoTime);
+				new HelpingHosts(self(), this::otherHosts, System::nanoTime, random),
+				new OtherServers(this.fleetView, random), this.counts.tunnels(), System::nanoTime);
 		this.tunnels = this.readForwarder
 			.map((forwarder) -> new TunnelServer(this.connector, this.fleetView, forwarder::isPeerAddress));
 		this.frontendServer = new FrontendServer(gateway(gate, random));
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/OtherServers.java
@@ -0,0 +1,57 @@
+package io.sequoialink.gateway.path;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+
+import io.sequoialink.gateway.fleet.FleetView;
+import io.sequoialink.gateway.fleet.ServerEntry;
+
+/**
+ * Draws servers at which a host finds out whether its own path is whole, when one server
+ * refuses its connections. Confined to the event loop.
+ */
+public final class OtherServers {
+
+	private final FleetView view;
+
+	private final RandomGenerator random;
+
+	/**
+	 * Creates a source of servers.
+	 * @param view the registered servers
+	 * @param random draws the servers
+	 */
+	public OtherServers(FleetView view, RandomGenerator random) {
+		this.view = view;
+		this.random = random;
+	}
+
+	/**
+	 * Draws servers of the same service. Those of other services may be reached on
+	 * another path, so they are drawn only if the service has no other server.
+	 * @param than the server that refuses
+	 * @param most most servers to draw
+	 * @return the servers, none if no other is registered
+	 */
+	List<ServerEntry> draw(ServerEntry than, int most) {
+		List<ServerEntry> sameService = usable(this.view.servers(than.service()), than);
+		List<ServerEntry> candidates = sameService.isEmpty() ? usable(this.view.servers(), than) : sameService;
+		Collections.shuffle(candidates, new Random(this.random.nextLong()));
+		return candidates.subList(0, Math.min(most, candidates.size()));
+	}
+
+	private static List<ServerEntry> usable(Collection<ServerEntry> servers, ServerEntry than) {
+		List<ServerEntry> usable = new ArrayList<>();
+		for (ServerEntry server : servers) {
+			if (!server.draining() && !server.id().equals(than.id())) {
+				usable.add(server);
+			}
+		}
+		return usable;
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -60,6 +61,9 @@
 	/** Number of hosts that are asked for one connection. */
 	private static final int MAX_ASKED = 3;
 
+	/** Number of servers at which a host checks its own path. */
+	private static final int MAX_CONFIRMING = 2;
+
 	/** Number of hosts that are asked whether a server has ended. */
 	private static final int MAX_WITNESSES = 2;
 
@@ -73,6 +77,8 @@
 
 	private final HelpingHosts hosts;
 
+	private final OtherServers others;
+
 	private final LabelledCounters counts;
 
 	private final LongSupplier clock;
@@ -83,16 +89,18 @@
 	 * @param addresses returns the address to connect to for a server's registered one
 	 * @param paths beliefs about the direct paths
 	 * @param hosts chooses the hosts that help
+	 * @param others draws servers at which this host checks its own path
 	 * @param counts counts the connections through other hosts, by outcome
 	 * @param clock monotonic time in nanoseconds
 	 */
 	public ServerConnector(EventLoopGroup loop, UnaryOperator<InetSocketAddress> addresses, ServicePaths paths,
-			HelpingHosts hosts, LabelledCounters counts, LongSupplier clock) {
+			HelpingHosts hosts, OtherServers others, LabelledCounters counts, LongSupplier clock) {
 		this.toServers = KeepAlive.newBootstrap(loop, CONNECT_MILLIS);
 		this.toHosts = KeepAlive.newBootstrap(loop, HOST_CONNECT_MILLIS);
 		this.addresses = addresses;
 		this.paths = paths;
 		this.hosts = hosts;
+		this.others = others;
 		this.counts = counts;
 		this.clock = clock;
 	}
@@ -207,8 +215,7 @@
 				attempt.opened(false);
 				checkDirectPath(server);
 			}
-			else if (answer == TunnelAnswer.UNKNOWN_SERVER
-					|| (saysOfServer(answer) && this.hosts.trusted(host.get()))) {
+			else if (saysOfServer(answer, host.get())) {
 				attempt.failed(new ConnectException("host " + host.get().host() + " says: " + answer));
 			}
 			else {
@@ -218,9 +225,15 @@
 		attempt.connecting(connecting.channel());
 	}
 
-	// Another host may be cut off without having noticed, unless it has just helped.
-	private static boolean saysOfServer(TunnelAnswer answer) {
-		return answer == TunnelAnswer.REFUSED || answer == TunnelAnswer.SILENT;
+	// A host that gets no answer may be cut off without having noticed, unless it has
+	// just
+	// helped.
+	private boolean saysOfServer(TunnelAnswer answer, Peer host) {
+		return switch (answer) {
+			case UNKNOWN_SERVER, REFUSED -> true;
+			case SILENT -> this.hosts.trusted(host);
+			default -> false;
+		};
 	}
 
 	// The answer is CUT_OFF if the host itself did not answer.
@@ -254,19 +267,19 @@
 
 	/**
 	 * Checks whether a server refuses all connections, as it does after a crash. A
-	 * refusal counts only if no other host can connect, since the path of this host may
-	 * be broken.
+	 * refusal counts only if another host is refused too, or none can tell and this
+	 * host's own path is whole, since the path may be broken instead.
 	 * @param server the server
 	 * @param callback receives the connection error, or empty if a connection was made
 	 */
 	public void probe(ServerEntry server, Consumer<Optional<Throwable>> callback) {
 		if (this.paths.silent(server.service()) && this.hosts.anyUsable()) {
-			askWitness(server, new IOException("the direct path is suspected"), false, new HashSet<>(), callback);
+			askWitness(server, new IOException("the direct path is suspected"), new HashSet<>(), callback);
 			return;
 		}
 		ChannelFuture connecting = connect(server, new UnusedConnectionHandler(), (cause) -> {
 			if (cause.filter(ServerConnector::refused).isPresent()) {
-				askWitness(server, cause.get(), false, new HashSet<>(), callback);
+				askWitness(server, cause.get(), new HashSet<>(), callback);
 			}
 			else {
 				callback.accept(cause);
@@ -275,29 +288,58 @@
 		connecting.addListener((future) -> connecting.channel().close());
 	}
 
-	private void askWitness(ServerEntry server, Throwable result, boolean witnessed, Set<String> asked,
+	private void askWitness(ServerEntry server, Throwable result, Set<String> asked,
 			Consumer<Optional<Throwable>> callback) {
 		Optional<Peer> host = (asked.size() < MAX_WITNESSES) ? this.hosts.chooseAny(asked) : Optional.empty();
 		if (host.isEmpty()) {
-			boolean undecided = this.hosts.anyKnown() && !witnessed && !this.paths.connectedOfLate();
-			callback.accept(Optional.of(undecided ? new IOException("no host can tell") : result));
+			concludeAlone(server, result, callback);
 			return;
 		}
 		asked.add(host.get().host());
 		ChannelFuture connecting = ask(host.get(), server, new UnusedConnectionHandler(), (answer) -> {
-			if (answer == TunnelAnswer.CONNECTED) {
-				callback.accept(Optional.empty());
-				return;
+			switch (answer) {
+				case CONNECTED -> callback.accept(Optional.empty());
+				case REFUSED ->
+					callback.accept(Optional.of(new ConnectException("refused, also to host " + host.get().host())));
+				default -> askWitness(server, result, asked, callback);
 			}
-			boolean refused = answer == TunnelAnswer.REFUSED;
-			askWitness(server, refused ? new ConnectException("refused, also to host " + host.get().host()) : result,
-					witnessed || refused, asked, callback);
 		});
 		connecting.addListener((future) -> connecting.channel()
 			.eventLoop()
 			.schedule((Runnable) connecting.channel()::close, 2L * CONNECT_MILLIS, TimeUnit.MILLISECONDS));
 	}
 
+	// Without any other host there is nobody who could be reached instead.
+	private void concludeAlone(ServerEntry server, Throwable result, Consumer<Optional<Throwable>> callback) {
+		if (!refused(result) || !this.hosts.anyKnown()) {
+			callback.accept(Optional.of(result));
+			return;
+		}
+		confirmOwnPath(server,
+				(whole) -> callback.accept(Optional.of(whole ? result : new IOException("no host can tell"))));
+	}
+
+	/**
+	 * Finds out whether this host's own path is whole, after a server has refused a
+	 * connection, by connecting to others.
+	 * @param than the server that refuses
+	 * @param callback receives whether another server takes a connection, or none is
+	 * registered
+	 */
+	void confirmOwnPath(ServerEntry than, Consumer<Boolean> callback) {
+		List<ServerEntry> drawn = this.others.draw(than, MAX_CONFIRMING);
+		if (drawn.isEmpty()) {
+			callback.accept(true);
+			return;
+		}
+		OpenChecks checks = new OpenChecks(drawn.size(), callback);
+		for (ServerEntry other : drawn) {
+			ChannelFuture connecting = connect(other, new UnusedConnectionHandler(),
+					(cause) -> checks.ended(cause.isEmpty()));
+			connecting.addListener((future) -> connecting.channel().close());
+		}
+	}
+
 	/**
 	 * Returns the beliefs about the direct paths.
 	 * @return the paths
@@ -317,6 +359,30 @@
 		return connect(server, handlers, false, ended).channel();
 	}
 
+	/** Checks that run at the same time; the first that succeeds decides. */
+	private static final class OpenChecks {
+
+		private final Consumer<Boolean> callback;
+
+		private int open;
+
+		private boolean decided;
+
+		private OpenChecks(int open, Consumer<Boolean> callback) {
+			this.open = open;
+			this.callback = callback;
+		}
+
+		private void ended(boolean success) {
+			this.open--;
+			if (!this.decided && (success || this.open == 0)) {
+				this.decided = true;
+				this.callback.accept(success);
+			}
+		}
+
+	}
+
 	/** Handler of a connection that was only opened to see that it can be. */
 	private static final class UnusedConnectionHandler extends ChannelInboundHandlerAdapter {
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
@@ -41,17 +41,10 @@
 	/** Time between two attempts to connect directly on a suspected path. */
 	static final long CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-	/** Age from which a direct connection no longer says that a path is whole. */
-	private static final long CONNECTED_OF_LATE_NANOS = TimeUnit.SECONDS.toNanos(1);
-
 	private final LongSupplier clock;
 
 	private final Map<String, Path> paths = new HashMap<>();
 
-	private boolean connectedOnce;
-
-	private long connectedAt;
-
 	/**
 	 * Creates paths that are believed to be whole.
 	 * @param clock monotonic time in nanoseconds
@@ -82,14 +75,6 @@
 		return path != null && path.silent;
 	}
 
-	/**
-	 * Returns whether this host has connected directly to any server of late.
-	 * @return whether not all of its paths can be broken
-	 */
-	boolean connectedOfLate() {
-		return this.connectedOnce && this.clock.getAsLong() - this.connectedAt < CONNECTED_OF_LATE_NANOS;
-	}
-
 	/**
 	 * Returns whether a direct connection is known to be hopeless.
 	 * @param service name of the service
@@ -131,8 +116,6 @@
 	 * @param startedNanos monotonic time at which connecting began, in nanoseconds
 	 */
 	void connected(ServerEntry server, long startedNanos) {
-		this.connectedOnce = true;
-		this.connectedAt = this.clock.getAsLong();
 		Path path = this.paths.get(server.service());
 		if (path == null || (path.suspected && startedNanos - path.suspectedAt < 0)) {
 			return;
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelAnswer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelAnswer.java
@@ -10,7 +10,7 @@
 	/** The connection is open. */
 	CONNECTED,
 
-	/** The server refused the connection. */
+	/** The server refused the connection; the asked host reaches others. */
 	REFUSED,
 
 	/** The server did not answer in time. */
@@ -28,8 +28,8 @@
 	BUSY,
 
 	/**
-	 * The server refused the connection, but so do others: the asked host may be cut off,
-	 * or several servers have ended.
+	 * The server refused the connection, and the asked host reaches no others: it may be
+	 * cut off, or several servers have ended.
 	 */
 	UNDECIDED;
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
@@ -165,8 +165,7 @@
 			return;
 		}
 		this.state = State.ENDED;
-		boolean mayBeServer = answer == TunnelAnswer.REFUSED || answer == TunnelAnswer.SILENT;
-		if (mayBeServer) {
+		if (answer == TunnelAnswer.SILENT) {
 			this.hosts.doubted(this.host, "it does not reach server " + this.target.id() + ": " + answer);
 		}
 		else if (answer == TunnelAnswer.UNDECIDED) {
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -164,16 +165,20 @@
 	}
 
 	/**
-	 * Returns the answer for a connection that failed.
+	 * Finds out what to answer for a connection that failed.
 	 * @param server the server
 	 * @param cause why
-	 * @return that the server is out of reach, unless this host itself may be cut off
+	 * @param receiver receives an answer that blames the server only if this host is not
+	 * cut off itself
 	 */
-	TunnelAnswer failure(ServerEntry server, Throwable cause) {
-		if (this.connector.paths().suspected(server.service())) {
-			return ServerConnector.refused(cause) ? TunnelAnswer.UNDECIDED : TunnelAnswer.CUT_OFF;
+	void explainFailure(ServerEntry server, Throwable cause, Consumer<TunnelAnswer> receiver) {
+		if (ServerConnector.refused(cause)) {
+			this.connector.confirmOwnPath(server,
+					(whole) -> receiver.accept(whole ? TunnelAnswer.REFUSED : TunnelAnswer.UNDECIDED));
+			return;
 		}
-		return ServerConnector.refused(cause) ? TunnelAnswer.REFUSED : TunnelAnswer.SILENT;
+		boolean suspected = this.connector.paths().suspected(server.service());
+		receiver.accept(suspected ? TunnelAnswer.CUT_OFF : TunnelAnswer.SILENT);
 	}
 
 	ServerConnector connector() {
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
@@ -70,7 +70,7 @@
 		ServerEntry entry = this.owner.find(target).orElseThrow();
 		this.server = this.owner.connector().openForOtherHost(entry, new ServerSide(), (cause) -> {
 			if (cause.isPresent()) {
-				refuse(this.owner.failure(entry, cause.get()));
+				this.owner.explainFailure(entry, cause.get(), this::refuse);
 				return;
 			}
 			if (!this.client.isActive()) {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
@@ -295,11 +295,15 @@
 
 	// Guards against a host that blames requests for crashes when its own path to the
 	// servers breaks: their connections are reset and new ones refused, as after a crash.
-	@Test
-	void aBrokenPathIsNotTakenForACrash() throws Exception {
+	// A
+	// host that is cut off in the same moment is no witness.
+	@ParameterizedTest(name = "other host cut off too: {0}")
+	@ValueSource(booleans = { false, true })
+	void aBrokenPathIsNotTakenForACrash(boolean otherHostToo) throws Exception {
 		GatewayFixture[] cut = new GatewayFixture[1];
 		ScriptedServer.Script resetsBehindTheCut = (call) -> {
 			cut[0].setCutOff(true);
+			cut[0].setHelpingHostCutOff(otherHostToo);
 			call.reset();
 		};
 		try (GatewayFixture fixture = GatewayFixture.withServers(resetsBehindTheCut, resetsBehindTheCut,
@@ -308,9 +312,11 @@
 			fixture.startHelpingHost();
 			for (int i = 0; i < 5; i++) {
 				fixture.setCutOff(false);
+				fixture.setHelpingHostCutOff(false);
 				assertThat(RawHttp.status(fixture.exchange("/once/bad", ""))).isEqualTo(502);
 				Thread.sleep(100);
 			}
+			fixture.onLoop(() -> assertThat(fixture.crashCoordinator().anySuspects()).as("blames a request").isFalse());
 			assertThat(fixture.published()).isEmpty();
 		}
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.function.UnaryOperator;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.sequoialink.decision.cascade.ConfidenceCascade;
@@ -49,6 +48,7 @@
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.fleet.WeightedService;
 import io.sequoialink.gateway.path.HelpingHosts;
+import io.sequoialink.gateway.path.OtherServers;
 import io.sequoialink.gateway.path.ServerConnector;
 import io.sequoialink.gateway.path.ServicePaths;
 import io.sequoialink.gateway.path.TunnelServer;
@@ -141,6 +141,8 @@
 
 	private volatile InetSocketAddress cutOff;
 
+	private volatile boolean helperCutOff;
+
 	private TunnelServer helping;
 
 	private final FrontendServer frontend;
@@ -171,7 +173,7 @@
 		Peer self = new Peer("h", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
 		HelpingHosts hosts = new HelpingHosts(self, () -> this.peers, System::nanoTime, new SplittableRandom(6));
 		return new ServerConnector(this.loops, (address) -> (this.cutOff != null) ? this.cutOff : address, this.paths,
-				hosts, this.counts.tunnels(), System::nanoTime);
+				hosts, new OtherServers(this.view, new SplittableRandom(8)), this.counts.tunnels(), System::nanoTime);
 	}
 
 	/**
@@ -182,10 +184,10 @@
 	}
 
 	void startHelpingHost(String name, Predicate<InetAddress> knownHost) throws Exception {
-		ServerConnector connector = new ServerConnector(this.loops, UnaryOperator.identity(),
-				new ServicePaths(System::nanoTime),
+		ServerConnector connector = new ServerConnector(this.loops,
+				(address) -> this.helperCutOff ? UNREACHABLE : address, new ServicePaths(System::nanoTime),
 				new HelpingHosts(new Peer(name, "z", UNREACHABLE), List::of, System::nanoTime, new SplittableRandom(7)),
-				this.counts.tunnels(), System::nanoTime);
+				new OtherServers(this.view, new SplittableRandom(9)), this.counts.tunnels(), System::nanoTime);
 		this.helping = new TunnelServer(connector, this.view, knownHost);
 		InetSocketAddress address = freeAddress();
 		this.helping.start(this.loops, address);
@@ -241,6 +243,13 @@
 		this.cutOff = instead;
 	}
 
+	/**
+	 * Refuses the helping host's connections to all servers too, or lets them pass again.
+	 */
+	void setHelpingHostCutOff(boolean cut) {
+		this.helperCutOff = cut;
+	}
+
 	ServicePaths paths() {
 		return this.paths;
 	}
