Count a silent stream against its version only if its server is heard of afterwards

Callers could see: a good version is rolled back, or a bad one's rival looks slow, because a host lost its path to servers while streams were half delivered. Evidence: CutOffVersionTests, a stream that falls silent with its path: 1 bad answer counted (red). A slow stream's own next event is enough. Measured: CutOffVersionTests 5 cases (silent and refusing cuts, with and without another host: no bad answer, usual durations unchanged, served after the return), SlowVersionTests, LatencyCheckTests, SilentServerTests, RolloutCoordinatorTests hold.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -127,13 +127,14 @@
 		}
 	}
 
+	// What the server sent earlier does not show that it can still be heard.
 	private void checkEventRate() {
 		if (this.done || this.latency.reported()) {
 			return;
 		}
 		if (this.latency.tooFewEvents(millisSince(this.headAt))) {
-			this.server.whenReceivedSince(this.headAt + 1, this.exchange.now(), this.latency::markSlow);
-			return;
+			long now = this.exchange.now();
+			this.server.whenReceivedSince(now, now, this.latency::markSlow);
 		}
 		this.exchange.schedule(this::checkEventRate, LatencyCheck.CHECK_INTERVAL_MILLIS);
 	}
