Count an overdue response against its version only if its server is heard of once it was due

Callers could see: versions judged by responses that a cut held back, as with silent streams. Cause: a response that had not begun counted as slow if its server had sent anything since the request was sent, also before the response was due, when the path was still whole. Change: the server must be heard of after the usual duration was over.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -8,12 +8,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoialink.decision.crash.Involvement;
-import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.place.PromptSize;
 import io.sequoialink.gateway.place.SelectedServer;
 import io.sequoialink.gateway.place.ServerState;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * One transmission of a request to one backend server, with the processing of the
@@ -21,9 +18,7 @@
  * {@link Exchange} of the request at most once of the attempt's end. Confined to the
  * event loop.
  */
-final class BackendAttempt implements ResponseListener {
-
-	private static final Logger logger = LoggerFactory.getLogger(BackendAttempt.class);
+final class BackendAttempt implements ResponseListener, AttemptWatch.Watched {
 
 	/** Maximum size of a response that is buffered until it is complete. */
 	private static final int MAX_BUFFERED_BYTES = 8 << 20;
@@ -68,10 +63,10 @@
 
 	private boolean serverWasIdle;
 
-	private double expectedMillis;
-
 	private final LatencyCheck latency;
 
+	private final AttemptWatch watch;
+
 	private final ServerNotices notices;
 
 	private final AttemptLog log;
@@ -106,37 +101,16 @@
 		this.notices = new ServerNotices(exchange.gateway(), this.server, exchange.id());
 		this.log = new AttemptLog(exchange, this.server, this.startedAt);
 		this.latency = exchange.latencies().check(this.server, work);
+		this.watch = new AttemptWatch(exchange, this.server, this.latency, this.startedAt, this);
 	}
 
 	void start(OutboundRequest request) {
 		this.outbound = request;
 		this.serverWasIdle = this.server.pendingMillis() == 0;
-		this.expectedMillis = this.server.pendingMillis() + this.workMillis;
+		double expectedMillis = this.server.pendingMillis() + this.workMillis;
 		this.server.attemptStarted(this.workMillis);
 		this.notices.sent();
-		this.exchange.schedule(this::checkSilence, silenceTimeout(this.expectedMillis));
-		this.latency.slowHeadMillis().ifPresent((millis) -> this.exchange.schedule(this::checkHeadDelay, millis));
-	}
-
-	// A missing response counts as slow only if other traffic shows that the server is
-	// alive; otherwise the server may be down or unreachable, which says nothing about
-	// its version.
-	private void checkHeadDelay() {
-		if (!this.responseStarted) {
-			this.server.whenReceivedSince(this.startedAt, this.exchange.now(), this.latency::markSlow);
-		}
-	}
-
-	// What the server sent earlier does not show that it can still be heard.
-	private void checkEventRate() {
-		if (this.done || this.latency.reported()) {
-			return;
-		}
-		if (this.latency.tooFewEvents(millisSince(this.headAt))) {
-			long now = this.exchange.now();
-			this.server.whenReceivedSince(now, now, this.latency::markSlow);
-		}
-		this.exchange.schedule(this::checkEventRate, LatencyCheck.CHECK_INTERVAL_MILLIS);
+		this.watch.attemptStarted(expectedMillis, this.work);
 	}
 
 	ServerState server() {
@@ -160,25 +134,19 @@
 		this.outbound.setReading(reading);
 	}
 
-	private long silenceTimeout(double expectedMillis) {
-		long remaining = this.exchange.remainingMillis();
-		if (this.exchange.streaming()) {
-			return SilenceTimeout.forStream(expectedMillis, remaining);
-		}
-		return SilenceTimeout.forPlainResponse(this.exchange.gateway()
-			.latencyBaseline()
-			.typicalMillis(this.exchange.latencies().baselineKeys(this.work).duration()), remaining);
+	@Override
+	public boolean awaitsResponse() {
+		return !this.done && !this.responseStarted;
 	}
 
-	// Marks the server as failing if it has sent nothing at all since this attempt
-	// began, on any connection. A request that may be retried is then sent to another
-	// server.
-	private void checkSilence() {
-		if (this.done || this.responseStarted || this.server.receivedSince(this.startedAt)) {
-			return;
-		}
-		this.server.unresponsive(this.exchange.now());
-		logger.info(GatewayEvents.SERVER_AVOIDED, serverId(), "no response");
+	@Override
+	public boolean ended() {
+		return this.done;
+	}
+
+	// A request that may be retried is sent to another server.
+	@Override
+	public void serverSilent() {
 		if (!this.exchange.mayAbandonSilentServer()) {
 			return;
 		}
@@ -236,14 +204,14 @@
 	}
 
 	private void startStream(ResponseMetadata metadata) {
-		this.continuation = this.exchange.stream().part();
+		this.continuation = this.exchange.forwarding().stream().part();
 		if (this.continuation.filter((part) -> !part.isSameKind(this.status, this.headers)).isPresent()) {
 			abort("response does not go on with the stream, status " + this.status);
 			return;
 		}
 		this.events = new EventStreamSplitter();
 		this.latency.headReceived(millisSince(this.startedAt));
-		this.exchange.schedule(this::checkEventRate, LatencyCheck.FIRST_CHECK_MILLIS);
+		this.watch.streamBegan(this.headAt);
 		recordPromptCache(metadata);
 		if (metadata.confidence().isPresent() && this.exchange.tryEscalate(metadata.confidence().getAsInt())) {
 			this.log.end("dropped for a larger model");
@@ -321,7 +289,7 @@
 			return;
 		}
 		if (ready.isReadable()) {
-			this.exchange.forwardEvents(this.status, this.headers, ready, this.events.lastId());
+			this.exchange.forwarding().forwardEvents(this.status, this.headers, ready, this.events.lastId(), this);
 		}
 	}
 
@@ -387,7 +355,7 @@
 	}
 
 	private boolean withoutEvents() {
-		return this.events.events() == 0 && !this.exchange.stream().acceptsEmpty();
+		return this.events.events() == 0 && !this.exchange.forwarding().stream().acceptsEmpty();
 	}
 
 	private void succeed() {
@@ -396,10 +364,10 @@
 		this.server.succeeded();
 		recordLatency();
 		if (this.events == null) {
-			this.exchange.forwardResponse(this.status, this.headers, this.body);
+			this.exchange.forwarding().forwardResponse(this.status, this.headers, this.body);
 			return;
 		}
-		this.exchange.endStream(this.status, this.headers);
+		this.exchange.forwarding().endStream(this.status, this.headers);
 	}
 
 	private void recordLatency() {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -74,7 +74,7 @@
 
 	private AttemptLatencies latencies;
 
-	private ForwardedStream stream;
+	private ResponseForwarding forwarding;
 
 	private RequestDispatcher dispatcher;
 
@@ -149,8 +149,8 @@
 		this.dispatcher = new RequestDispatcher(this.gateway, this.request, this.metadata, this.admission,
 				this.modelChoice);
 		this.latencies = new AttemptLatencies(this.gateway, this.admission);
-		this.stream = new ForwardedStream(this.client, this.dispatcher::eventForwarded,
-				this.metadata.lastEvent().isPresent());
+		this.forwarding = new ResponseForwarding(this, this.client, this.flow, this.crashCheck, this.modelChoice,
+				this.dispatcher, this.metadata.lastEvent().isPresent());
 		this.permits = new PermitAcquisition(this.gateway, this.admission, this.metadata, this::schedule);
 	}
 
@@ -266,11 +266,6 @@
 		}
 	}
 
-	private void recordFirstByte() {
-		double millis = (now() - this.request.receivedNanos()) / (double) NANOS_PER_MILLI;
-		this.gateway.metrics().firstPartTimes().add(routeLabel(), millis);
-	}
-
 	private void send(SelectedServer placed, PromptSize work) {
 		send(placed, work, false);
 	}
@@ -404,68 +399,19 @@
 	}
 
 	/**
-	 * Forwards a complete successful response to the client, which ends the request.
-	 * @param status status code
-	 * @param headers headers of the response
-	 * @param body the body; ownership passes to the client's connection
-	 */
-	void forwardResponse(int status, HttpHeaders headers, ByteBuf body) {
-		this.flow.forwardingStarted();
-		this.flow.forwardingCompleted();
-		this.crashCheck.recordHarmless();
-		recordFirstByte();
-		this.client.sendResponse(status, HopByHopHeaders.strip(headers), body);
-		finish(status, "answered");
-	}
-
-	/**
-	 * Forwards complete events of a stream to the client.
-	 * @param status status code
-	 * @param headers headers of the response
-	 * @param events the events; ownership passes to the client's connection
-	 * @param lastId id of the last of them
+	 * Returns what forwards the response to the client.
+	 * @return the forwarding of this request
 	 */
-	void forwardEvents(int status, HttpHeaders headers, ByteBuf events, Optional<String> lastId) {
-		if (!this.flow.clientHasPart()) {
-			this.flow.forwardingStarted();
-			this.modelChoice.recordFirstByte();
-			recordFirstByte();
-			this.stream.begin(status, headers);
-		}
-		lastId.ifPresent(this.stream::eventForwarded);
-		this.dispatcher.refreshSession(this.attempt.server());
-		if (this.attempt.provenHarmless()) {
-			this.crashCheck.recordHarmless();
-		}
-		boolean writable = this.client.sendChunk(events);
-		if (!writable && this.attempt != null) {
-			this.attempt.setReading(false);
-		}
+	ResponseForwarding forwarding() {
+		return this.forwarding;
 	}
 
 	/**
-	 * Ends a stream whose last event has been forwarded. A resumed stream may have no
-	 * further events.
+	 * The response has been forwarded completely.
 	 * @param status status code
-	 * @param headers headers of the response
 	 */
-	void endStream(int status, HttpHeaders headers) {
-		if (!this.flow.clientHasPart()) {
-			this.flow.forwardingStarted();
-			this.stream.begin(status, headers);
-		}
-		this.flow.forwardingCompleted();
-		this.crashCheck.recordHarmless();
-		this.client.endResponse();
-		finish(200, "answered");
-	}
-
-	/**
-	 * Returns what the client has received of the response, if it is a stream.
-	 * @return the stream
-	 */
-	ForwardedStream stream() {
-		return this.stream;
+	void answered(int status) {
+		finish(status, "answered");
 	}
 
 	/**
@@ -584,7 +530,11 @@
 		return this.admission.account().map(ClientAccount::name).orElse("none");
 	}
 
-	private String routeLabel() {
+	/**
+	 * Returns the name of the request's route for log lines and metrics.
+	 * @return the name, {@code none} if it has no route
+	 */
+	String routeLabel() {
 		return (this.admission != null && route() != null) ? route().name() : "none";
 	}
 
@@ -611,6 +561,14 @@
 		return this.latencies;
 	}
 
+	/**
+	 * Returns when the request was received.
+	 * @return monotonic time in nanoseconds
+	 */
+	long receivedNanos() {
+		return this.request.receivedNanos();
+	}
+
 	GatewayContext gateway() {
 		return this.gateway;
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/LatencyCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/LatencyCheck.java
@@ -99,6 +99,14 @@
 		return OptionalLong.of(Math.round(Math.max(minimum, slowFrom.getAsDouble())));
 	}
 
+	/**
+	 * Returns after which time a response (for a stream: its head) usually arrives.
+	 * @return milliseconds since the attempt began, 0 while the baseline is not known
+	 */
+	double usualHeadMillis() {
+		return this.baseline.typicalMillis(this.keys.streaming() ? this.keys.head() : this.keys.duration()).orElse(0);
+	}
+
 	/**
 	 * Returns whether a running stream has too few events for its duration.
 	 * @param millis time since its head, in milliseconds
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CutOffVersionTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CutOffVersionTests.java
@@ -25,6 +25,9 @@
 
 	private static final double USUAL_MILLIS = 40;
 
+	/** Usual duration that leaves time for another response before. */
+	private static final double DUE_MILLIS = 500;
+
 	private static GatewayFixture duringRollout(ScriptedServer.Script... scripts) throws Exception {
 		GatewayFixture fixture = GatewayFixture.withServers(scripts);
 		fixture.onLoop(() -> {
@@ -68,6 +71,30 @@
 		}
 	}
 
+	// Guards against the same for a response that has not begun: bytes that came before
+	// it
+	// was due say nothing of the time after.
+	@Test
+	void aResponseThatIsOverdueBehindACutDoesNotCountAgainstItsVersion() throws Exception {
+		try (GatewayFixture fixture = duringRollout((call) -> {
+			if (call.path().endsWith("slow")) {
+				ScriptedServer.pause(SILENCE_MILLIS);
+			}
+			else {
+				call.respond(200, "seal: s\r\n", "hello");
+			}
+		}); GatewayFixture.Client client = fixture.connect()) {
+			fixture.onLoop(() -> {
+				for (int i = 0; i < 200; i++) {
+					fixture.latencyBaseline().observe("/once/", DUE_MILLIS);
+				}
+			});
+			client.send("/once/slow", "");
+			fixture.exchange("/once/x", "");
+			observe(fixture, OBSERVED_MILLIS);
+		}
+	}
+
 	@ParameterizedTest(name = "silent: {0}, with another host: {1}")
 	@CsvSource({ "true, false", "true, true", "false, false", "false, true" })
 	void requestsOfACutOffHostCountNeitherAgainstAVersionNorForUsualDurations(boolean silent, boolean otherHost)
