--- a/entry/src/test/java/io/sequoialink/entry/CutOffHostTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/CutOffHostTests.java
@@ -41,6 +41,12 @@
 	/** The platform's bound: share of the other hosts' that a cut-off host must serve. */
 	private static final double MIN_SERVED_SHARE = 2.0 / 3;
 
+	/** Most of the time for which a request may be held that nobody can serve. */
+	private static final long MOST_REJECTION_MILLIS = 150;
+
+	/** Time after the paths' return in which all hosts serve directly again. */
+	private static final long RETURN_MILLIS = 2500;
+
 	private final List<HttpServer> backends = new ArrayList<>();
 
 	private final List<ServerPaths> paths = new ArrayList<>();
@@ -127,6 +133,42 @@
 		assertThat(share(served.get(1))).isGreaterThanOrEqualTo(MIN_SERVED_SHARE * share(served.get(2)));
 	}
 
+	// Guards against hosts that hold requests, pass them to and fro, or don't find out
+	// that
+	// their paths are whole again, when no host reaches any server.
+	@ParameterizedTest
+	@EnumSource(names = { "SILENT", "RESET" })
+	void whenAllHostsAreCutOffTheyRejectAtOnceAndServeAgainAfterTheReturn(ServerPaths.Cut cut) throws Exception {
+		sendToAll(5);
+		for (ServerPaths own : this.paths) {
+			own.setCut(cut);
+		}
+		sendToAll(12);
+		long began = System.nanoTime();
+		List<List<Integer>> rejected = sendToAll(10);
+		assertThat(rejected).allSatisfy((statuses) -> assertThat(statuses).containsOnly(503));
+		assertThat((System.nanoTime() - began) / 1_000_000).as("time of ten requests one after the other")
+			.isLessThan(10 * (PAUSE_MILLIS + MOST_REJECTION_MILLIS));
+		for (ServerPaths own : this.paths) {
+			own.setCut(ServerPaths.Cut.NONE);
+		}
+		Await.within(RETURN_MILLIS, () -> servedByAll() && this.hosts.stream().allMatch(CutOffHostTests::direct));
+		assertThat(sendToAll(10)).allSatisfy((statuses) -> assertThat(statuses).containsOnly(200));
+	}
+
+	private boolean servedByAll() {
+		try {
+			return sendToAll(2).stream().allMatch((statuses) -> statuses.equals(List.of(200, 200)));
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static boolean direct(LoopbackHost host) {
+		return host.metrics().contains("sequoialink_paths_suspected 0.0");
+	}
+
 	private static int allowedFailures(List<List<Integer>> served) {
 		return 10 + served.stream().mapToInt(List::size).sum() / 50;
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/CutOffGatewayTests.java
@@ -1,17 +1,10 @@
 package io.sequoialink.gateway.http;
 
-import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
@@ -33,10 +26,6 @@
 
 	private static final ScriptedServer.Script GOOD = (call) -> call.respond(200, "seal: s\r\nx-own: 1\r\n", HELLO);
 
-	private static final int DATA = 2;
-
-	private static final int END = 3;
-
 	private static GatewayFixture cutOff(ScriptedServer.Script... scripts) throws Exception {
 		GatewayFixture fixture = GatewayFixture.withServers(scripts);
 		fixture.startHelpingHost();
@@ -100,10 +89,10 @@
 	void onlyTheServerEndsAResponseWithItsConnection(String endedBy, boolean complete) throws Exception {
 		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD);
 				ScriptedHost host = new ScriptedHost((request, out) -> {
-					frame(out, DATA,
+					ScriptedHost.frame(out, ScriptedHost.DATA,
 							"HTTP/1.1 200 OK\r\nid: " + RawHttp.header(request, "id") + "\r\nseal: s\r\n\r\nwhole");
 					if (endedBy.equals("server")) {
-						frame(out, END, "");
+						ScriptedHost.frame(out, ScriptedHost.END, "");
 					}
 				})) {
 			fixture.addHost("scripted", host.address());
@@ -114,12 +103,6 @@
 		}
 	}
 
-	private static void frame(OutputStream out, int kind, String payload) throws IOException {
-		byte[] bytes = payload.getBytes(StandardCharsets.US_ASCII);
-		out.write(ByteBuffer.allocate(5 + bytes.length).put((byte) kind).putInt(bytes.length).put(bytes).array());
-		out.flush();
-	}
-
 	@Test
 	void aRequestThatMayBeRepeatedIsSentAgainWhenTheHelpingHostIsLost() throws Exception {
 		try (GatewayFixture fixture = GatewayFixture.withServers(GOOD, GOOD);
@@ -350,68 +333,4 @@
 		}
 	}
 
-	/**
-	 * A host that accepts each request for a connection and writes frames by a script,
-	 * then ends its connection regularly.
-	 */
-	private static final class ScriptedHost implements AutoCloseable {
-
-		private final ServerSocket listening = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
-
-		private final List<String> requests = new CopyOnWriteArrayList<>();
-
-		private final Script script;
-
-		private ScriptedHost(Script script) throws IOException {
-			this.script = script;
-			Thread serving = new Thread(this::serve, "scripted-host");
-			serving.setDaemon(true);
-			serving.start();
-		}
-
-		private InetSocketAddress address() {
-			return new InetSocketAddress(InetAddress.getLoopbackAddress(), this.listening.getLocalPort());
-		}
-
-		private List<String> requests() {
-			return this.requests;
-		}
-
-		private void serve() {
-			while (!this.listening.isClosed()) {
-				try (Socket socket = this.listening.accept()) {
-					DataInputStream in = new DataInputStream(socket.getInputStream());
-					readFrame(in);
-					socket.getOutputStream().write(new byte[] { 1, 0, 0, 0, 1, 0 });
-					String request = readFrame(in);
-					this.requests.add(request);
-					this.script.respond(request, socket.getOutputStream());
-					socket.shutdownOutput();
-				}
-				catch (IOException ex) {
-					// the other side has ended the connection
-				}
-			}
-		}
-
-		private static String readFrame(DataInputStream in) throws IOException {
-			in.readByte();
-			return new String(in.readNBytes(in.readInt()), StandardCharsets.US_ASCII);
-		}
-
-		@Override
-		public void close() throws IOException {
-			this.listening.close();
-		}
-
-		/** Writes frames in response to a request. */
-		@FunctionalInterface
-		private interface Script {
-
-			void respond(String request, OutputStream out) throws IOException;
-
-		}
-
-	}
-
 }
