--- a/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedHost.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedHost.java
@@ -72,6 +72,12 @@
 		this.listening.close();
 	}
 
+	static void frame(OutputStream out, int kind, String payload) throws IOException {
+		byte[] bytes = payload.getBytes(StandardCharsets.US_ASCII);
+		out.write(ByteBuffer.allocate(5 + bytes.length).put((byte) kind).putInt(bytes.length).put(bytes).array());
+		out.flush();
+	}
+
 	/** Writes frames in response to a request. */
 	@FunctionalInterface
 	interface Script {
@@ -80,10 +86,4 @@
 
 	}
 
-	static void frame(OutputStream out, int kind, String payload) throws IOException {
-		byte[] bytes = payload.getBytes(StandardCharsets.US_ASCII);
-		out.write(ByteBuffer.allocate(5 + bytes.length).put((byte) kind).putInt(bytes.length).put(bytes).array());
-		out.flush();
-	}
-
 }
