Exchange and BackendAttempt: waiting for a trial and the verdict on a head have their own places

Cause: Exchange and BackendAttempt had grown with connections through other hosts; waiting for another request's trial, which only the crash check decides, stood in Exchange, and the reading of a response's head in BackendAttempt. Two unused imports failed Checkstyle on. The comment of FleetSlots promised more than it holds between hosts that reach the keeper of an account and hosts that do not. No decision is changed.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/AttemptLog.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/AttemptLog.java
@@ -1,5 +1,7 @@
 package io.sequoialink.gateway.http;
 
+import java.util.concurrent.TimeUnit;
+
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.place.ServerState;
 import org.slf4j.Logger;
@@ -36,7 +38,7 @@
 		this.exchange.gateway()
 			.metrics()
 			.attempts()
-			.increment(this.exchange.serviceName(), this.server.entry().version(), outcome);
+			.increment(this.exchange.service(), this.server.entry().version(), outcome);
 	}
 
 	/**
@@ -55,7 +57,7 @@
 	 */
 	void end(String detail) {
 		logger.info(GatewayEvents.ATTEMPT_ENDED, this.exchange.id(), this.exchange.attempts(), serverId(), detail,
-				Exchange.millis(this.exchange.now() - this.startedAt));
+				TimeUnit.NANOSECONDS.toMillis(this.exchange.now() - this.startedAt));
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -23,8 +23,6 @@
 	/** Maximum size of a response that is buffered until it is complete. */
 	private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
-	private static final int MISDIRECTED = 421;
-
 	/** Time for which a permit may be used, in nanoseconds. */
 	private static final long PERMIT_LIFETIME_NANOS = 1_000_000_000L;
 
@@ -39,12 +37,6 @@
 	 */
 	private static final int MIN_BEGUN_EVENTS = 2;
 
-	private enum Verdict {
-
-		NONE, NOT_RUN, FAILURE, SUCCESS
-
-	}
-
 	private final Exchange exchange;
 
 	private final ServerState server;
@@ -75,7 +67,7 @@
 
 	private OutboundRequest outbound;
 
-	private Verdict verdict = Verdict.NONE;
+	private ResponseVerdict verdict = ResponseVerdict.NONE;
 
 	private int status;
 
@@ -190,12 +182,12 @@
 		markResponseStarted();
 		this.notices.record(responseStatus, metadata, this.startedAt);
 		metadata.load().ifPresent((load) -> this.server.report(load.running(), load.waiting(), this.exchange.now()));
-		this.verdict = classify(responseStatus, responseHeaders, metadata);
-		if (this.verdict == Verdict.NONE) {
+		this.verdict = ResponseVerdict.of(responseStatus, responseHeaders, metadata);
+		if (this.verdict == ResponseVerdict.NONE) {
 			abort("response without signature, status " + responseStatus);
 			return;
 		}
-		if (this.verdict == Verdict.SUCCESS && this.exchange.streaming()) {
+		if (this.verdict == ResponseVerdict.SUCCESS && this.exchange.streaming()) {
 			startStream(metadata);
 		}
 		else {
@@ -247,16 +239,6 @@
 		return (this.exchange.now() - nanos) / 1_000_000.0;
 	}
 
-	private static Verdict classify(int responseStatus, HttpHeaders responseHeaders, ResponseMetadata metadata) {
-		if (metadata.notExecuted() || responseStatus == MISDIRECTED) {
-			return Verdict.NOT_RUN;
-		}
-		if (!metadata.signed() || responseHeaders.contains(HttpHeaderNames.CONTENT_ENCODING)) {
-			return Verdict.NONE;
-		}
-		return (responseStatus >= 200 && responseStatus < 300) ? Verdict.SUCCESS : Verdict.FAILURE;
-	}
-
 	@Override
 	public void data(ByteBuf data) {
 		if (this.done) {
@@ -384,7 +366,7 @@
 		if (this.done) {
 			return;
 		}
-		boolean statedNotRun = this.verdict == Verdict.NOT_RUN;
+		boolean statedNotRun = this.verdict == ResponseVerdict.NOT_RUN;
 		finish();
 		dropBuffers();
 		logFailedEnd(describe(failure));
@@ -405,7 +387,7 @@
 			this.log.lostResponse((this.events != null) ? this.events.events() : 0,
 					(this.headers != null) ? String.valueOf((long) millisSince(this.headAt)) : "no");
 		}
-		if (failure == AttemptFailure.DISCONNECTED && this.verdict != Verdict.NOT_RUN && !provenHarmless()) {
+		if (failure == AttemptFailure.DISCONNECTED && this.verdict != ResponseVerdict.NOT_RUN && !provenHarmless()) {
 			this.exchange.crashCheck().checkForCrash(this.server, this.startedAt, this.progress);
 		}
 		if (failure == AttemptFailure.NOT_CONNECTED) {
@@ -443,15 +425,7 @@
 	}
 
 	private void logFailedEnd(String detail) {
-		this.log.failedEnd(outcome(), detail);
-	}
-
-	private String outcome() {
-		return switch (this.verdict) {
-			case NOT_RUN -> "not run";
-			case FAILURE -> "failed";
-			case NONE, SUCCESS -> "broken";
-		};
+		this.log.failedEnd(this.verdict.outcome(), detail);
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/CrashingRequestCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/CrashingRequestCheck.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.sequoialink.decision.crash.CrashVerdict;
 import io.sequoialink.decision.crash.Involvement;
+import io.sequoialink.decision.crash.TraitVerdict;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.crash.CrashCoordinator;
 import io.sequoialink.gateway.path.ServerConnector;
@@ -26,6 +27,14 @@
 	 */
 	private static final int MAX_CRASHED_ATTEMPTS = 2;
 
+	/**
+	 * Time between two looks at the result of another request's trial, in milliseconds.
+	 */
+	static final long TRIAL_WAIT_MILLIS = 100;
+
+	/** Number of such looks after which the request is rejected. */
+	private static final int MAX_TRIAL_WAITS = 10;
+
 	private final GatewayContext gateway;
 
 	private final ClientRequest request;
@@ -36,6 +45,8 @@
 
 	private int disconnects;
 
+	private int trialWaits;
+
 	private boolean hashed;
 
 	private long fingerprint;
@@ -69,6 +80,22 @@
 		return crashes().anySuspects() ? crashes().verdict(fingerprint()) : CrashVerdict.FREE;
 	}
 
+	/**
+	 * Returns whether a blocked request should look again after
+	 * {@link #TRIAL_WAIT_MILLIS}, and counts the look: another request with the same
+	 * suspected trait is on trial, whose result mostly comes soon.
+	 * @param spareMillis time that the request may wait, in milliseconds
+	 * @return whether to wait
+	 */
+	boolean awaitsTrial(long spareMillis) {
+		boolean onTrial = this.traits.verdict().kind() == TraitVerdict.Kind.HELD;
+		if (!onTrial || this.trialWaits >= MAX_TRIAL_WAITS || spareMillis < MAX_TRIAL_WAITS * TRIAL_WAIT_MILLIS) {
+			return false;
+		}
+		this.trialWaits++;
+		return true;
+	}
+
 	/**
 	 * Returns when the client may retry a blocked request.
 	 * @return delay in milliseconds
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -6,12 +6,8 @@
 import java.util.OptionalInt;
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.sequoialink.decision.crash.TraitVerdict;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.flow.Executed;
@@ -38,12 +34,6 @@
 	/** Minimum time until the deadline for asking a larger model, in milliseconds. */
 	private static final long MIN_ESCALATION_MILLIS = 800;
 
-	/** Time between two looks at the result of another request's trial. */
-	private static final long TRIAL_WAIT_MILLIS = 100;
-
-	/** Number of such looks after which the request is rejected. */
-	private static final int MAX_TRIAL_WAITS = 10;
-
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final GatewayContext gateway;
@@ -84,8 +74,6 @@
 
 	private CrashingRequestCheck crashCheck;
 
-	private int trialWaits;
-
 	private long retryAfterMillis = LocalResponse.DEFAULT_RETRY_MILLIS;
 
 	Exchange(GatewayContext gateway, ClientConnection client, ClientRequest request) {
@@ -158,7 +146,11 @@
 		return this.admission.route();
 	}
 
-	private String service() {
+	/**
+	 * Returns the service that runs the request.
+	 * @return name of the service
+	 */
+	String service() {
 		return this.admission.service();
 	}
 
@@ -168,7 +160,8 @@
 			perform(this.flow.noServerAvailable());
 			return;
 		}
-		if (this.crashCheck.blocked() && waitForTrial()) {
+		if (this.crashCheck.blocked() && this.crashCheck.awaitsTrial(remainingMillis() - MIN_ATTEMPT_MILLIS)) {
+			schedule(this::sendUnlessEnded, CrashingRequestCheck.TRIAL_WAIT_MILLIS);
 			return;
 		}
 		if (this.crashCheck.blocked()) {
@@ -199,33 +192,18 @@
 		send(placed.get(), placement.prompt());
 	}
 
-	// Another request with the same suspected trait is on trial; mostly its result comes
-	// soon.
-	private boolean waitForTrial() {
-		boolean onTrial = this.crashCheck.traits().verdict().kind() == TraitVerdict.Kind.HELD;
-		if (!onTrial || this.trialWaits >= MAX_TRIAL_WAITS
-				|| remainingMillis() < MIN_ATTEMPT_MILLIS + MAX_TRIAL_WAITS * TRIAL_WAIT_MILLIS) {
-			return false;
-		}
-		this.trialWaits++;
-		schedule(() -> {
-			if (!this.flow.done()) {
-				send();
-			}
-		}, TRIAL_WAIT_MILLIS);
-		return true;
-	}
-
 	private void acquirePermit(SelectedServer placed, PromptSize work) {
 		this.permits.acquire(placed, () -> {
 			if (mayStillSend()) {
 				send(placed, work, true);
 			}
-		}, () -> {
-			if (!this.flow.done()) {
-				send();
-			}
-		});
+		}, this::sendUnlessEnded);
+	}
+
+	private void sendUnlessEnded() {
+		if (!this.flow.done()) {
+			send();
+		}
 	}
 
 	// The request may have ended while it waited for a permit.
@@ -573,10 +551,6 @@
 		return this.gateway;
 	}
 
-	String serviceName() {
-		return service();
-	}
-
 	String routeName() {
 		return route().name();
 	}
@@ -607,8 +581,4 @@
 		return this.flow.attempts();
 	}
 
-	static long millis(long nanos) {
-		return TimeUnit.NANOSECONDS.toMillis(nanos);
-	}
-
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
@@ -32,8 +32,9 @@
  * <p>
  * One host, drawn by rendezvous hashing, keeps the account of a server's slots. The
  * others report to it how many requests they have there, at each end of one, and ask it
- * before they send one. A host that does not reach the account's keeper uses a small part
- * of the slots, such that all hosts together use no more than there are.
+ * before they send one. Hosts that do not reach the account's keeper use at most as many
+ * slots together as there are; the keeper may give as many to others meanwhile, until the
+ * server's rejections stop the former for a second at a time.
  */
 public final class FleetSlots implements RequestPermits {
 
