Test: permits of a host without any path are not missed for long

Cause: permits were named as a place where a host may take its own path for everyone's and were only held by reading. Change: a test in PassedOnRequestTests: six requests that need a permit are refused with 503 while the host reaches no server; once the path is back a request with a permit is served within 2 s, so the refused ones hold none. No logic is changed.

--- a/gateway/src/test/java/io/sequoialink/gateway/http/PassedOnRequestTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/PassedOnRequestTests.java
@@ -89,6 +89,27 @@
 		}
 	}
 
+	// Guards against a host that uses up permits while it reaches no server, so that
+	// requests wait for the next ones after the return.
+	@Test
+	void permitsOfAHostWithoutAnyPathAreNotMissedForLong() throws Exception {
+		ScriptedServer.Script limited = (call) -> call.respond(200, "seal: s\r\nlimit: 2\r\n", "hello");
+		try (GatewayFixture fixture = GatewayFixture.withServers(limited, limited);
+				SilentAddress silent = new SilentAddress()) {
+			fixture.exchange("/once/x", "");
+			fixture.setCutOff(silent.address());
+			for (int i = 0; i < 6; i++) {
+				assertThat(RawHttp.status(fixture.exchange("/brief-once/x", ""))).isEqualTo(503);
+			}
+			fixture.setCutOff(false);
+			long until = System.nanoTime() + 2_000_000_000L;
+			while (RawHttp.status(fixture.exchange("/once/x", "")) != 200) {
+				assertThat(System.nanoTime()).isLessThan(until);
+				Thread.sleep(50);
+			}
+		}
+	}
+
 	@Test
 	void aServerThatAsksForABackOffGetsItThroughAnotherHost() throws Exception {
 		ScriptedServer.Script full = (call) -> call.respond(503, "not-run: 1\r\nspare: 20000\r\n", "");
