ServerConnector: probes, the check of the own path and the handler of unused connections are their own classes

Change: ServerProbe, OwnPathCheck and UnusedConnectionHandler; choose is preferred, usable-besides or any; FleetSlots.held. No decision changed.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/HelpingHosts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/HelpingHosts.java
@@ -133,23 +133,34 @@
 	 */
 	Optional<Peer> choose(Set<String> asked) {
 		long now = this.clock.getAsLong();
-		List<Peer> usable = this.others.get()
-			.stream()
-			.filter((peer) -> !asked.contains(peer.host()) && usable(peer, now))
-			.toList();
+		List<Peer> usable = usableBesides(asked, now);
 		if (usable.isEmpty() && lastResortDue(now)) {
 			return lastResort(asked, now);
 		}
-		List<Peer> sameZone = usable.stream().filter(this::sameZone).toList();
-		List<Peer> nearest = (sameZone.isEmpty() || zoneDoubted(now)) ? usable : sameZone;
-		List<Peer> helpers = usable.stream().filter((peer) -> helpedSince(peer, now - KNOWN_HELPER_NANOS)).toList();
-		boolean explores = helpers.size() < USED_HOSTS && this.random.nextInt(EXPLORE_ONE_IN) == 0;
-		nearest = (helpers.isEmpty() || explores) ? nearest : helpers;
-		List<Peer> drawn = nearest.stream()
+		List<Peer> drawn = preferred(usable, now).stream()
 			.sorted(Comparator.comparingLong((Peer peer) -> weight(peer)))
 			.limit(USED_HOSTS)
 			.toList();
-		return drawn.isEmpty() ? Optional.empty() : Optional.of(drawn.get(this.random.nextInt(drawn.size())));
+		return any(drawn);
+	}
+
+	// Hosts that helped of late, or else those of this host's zone unless it is doubted.
+	private List<Peer> preferred(List<Peer> usable, long now) {
+		List<Peer> helpers = usable.stream().filter((peer) -> helpedSince(peer, now - KNOWN_HELPER_NANOS)).toList();
+		boolean explores = helpers.size() < USED_HOSTS && this.random.nextInt(EXPLORE_ONE_IN) == 0;
+		if (!helpers.isEmpty() && !explores) {
+			return helpers;
+		}
+		List<Peer> sameZone = usable.stream().filter(this::sameZone).toList();
+		return (sameZone.isEmpty() || zoneDoubted(now)) ? usable : sameZone;
+	}
+
+	private List<Peer> usableBesides(Set<String> asked, long now) {
+		return this.others.get().stream().filter((peer) -> !asked.contains(peer.host()) && usable(peer, now)).toList();
+	}
+
+	private Optional<Peer> any(List<Peer> peers) {
+		return peers.isEmpty() ? Optional.empty() : Optional.of(peers.get(this.random.nextInt(peers.size())));
 	}
 
 	private boolean lastResortDue(long now) {
@@ -183,11 +194,8 @@
 	 */
 	Optional<Peer> chooseAny(Set<String> asked) {
 		long now = this.clock.getAsLong();
-		List<Peer> usable = this.others.get()
-			.stream()
-			.filter((peer) -> !asked.contains(peer.host()) && usable(peer, now))
-			.toList();
-		return usable.isEmpty() ? Optional.empty() : Optional.of(usable.get(this.random.nextInt(usable.size())));
+		List<Peer> usable = usableBesides(asked, now);
+		return any(usable);
 	}
 
 	private boolean helpedSince(Peer peer, long sinceNanos) {
--- a/gateway/src/main/java/io/sequoialink/gateway/path/OtherServers.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/OtherServers.java
@@ -33,21 +33,21 @@
 	/**
 	 * Draws servers of the same service. Those of other services may be reached on
 	 * another path, so they are drawn only if the service has no other server.
-	 * @param than the server that refuses
+	 * @param refusing the server that refuses
 	 * @param most most servers to draw
 	 * @return the servers, none if no other is registered
 	 */
-	List<ServerEntry> draw(ServerEntry than, int most) {
-		List<ServerEntry> sameService = usable(this.view.servers(than.service()), than);
-		List<ServerEntry> candidates = sameService.isEmpty() ? usable(this.view.servers(), than) : sameService;
+	List<ServerEntry> draw(ServerEntry refusing, int most) {
+		List<ServerEntry> sameService = usable(this.view.servers(refusing.service()), refusing);
+		List<ServerEntry> candidates = sameService.isEmpty() ? usable(this.view.servers(), refusing) : sameService;
 		Collections.shuffle(candidates, new Random(this.random.nextLong()));
 		return candidates.subList(0, Math.min(most, candidates.size()));
 	}
 
-	private static List<ServerEntry> usable(Collection<ServerEntry> servers, ServerEntry than) {
+	private static List<ServerEntry> usable(Collection<ServerEntry> servers, ServerEntry refusing) {
 		List<ServerEntry> usable = new ArrayList<>();
 		for (ServerEntry server : servers) {
-			if (!server.draining() && !server.id().equals(than.id())) {
+			if (!server.draining() && !server.id().equals(refusing.id())) {
 				usable.add(server);
 			}
 		}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/OwnPathCheck.java
@@ -0,0 +1,68 @@
+package io.sequoialink.gateway.path;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.sequoialink.gateway.fleet.ServerEntry;
+
+/**
+ * Finds out whether this host's own path to servers is whole, after one of them has
+ * refused a connection, by connecting to others. Confined to the event loop.
+ */
+final class OwnPathCheck {
+
+	/** Number of servers at which a host checks its own path. */
+	private static final int MAX_CHECKED = 2;
+
+	private final ServerConnector connector;
+
+	private final OtherServers others;
+
+	OwnPathCheck(ServerConnector connector, OtherServers others) {
+		this.connector = connector;
+		this.others = others;
+	}
+
+	/**
+	 * Checks the path.
+	 * @param refusing the server that refuses
+	 * @param callback receives whether another server takes a connection, or none is
+	 * registered
+	 */
+	void check(ServerEntry refusing, Consumer<Boolean> callback) {
+		List<ServerEntry> drawn = this.others.draw(refusing, MAX_CHECKED);
+		if (drawn.isEmpty()) {
+			callback.accept(true);
+			return;
+		}
+		OpenChecks checks = new OpenChecks(drawn.size(), callback);
+		for (ServerEntry other : drawn) {
+			this.connector.checkDirectly(other, (cause) -> checks.ended(cause.isEmpty()));
+		}
+	}
+
+	/** Checks that run at the same time; the first that succeeds decides. */
+	private static final class OpenChecks {
+
+		private final Consumer<Boolean> callback;
+
+		private int open;
+
+		private boolean decided;
+
+		private OpenChecks(int open, Consumer<Boolean> callback) {
+			this.open = open;
+			this.callback = callback;
+		}
+
+		private void ended(boolean success) {
+			this.open--;
+			if (!this.decided && (success || this.open == 0)) {
+				this.decided = true;
+				this.callback.accept(success);
+			}
+		}
+
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -18,11 +17,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
-import io.netty.util.ReferenceCountUtil;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.count.LabelledCounters;
 import io.sequoialink.gateway.fleet.ServerEntry;
@@ -61,12 +57,6 @@
 	/** Number of hosts that are asked for one connection. */
 	private static final int MAX_ASKED = 3;
 
-	/** Number of servers at which a host checks its own path. */
-	private static final int MAX_CONFIRMING = 2;
-
-	/** Number of hosts that are asked whether a server has ended. */
-	private static final int MAX_WITNESSES = 2;
-
 	private final Bootstrap toServers;
 
 	private final Bootstrap toHosts;
@@ -77,7 +67,9 @@
 
 	private final HelpingHosts hosts;
 
-	private final OtherServers others;
+	private final OwnPathCheck ownPathCheck;
+
+	private final ServerProbe probe;
 
 	private final LabelledCounters counts;
 
@@ -100,7 +92,8 @@
 		this.addresses = addresses;
 		this.paths = paths;
 		this.hosts = hosts;
-		this.others = others;
+		this.ownPathCheck = new OwnPathCheck(this, others);
+		this.probe = new ServerProbe(this, hosts, this.ownPathCheck);
 		this.counts = counts;
 		this.clock = clock;
 	}
@@ -141,7 +134,7 @@
 	}
 
 	private void openDirectly(ServerEntry server, ConnectionAttempt attempt) {
-		ChannelFuture connecting = connect(server, attempt.newHandlers(), (cause) -> {
+		ChannelFuture connecting = connect(server, attempt.newHandlers(), true, (cause) -> {
 			if (cause.isEmpty()) {
 				attempt.opened(true);
 			}
@@ -162,10 +155,6 @@
 		return cause instanceof ConnectException || (givenUp && nanos >= SILENT_CONNECT_NANOS);
 	}
 
-	private ChannelFuture connect(ServerEntry server, ChannelHandler handlers, Consumer<Optional<Throwable>> ended) {
-		return connect(server, handlers, true, ended);
-	}
-
 	// What other hosts ask for does not count against this host's path: they ask for
 	// servers that they could not connect to.
 	private ChannelFuture connect(ServerEntry server, ChannelHandler handlers, boolean countsFailure,
@@ -226,8 +215,7 @@
 	}
 
 	// A host that gets no answer may be cut off without having noticed, unless it has
-	// just
-	// helped.
+	// just helped.
 	private boolean saysOfServer(TunnelAnswer answer, Peer host) {
 		return switch (answer) {
 			case UNKNOWN_SERVER, REFUSED -> true;
@@ -254,90 +242,45 @@
 
 	// Beside each connection through another host, so that a path that is whole again is
 	// found whether or not another host helps. A server to which one has just connected
-	// is
-	// alive, so that a direct connection to it tells most.
+	// is alive, so that a direct connection to it tells most.
 	private void checkDirectPath(ServerEntry server) {
 		if (this.paths.suspected(server.service()) && this.paths.tryCheck(server.service())) {
-			ChannelFuture connecting = connect(server, new UnusedConnectionHandler(), (cause) -> {
+			checkDirectly(server, (cause) -> {
 				// the outcome has been recorded
 			});
-			connecting.addListener((future) -> connecting.channel().close());
 		}
 	}
 
 	/**
-	 * Checks whether a server refuses all connections, as it does after a crash. A
-	 * refusal counts only if another host is refused too, or none can tell and this
-	 * host's own path is whole, since the path may be broken instead.
+	 * Checks whether a server refuses all connections, as it does after a crash.
 	 * @param server the server
 	 * @param callback receives the connection error, or empty if a connection was made
 	 */
 	public void probe(ServerEntry server, Consumer<Optional<Throwable>> callback) {
-		if (this.paths.silent(server.service()) && this.hosts.anyUsable()) {
-			askWitness(server, new IOException("the direct path is suspected"), new HashSet<>(), callback);
-			return;
-		}
-		ChannelFuture connecting = connect(server, new UnusedConnectionHandler(), (cause) -> {
-			if (cause.filter(ServerConnector::refused).isPresent()) {
-				askWitness(server, cause.get(), new HashSet<>(), callback);
-			}
-			else {
-				callback.accept(cause);
-			}
-		});
-		connecting.addListener((future) -> connecting.channel().close());
-	}
-
-	private void askWitness(ServerEntry server, Throwable result, Set<String> asked,
-			Consumer<Optional<Throwable>> callback) {
-		Optional<Peer> host = (asked.size() < MAX_WITNESSES) ? this.hosts.chooseAny(asked) : Optional.empty();
-		if (host.isEmpty()) {
-			concludeAlone(server, result, callback);
-			return;
-		}
-		asked.add(host.get().host());
-		ChannelFuture connecting = ask(host.get(), server, new UnusedConnectionHandler(), (answer) -> {
-			switch (answer) {
-				case CONNECTED -> callback.accept(Optional.empty());
-				case REFUSED ->
-					callback.accept(Optional.of(new ConnectException("refused, also to host " + host.get().host())));
-				default -> askWitness(server, result, asked, callback);
-			}
-		});
-		connecting.addListener((future) -> connecting.channel()
-			.eventLoop()
-			.schedule((Runnable) connecting.channel()::close, 2L * CONNECT_MILLIS, TimeUnit.MILLISECONDS));
+		this.probe.check(server, callback);
 	}
 
-	// Without any other host there is nobody who could be reached instead.
-	private void concludeAlone(ServerEntry server, Throwable result, Consumer<Optional<Throwable>> callback) {
-		if (!refused(result) || !this.hosts.anyKnown()) {
-			callback.accept(Optional.of(result));
-			return;
-		}
-		confirmOwnPath(server,
-				(whole) -> callback.accept(Optional.of(whole ? result : new IOException("no host can tell"))));
+	/**
+	 * Opens a direct connection only to see whether that is possible.
+	 * @param server the server
+	 * @param ended receives the connection error, or empty if a connection was made
+	 */
+	void checkDirectly(ServerEntry server, Consumer<Optional<Throwable>> ended) {
+		ChannelFuture connecting = connect(server, new UnusedConnectionHandler(), true, ended);
+		connecting.addListener((future) -> connecting.channel().close());
 	}
 
 	/**
-	 * Finds out whether this host's own path is whole, after a server has refused a
-	 * connection, by connecting to others.
-	 * @param than the server that refuses
-	 * @param callback receives whether another server takes a connection, or none is
-	 * registered
+	 * Has another host open a connection only to see whether that is possible.
+	 * @param host the other host
+	 * @param server the server
+	 * @param receiver receives the answer
 	 */
-	void confirmOwnPath(ServerEntry than, Consumer<Boolean> callback) {
-		List<ServerEntry> drawn = this.others.draw(than, MAX_CONFIRMING);
-		if (drawn.isEmpty()) {
-			callback.accept(true);
-			return;
-		}
-		OpenChecks checks = new OpenChecks(drawn.size(), callback);
-		for (ServerEntry other : drawn) {
-			ChannelFuture connecting = connect(other, new UnusedConnectionHandler(),
-					(cause) -> checks.ended(cause.isEmpty()));
-			connecting.addListener((future) -> connecting.channel().close());
-		}
+	void checkThroughHost(Peer host, ServerEntry server, Consumer<TunnelAnswer> receiver) {
+		ChannelFuture connecting = ask(host, server, new UnusedConnectionHandler(), receiver);
+		connecting.addListener((future) -> connecting.channel()
+			.eventLoop()
+			.schedule((Runnable) connecting.channel()::close, 2L * CONNECT_MILLIS, TimeUnit.MILLISECONDS));
 	}
 
 	/**
@@ -348,6 +291,14 @@
 		return this.paths;
 	}
 
+	/**
+	 * Returns the check of this host's own path.
+	 * @return the check
+	 */
+	OwnPathCheck ownPathCheck() {
+		return this.ownPathCheck;
+	}
+
 	/**
 	 * Opens a connection for another host, directly only.
 	 * @param server the server
@@ -359,44 +310,4 @@
 		return connect(server, handlers, false, ended).channel();
 	}
 
-	/** Checks that run at the same time; the first that succeeds decides. */
-	private static final class OpenChecks {
-
-		private final Consumer<Boolean> callback;
-
-		private int open;
-
-		private boolean decided;
-
-		private OpenChecks(int open, Consumer<Boolean> callback) {
-			this.open = open;
-			this.callback = callback;
-		}
-
-		private void ended(boolean success) {
-			this.open--;
-			if (!this.decided && (success || this.open == 0)) {
-				this.decided = true;
-				this.callback.accept(success);
-			}
-		}
-
-	}
-
-	/** Handler of a connection that was only opened to see that it can be. */
-	private static final class UnusedConnectionHandler extends ChannelInboundHandlerAdapter {
-
-		@Override
-		public void channelRead(ChannelHandlerContext context, Object message) {
-			ReferenceCountUtil.release(message);
-		}
-
-		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			logger.debug("connection that was opened as a check was lost: {}", cause.toString());
-			context.close();
-		}
-
-	}
-
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServicePaths.java
@@ -54,7 +54,7 @@
 	}
 
 	/**
-	 * Returns whether connections to a service's servers should not be opened directly.
+	 * Returns whether this host may be cut off from a service's servers.
 	 * @param service name of the service
 	 * @return whether a server did not answer at all, or several refused, since a direct
 	 * connection was last made
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
@@ -173,8 +173,8 @@
 	 */
 	void explainFailure(ServerEntry server, Throwable cause, Consumer<TunnelAnswer> receiver) {
 		if (ServerConnector.refused(cause)) {
-			this.connector.confirmOwnPath(server,
-					(whole) -> receiver.accept(whole ? TunnelAnswer.REFUSED : TunnelAnswer.UNDECIDED));
+			this.connector.ownPathCheck()
+				.check(server, (whole) -> receiver.accept(whole ? TunnelAnswer.REFUSED : TunnelAnswer.UNDECIDED));
 			return;
 		}
 		boolean suspected = this.connector.paths().suspected(server.service());
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
@@ -204,6 +204,10 @@
 		return this.uses.computeIfAbsent(server, (each) -> new Use());
 	}
 
+	private int held(long server) {
+		return this.brittle.find(server).map(this.inFlight::applyAsInt).orElse(0);
+	}
+
 	private Peer keeper(long server) {
 		return this.keepers.owner(new PermitIssuer.Key(server, PermitIssuer.SLICES), this.clock.getAsLong());
 	}
@@ -231,7 +235,7 @@
 
 	private SlotMessage.Report message(long server, long number) {
 		Use use = use(server);
-		int held = this.brittle.find(server).map(this.inFlight::applyAsInt).orElse(0);
+		int held = held(server);
 		use.reportedHeld = held;
 		use.reportedDecided = use.lastDecided;
 		use.reportedNanos = this.clock.getAsLong();
@@ -275,7 +279,7 @@
 			return false;
 		}
 		int slots = question.said().slots();
-		int held = this.brittle.find(server).map(this.inFlight::applyAsInt).orElse(0);
+		int held = held(server);
 		long own = weight(server, this.self.host());
 		long before = this.keepers.hosts(this.clock.getAsLong())
 			.stream()
@@ -338,7 +342,7 @@
 
 	private boolean dueForReport(long server, long now) {
 		Use use = this.uses.get(server);
-		int held = this.brittle.find(server).map(this.inFlight::applyAsInt).orElse(0);
+		int held = held(server);
 		boolean again = held > 0 && now - use.reportedNanos > TimeUnit.MILLISECONDS.toNanos(2 * ROUND_MILLIS);
 		return held != use.reportedHeld || use.lastDecided != use.reportedDecided || again;
 	}
