Leave a helping host out only for the service that it does not reach

Cause: what was known of a host as a helping host held for all services. Its true answer CUT_OFF (or UNDECIDED) about one service left it out for the other too. The same would follow where all servers of one service are down: then all hosts are left out for every service. Ruled out: the limit for one helping host (no answer BUSY in the log).

--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -55,7 +55,7 @@
 	public static final String CONNECTED_THROUGH_HOST = "SL-3113 connected to server {} of {} through host {} after {} ms";
 
 	/** Another host could not help and is not asked for a while. */
-	public static final String HELPING_HOST_LEFT_OUT = "SL-3114 host {} is not asked for connections for {} ms: {}";
+	public static final String HELPING_HOST_LEFT_OUT = "SL-3114 host {} is not asked for connections to servers of {} for {} ms: {}";
 
 	/** This host does not listen for hosts that need its help. */
 	public static final String NO_TUNNELS = "SL-3115 cannot listen on {} for connections of other hosts, so this one does not help them to reach servers: {}";
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -107,7 +107,8 @@
 	 * @return whether to use it
 	 */
 	public boolean prefers(String service, boolean direct) {
-		return direct ? !(this.paths.silent(service) && this.hosts.anyUsable()) : this.paths.suspected(service);
+		return direct ? !(this.paths.silent(service) && this.hosts.of(service).anyUsable())
+				: this.paths.suspected(service);
 	}
 
 	/**
@@ -116,7 +117,7 @@
 	 * @param attempt receives the outcome
 	 */
 	public void open(ServerEntry server, ConnectionAttempt attempt) {
-		if (this.paths.silent(server.service()) && this.hosts.anyUsable()) {
+		if (this.paths.silent(server.service()) && helpers(server).anyUsable()) {
 			checkDirectPath(server);
 			openThroughHost(server, attempt, new HashSet<>());
 		}
@@ -129,6 +130,10 @@
 		}
 	}
 
+	private ServiceHelpers helpers(ServerEntry server) {
+		return this.hosts.of(server.service());
+	}
+
 	private static IOException noPath(ServerEntry server) {
 		return new ConnectException("neither this host nor those that it asked reach servers of " + server.service());
 	}
@@ -138,7 +143,7 @@
 			if (cause.isEmpty()) {
 				attempt.opened(true);
 			}
-			else if (!attempt.cancelled() && this.paths.suspected(server.service()) && this.hosts.anyUsable()) {
+			else if (!attempt.cancelled() && this.paths.suspected(server.service()) && helpers(server).anyUsable()) {
 				openThroughHost(server, attempt, new HashSet<>());
 			}
 			else {
@@ -186,7 +191,7 @@
 	}
 
 	private void openThroughHost(ServerEntry server, ConnectionAttempt attempt, Set<String> asked) {
-		Optional<Peer> host = (asked.size() < MAX_ASKED) ? this.hosts.choose(asked) : Optional.empty();
+		Optional<Peer> host = (asked.size() < MAX_ASKED) ? helpers(server).choose(asked) : Optional.empty();
 		if (host.isEmpty()) {
 			this.counts.increment("no_host");
 			attempt.failed(noPath(server));
@@ -204,7 +209,7 @@
 				attempt.opened(false);
 				checkDirectPath(server);
 			}
-			else if (saysOfServer(answer, host.get())) {
+			else if (saysOfServer(answer, server, host.get())) {
 				attempt.failed(new ConnectException("host " + host.get().host() + " says: " + answer));
 			}
 			else {
@@ -216,17 +221,17 @@
 
 	// A host that gets no answer may be cut off without having noticed, unless it has
 	// just helped.
-	private boolean saysOfServer(TunnelAnswer answer, Peer host) {
+	private boolean saysOfServer(TunnelAnswer answer, ServerEntry server, Peer host) {
 		return switch (answer) {
 			case UNKNOWN_SERVER, REFUSED -> true;
-			case SILENT -> this.hosts.trusted(host);
+			case SILENT -> helpers(server).trusted(host);
 			default -> false;
 		};
 	}
 
 	// The answer is CUT_OFF if the host itself did not answer.
 	private ChannelFuture ask(Peer host, ServerEntry server, ChannelHandler handlers, Consumer<TunnelAnswer> receiver) {
-		TunnelClientHandler handler = new TunnelClientHandler(host, this.hosts,
+		TunnelClientHandler handler = new TunnelClientHandler(host, helpers(server),
 				new TunnelFrames.Target(server.id(), server.startMillis()), handlers, this.clock, (answer) -> {
 					this.counts.increment(answer.name().toLowerCase(Locale.ROOT));
 					receiver.accept(answer);
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
@@ -41,7 +41,7 @@
 	 * @param callback receives the connection error, or empty if a connection was made
 	 */
 	void check(ServerEntry server, Consumer<Optional<Throwable>> callback) {
-		if (this.connector.paths().silent(server.service()) && this.hosts.anyUsable()) {
+		if (this.connector.paths().silent(server.service()) && this.hosts.of(server.service()).anyUsable()) {
 			askWitness(server, new IOException("the direct path is suspected"), new HashSet<>(), callback);
 			return;
 		}
@@ -57,7 +57,8 @@
 
 	private void askWitness(ServerEntry server, Throwable result, Set<String> asked,
 			Consumer<Optional<Throwable>> callback) {
-		Optional<Peer> host = (asked.size() < MAX_WITNESSES) ? this.hosts.chooseAny(asked) : Optional.empty();
+		Optional<Peer> host = (asked.size() < MAX_WITNESSES) ? this.hosts.of(server.service()).chooseAny(asked)
+				: Optional.empty();
 		if (host.isEmpty()) {
 			concludeAlone(server, result, callback);
 			return;
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
@@ -40,7 +40,7 @@
 
 	private final Peer host;
 
-	private final HelpingHosts hosts;
+	private final ServiceHelpers hosts;
 
 	private final TunnelFrames.Target target;
 
@@ -59,13 +59,13 @@
 	/**
 	 * Creates a handler.
 	 * @param host the host that is asked
-	 * @param hosts is told how the host fared
+	 * @param hosts is told how the host fared with the service
 	 * @param target the server
 	 * @param handlers handlers of the connection, added once it is open
 	 * @param clock monotonic time in nanoseconds
 	 * @param receiver receives the answer; {@link TunnelAnswer#CUT_OFF} without one
 	 */
-	TunnelClientHandler(Peer host, HelpingHosts hosts, TunnelFrames.Target target, ChannelHandler handlers,
+	TunnelClientHandler(Peer host, ServiceHelpers hosts, TunnelFrames.Target target, ChannelHandler handlers,
 			LongSupplier clock, Consumer<TunnelAnswer> receiver) {
 		this.host = host;
 		this.hosts = hosts;
@@ -105,7 +105,7 @@
 	private void unanswered(String reason) {
 		if (this.state == State.ASKING) {
 			this.state = State.ENDED;
-			this.hosts.failed(this.host, reason);
+			this.hosts.unreachable(this.host, reason);
 			this.receiver.accept(TunnelAnswer.CUT_OFF);
 		}
 	}
@@ -175,7 +175,7 @@
 			this.hosts.busy(this.host);
 		}
 		else if (answer == TunnelAnswer.CUT_OFF) {
-			this.hosts.failed(this.host, "it answered " + answer);
+			this.hosts.cutOff(this.host, "it answered " + answer);
 		}
 		context.close();
 		this.receiver.accept(answer);
@@ -219,7 +219,7 @@
 		unanswered("connection ended without an answer");
 		if (this.state == State.OPEN) {
 			this.state = State.ENDED;
-			this.hosts.failed(this.host, "connection lost");
+			this.hosts.unreachable(this.host, "connection lost");
 			context.fireExceptionCaught(new TunnelLostException(this.host.host()));
 		}
 		context.fireChannelInactive();
@@ -229,7 +229,7 @@
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		if (this.state == State.OPEN) {
 			this.state = State.ENDED;
-			this.hosts.failed(this.host, cause.toString());
+			this.hosts.unreachable(this.host, cause.toString());
 			context.fireExceptionCaught(new TunnelLostException(this.host.host()));
 		}
 		context.close();
--- a/gateway/src/test/java/io/sequoialink/gateway/path/HelpingHostsTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/HelpingHostsTests.java
@@ -45,21 +45,25 @@
 		return all;
 	}
 
-	private HelpingHosts hosts(Peer self, List<Peer> all) {
+	private HelpingHosts helpingHosts(Peer self, List<Peer> all) {
 		return new HelpingHosts(self, () -> all.stream().filter((peer) -> !peer.equals(self)).toList(), () -> this.now,
 				new SplittableRandom(5));
 	}
 
+	private ServiceHelpers hosts(Peer self, List<Peer> all) {
+		return helpingHosts(self, all).of("svc");
+	}
+
 	@Test
 	void hostsOfTheSameZoneComeFirstAndThoseThatFailedAreLeftOut() {
 		List<Peer> all = fleet(8, 4);
-		HelpingHosts hosts = hosts(all.get(0), all);
+		ServiceHelpers hosts = hosts(all.get(0), all);
 		assertThat(hosts.choose(Set.of())).contains(all.get(4));
-		hosts.failed(all.get(4), "test");
+		hosts.cutOff(all.get(4), "test");
 		assertThat(hosts.choose(Set.of()).orElseThrow().zone()).isNotEqualTo("zone-0");
 		this.now += TimeUnit.MILLISECONDS.toNanos(1000);
 		assertThat(hosts.choose(Set.of())).contains(all.get(4));
-		hosts.failed(all.get(4), "test");
+		hosts.cutOff(all.get(4), "test");
 		this.now += TimeUnit.MILLISECONDS.toNanos(1500);
 		assertThat(hosts.choose(Set.of())).isNotEqualTo(Optional.of(all.get(4)));
 	}
@@ -67,7 +71,7 @@
 	@Test
 	void aHostThatHasJustHelpedIsNotBlamedForAServer() {
 		List<Peer> all = fleet(2, 1);
-		HelpingHosts hosts = hosts(all.get(0), all);
+		ServiceHelpers hosts = hosts(all.get(0), all);
 		hosts.helped(all.get(1));
 		hosts.doubted(all.get(1), "test");
 		assertThat(hosts.anyUsable()).isTrue();
@@ -80,10 +84,41 @@
 		assertThat(hosts.anyUsable()).isTrue();
 	}
 
+	@Test
+	void whatAHostSaysOfOneServiceDoesNotLeaveItOutForAnother() {
+		List<Peer> all = fleet(3, 1);
+		HelpingHosts hosts = helpingHosts(all.get(0), all);
+		hosts.of("a").cutOff(all.get(1), "test");
+		hosts.of("a").undecided(all.get(2));
+		assertThat(usable(hosts.of("a"), all)).isEmpty();
+		assertThat(usable(hosts.of("b"), all)).containsExactly(all.get(1), all.get(2));
+	}
+
+	@Test
+	void aHostThatDoesNotAnswerOrIsBusyIsLeftOutForAllServices() {
+		List<Peer> all = fleet(4, 1);
+		HelpingHosts hosts = helpingHosts(all.get(0), all);
+		hosts.of("a").unreachable(all.get(1), "test");
+		hosts.of("a").busy(all.get(2));
+		assertThat(usable(hosts.of("b"), all)).containsExactly(all.get(3));
+		hosts.of("b").helped(all.get(1));
+		assertThat(usable(hosts.of("a"), all)).containsExactly(all.get(1), all.get(3));
+	}
+
+	private static List<Peer> usable(ServiceHelpers hosts, List<Peer> all) {
+		Set<String> asked = new HashSet<>();
+		Set<Peer> found = new HashSet<>();
+		for (Optional<Peer> host = hosts.chooseAny(asked); host.isPresent(); host = hosts.chooseAny(asked)) {
+			asked.add(host.get().host());
+			found.add(host.get());
+		}
+		return all.stream().filter(found::contains).toList();
+	}
+
 	@Test
 	void withoutOtherHostsNobodyHelps() {
 		List<Peer> all = fleet(1, 1);
-		assertThat(hosts(all.get(0), all).anyKnown()).isFalse();
+		assertThat(helpingHosts(all.get(0), all).anyKnown()).isFalse();
 		assertThat(hosts(all.get(0), all).choose(Set.of())).isEmpty();
 	}
 
@@ -102,7 +137,7 @@
 		int questions = 0;
 		int unserved = 0;
 		for (Peer self : cutOff) {
-			HelpingHosts hosts = hosts(self, all);
+			ServiceHelpers hosts = hosts(self, all);
 			for (int i = 0; i < CONNECTIONS; i++) {
 				Optional<Peer> found = Optional.empty();
 				Set<String> asked = new HashSet<>();
@@ -118,7 +153,7 @@
 							hosts.undecided(host);
 						}
 						else {
-							hosts.failed(host, "test");
+							hosts.cutOff(host, "test");
 						}
 					}
 					else {
