Leave a lost helping host out once for all connections lost with it

Each connection that a host had through it counted as a further failure in a row, so within milliseconds it was left out for 16 s instead of 1 s, though it is back after 1 to 2 s. Answers CUT_OFF to several questions at a time did the same. Cause: the time doubled with each failure, also while the host was left out already.

Change: what happens while a host is left out changes nothing.

Measured: HelpingHostsTests.whatHappensWhileAHostIsLeftOut... red before, passes.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/LeftOutHosts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/LeftOutHosts.java
@@ -67,11 +67,15 @@
 	}
 
 	/**
-	 * Leaves a host out, for twice as long as the last time if it failed then too.
+	 * Leaves a host out, for twice as long as the last time if it failed then too. What
+	 * happens while it is left out has mostly the same cause and changes nothing.
 	 * @param peer the host
 	 * @param reason why, for the log
 	 */
 	void addLonger(Peer peer, String reason) {
+		if (contains(peer)) {
+			return;
+		}
 		long now = this.clock.getAsLong();
 		this.hosts.values().removeIf((failures) -> now - failures.untilNanos > FORGOTTEN_NANOS);
 		Failures before = this.hosts.getOrDefault(peer.host(), new Failures(0, now));
--- a/gateway/src/test/java/io/sequoialink/gateway/path/HelpingHostsTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/HelpingHostsTests.java
@@ -105,6 +105,23 @@
 		assertThat(usable(hosts.of("a"), all)).containsExactly(all.get(1), all.get(3));
 	}
 
+	// Guards against leaving out a host for 16 s that has lost several connections at
+	// once.
+	@Test
+	void whatHappensWhileAHostIsLeftOutDoesNotLeaveItOutForLonger() {
+		List<Peer> all = fleet(2, 1);
+		ServiceHelpers hosts = hosts(all.get(0), all);
+		for (int i = 0; i < 5; i++) {
+			hosts.unreachable(all.get(1), "test");
+			hosts.cutOff(all.get(1), "test");
+		}
+		this.now += TimeUnit.MILLISECONDS.toNanos(1000);
+		assertThat(usable(hosts, all)).containsExactly(all.get(1));
+		hosts.cutOff(all.get(1), "test");
+		this.now += TimeUnit.MILLISECONDS.toNanos(1000);
+		assertThat(usable(hosts, all)).as("failed twice in a row").isEmpty();
+	}
+
 	private static List<Peer> usable(ServiceHelpers hosts, List<Peer> all) {
 		Set<String> asked = new HashSet<>();
 		Set<Peer> found = new HashSet<>();
