Ask both witnesses of a crash at the same time

Change: two are asked at once, and the first that can tell decides.

Measured: WitnessTests, 1 of 2 cases red before (300 ms), both pass.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -17,6 +19,8 @@
  * <p>
  * A refusal counts only if another host, the witness, is refused too, or if no host can
  * tell and this host's own path is whole: the path may be broken instead of the server.
+ * Witnesses are asked at the same time, since a crash counts for little until it is
+ * proven: with one that does not answer, the other decides.
  */
 final class ServerProbe {
 
@@ -42,12 +46,12 @@
 	 */
 	void check(ServerEntry server, Consumer<Optional<Throwable>> callback) {
 		if (this.connector.paths().silent(server.service()) && this.hosts.of(server.service()).anyUsable()) {
-			askWitness(server, new IOException("the direct path is suspected"), new HashSet<>(), callback);
+			askWitnesses(server, new IOException("the direct path is suspected"), callback);
 			return;
 		}
 		this.connector.checkDirectly(server, (cause) -> {
 			if (cause.filter(ServerConnector::refused).isPresent()) {
-				askWitness(server, cause.get(), new HashSet<>(), callback);
+				askWitnesses(server, cause.get(), callback);
 			}
 			else {
 				callback.accept(cause);
@@ -55,23 +59,28 @@
 		});
 	}
 
-	private void askWitness(ServerEntry server, Throwable result, Set<String> asked,
-			Consumer<Optional<Throwable>> callback) {
-		Optional<Peer> host = (asked.size() < MAX_WITNESSES) ? this.hosts.of(server.service()).chooseAny(asked)
-				: Optional.empty();
-		if (host.isEmpty()) {
+	private void askWitnesses(ServerEntry server, Throwable result, Consumer<Optional<Throwable>> callback) {
+		List<Peer> witnesses = drawWitnesses(server);
+		if (witnesses.isEmpty()) {
 			concludeAlone(server, result, callback);
 			return;
 		}
-		asked.add(host.get().host());
-		this.connector.checkThroughHost(host.get(), server, (answer) -> {
-			switch (answer) {
-				case CONNECTED -> callback.accept(Optional.empty());
-				case REFUSED ->
-					callback.accept(Optional.of(new ConnectException("refused, also to host " + host.get().host())));
-				default -> askWitness(server, result, asked, callback);
-			}
-		});
+		Inquiry inquiry = new Inquiry(witnesses.size(), callback, () -> concludeAlone(server, result, callback));
+		for (Peer witness : witnesses) {
+			this.connector.checkThroughHost(witness, server, (answer) -> inquiry.answered(witness, answer));
+		}
+	}
+
+	private List<Peer> drawWitnesses(ServerEntry server) {
+		List<Peer> drawn = new ArrayList<>();
+		Set<String> names = new HashSet<>();
+		Optional<Peer> next = this.hosts.of(server.service()).chooseAny(names);
+		while (next.isPresent() && drawn.size() < MAX_WITNESSES) {
+			drawn.add(next.get());
+			names.add(next.get().host());
+			next = this.hosts.of(server.service()).chooseAny(names);
+		}
+		return drawn;
 	}
 
 	// Without any other host there is nobody who could be reached instead.
@@ -84,4 +93,44 @@
 				(whole) -> callback.accept(Optional.of(whole ? result : new IOException("no host can tell"))));
 	}
 
+	/** Questions to witnesses; the first that can tell decides. */
+	private static final class Inquiry {
+
+		private final Consumer<Optional<Throwable>> callback;
+
+		private final Runnable noneCanTell;
+
+		private int open;
+
+		private boolean decided;
+
+		Inquiry(int open, Consumer<Optional<Throwable>> callback, Runnable noneCanTell) {
+			this.open = open;
+			this.callback = callback;
+			this.noneCanTell = noneCanTell;
+		}
+
+		void answered(Peer witness, TunnelAnswer answer) {
+			this.open--;
+			switch (answer) {
+				case CONNECTED -> decide(() -> this.callback.accept(Optional.empty()));
+				case REFUSED -> decide(() -> this.callback
+					.accept(Optional.of(new ConnectException("refused, also to host " + witness.host()))));
+				default -> {
+					if (this.open == 0) {
+						decide(this.noneCanTell);
+					}
+				}
+			}
+		}
+
+		private void decide(Runnable decision) {
+			if (!this.decided) {
+				this.decided = true;
+				decision.run();
+			}
+		}
+
+	}
+
 }
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
@@ -0,0 +1,113 @@
+package io.sequoialink.gateway.path;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.sequoialink.gateway.count.GatewayMetrics;
+import io.sequoialink.gateway.fleet.FleetView;
+import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.relay.Peer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Proof of a crash by other hosts, over loopback: one host never answers, the other says
+ * what the test sets.
+ */
+class WitnessTests {
+
+	private static final int PROOFS = 12;
+
+	/** Well below the 300 ms after which a host counts as silent. */
+	private static final long PROMPT_MILLIS = 200;
+
+	private final NioEventLoopGroup loop = new NioEventLoopGroup(1);
+
+	private final ServerSocket silent = listen();
+
+	private final ServerSocket answering = listen();
+
+	WitnessTests() throws IOException {
+	}
+
+	private static ServerSocket listen() throws IOException {
+		return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+	}
+
+	private static Peer peer(String name, ServerSocket listening) {
+		return new Peer(name, "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), listening.getLocalPort()));
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.silent.close();
+		this.answering.close();
+		this.loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
+	}
+
+	private void answer(TunnelAnswer answer) {
+		Thread serving = new Thread(() -> {
+			while (!this.answering.isClosed()) {
+				try (Socket socket = this.answering.accept()) {
+					DataInputStream in = new DataInputStream(socket.getInputStream());
+					in.readByte();
+					in.readNBytes(in.readInt());
+					socket.getOutputStream().write(new byte[] { 1, 0, 0, 0, 1, answer.code() });
+				}
+				catch (IOException ex) {
+					// the test has ended
+				}
+			}
+		});
+		serving.setDaemon(true);
+		serving.start();
+	}
+
+	// Guards against crashes that are reported too late to count, because the first
+	// witness does not answer.
+	@Test
+	void aHostThatDoesNotAnswerDoesNotDelayTheProofOfACrash() throws Exception {
+		answer(TunnelAnswer.REFUSED);
+		for (int i = 0; i < PROOFS; i++) {
+			long began = System.nanoTime();
+			assertThat(probe(i)).as("refused, also to the witness").isPresent();
+			assertThat((System.nanoTime() - began) / 1_000_000).as("proof %s", i).isLessThan(PROMPT_MILLIS);
+		}
+	}
+
+	@Test
+	void aHostThatConnectsProvesThatThereWasNoCrash() throws Exception {
+		answer(TunnelAnswer.CONNECTED);
+		for (int i = 0; i < PROOFS; i++) {
+			assertThat(probe(i)).as("no error: the server takes connections of the witness").isEmpty();
+		}
+	}
+
+	private Optional<Throwable> probe(int seed) throws Exception {
+		Peer self = new Peer("self", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+		HelpingHosts hosts = new HelpingHosts(self,
+				() -> List.of(peer("silent", this.silent), peer("answering", this.answering)), System::nanoTime,
+				new SplittableRandom(seed));
+		ServerConnector connector = new ServerConnector(this.loop, (address) -> address,
+				new ServicePaths(System::nanoTime), hosts, new OtherServers(new FleetView(), new SplittableRandom(2)),
+				new GatewayMetrics().tunnels(), System::nanoTime);
+		ServerEntry server = new ServerEntry("i-1", "svc", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+				"z", "v1", 1, false, 0, 0);
+		CompletableFuture<Optional<Throwable>> outcome = new CompletableFuture<>();
+		this.loop.submit(() -> connector.probe(server, outcome::complete)).sync();
+		return outcome.get(5, TimeUnit.SECONDS);
+	}
+
+}
