Await what other hosts lost in a crash from its proof on

Host h3 blamed the part 2d993a, which a third of all requests have, 572 ms after the third crash and 11 ms after it had proven it itself; the host that had lost the culprit beside it proved the same crash 4 ms later. Cause: hosts awaited each other's reports until 250 ms after the crash. Ruled out: awaiting them for 1.2 s after the crash instead.

Change: the 250 ms run from the moment at which this host knows of the crash, and a host reports what it lost at a server as soon as any host has proven its crash (as it does for requests that it withdrew).

--- a/decision/src/main/java/io/sequoialink/decision/crash/CrashEvidence.java
+++ b/decision/src/main/java/io/sequoialink/decision/crash/CrashEvidence.java
@@ -48,8 +48,9 @@
 	static final int RESPONDED_CRASHES = 8;
 
 	/**
-	 * Time after a crash by which the hosts have reported what they lost in it, in
-	 * nanoseconds. No trait becomes a culprit by a crash that is more recent.
+	 * Time after the news of a crash by which the other hosts have reported what they
+	 * lost in it, in nanoseconds. No trait becomes a culprit by a crash that became known
+	 * later. The crash itself may be longer ago: it takes time to prove it.
 	 */
 	public static final long REPORT_DELAY_NANOS = 250_000_000L;
 
@@ -83,11 +84,13 @@
 	 * @param server hash of the server's incarnation
 	 * @param atNanos monotonic time of the crash
 	 * @param involved how requests with each trait were involved
+	 * @param nowNanos current monotonic time in nanoseconds
 	 * @return whether this crash was not known before
 	 */
-	public boolean recordCrash(long server, long atNanos, Map<Long, Involvement> involved) {
+	public boolean recordCrash(long server, long atNanos, Map<Long, Involvement> involved, long nowNanos) {
 		boolean news = !this.crashes.containsKey(server);
-		Crash crash = this.crashes.computeIfAbsent(server, (key) -> new Crash(server, atNanos, new HashMap<>()));
+		Crash crash = this.crashes.computeIfAbsent(server,
+				(key) -> new Crash(server, atNanos, nowNanos, new HashMap<>()));
 		involved.forEach((trait, involvement) -> {
 			if (crash.involved.size() < MAX_TRAITS_PER_CRASH || crash.involved.containsKey(trait)) {
 				crash.involved.merge(trait, involvement, Involvement::merge);
@@ -215,13 +218,13 @@
 		return found;
 	}
 
-	private Map<Long, List<Crash>> openCrashes(Collection<Set<Long>> known, long untilNanos) {
+	private Map<Long, List<Crash>> openCrashes(Collection<Set<Long>> known, long knownUntilNanos) {
 		Set<Long> undecided = new HashSet<>();
 		Set<Long> decided = new HashSet<>();
 		known.forEach((culprit) -> ((culprit.size() > 1) ? undecided : decided).addAll(culprit));
 		Map<Long, List<Crash>> open = new HashMap<>();
 		List<Crash> ordered = new ArrayList<>(this.crashes.values());
-		ordered.removeIf((crash) -> crash.atNanos > untilNanos);
+		ordered.removeIf((crash) -> crash.knownNanos > knownUntilNanos);
 		ordered.sort(Comparator.comparingLong(Crash::atNanos));
 		for (Crash crash : ordered) {
 			boolean explained = crash.containsAny(known);
@@ -312,11 +315,14 @@
 
 		private final long atNanos;
 
+		private final long knownNanos;
+
 		private final Map<Long, Involvement> involved;
 
-		Crash(long server, long atNanos, Map<Long, Involvement> involved) {
+		Crash(long server, long atNanos, long knownNanos, Map<Long, Involvement> involved) {
 			this.server = server;
 			this.atNanos = atNanos;
+			this.knownNanos = knownNanos;
 			this.involved = involved;
 		}
 
--- a/decision/src/test/java/io/sequoialink/decision/crash/CrashEvidenceTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/crash/CrashEvidenceTests.java
@@ -32,7 +32,7 @@
 		for (long trait : traits) {
 			involved.put(trait, new Involvement(number * STEP - STEP / 2, answering));
 		}
-		this.evidence.recordCrash(number, number * STEP, involved);
+		this.evidence.recordCrash(number, number * STEP, involved, number * STEP);
 	}
 
 	private CrashEvidence.Findings judge() {
@@ -59,7 +59,8 @@
 	@Test
 	void serversThatCrashTogetherCountOnce() {
 		for (long server = 1; server <= 6; server++) {
-			this.evidence.recordCrash(server, 10 * STEP + server, Map.of(PART, new Involvement(9 * STEP, true)));
+			this.evidence.recordCrash(server, 10 * STEP + server, Map.of(PART, new Involvement(9 * STEP, true)),
+					11 * STEP);
 		}
 		assertThat(judge().suspects()).isEmpty();
 		assertThat(judge().culprits()).isEmpty();
@@ -94,7 +95,7 @@
 			if (i > 1) {
 				involved.put(PART, new Involvement(i * STEP - STEP / 2, true));
 			}
-			this.evidence.recordCrash(i, i * STEP, involved);
+			this.evidence.recordCrash(i, i * STEP, involved, i * STEP);
 		}
 		assertThat(culprits()).containsExactly(Set.of(PART));
 	}
@@ -128,6 +129,20 @@
 			.containsExactly(Set.of(PART, NEIGHBOUR));
 	}
 
+	// Guards against blaming a part that many requests have, since the crash had taken
+	// longer to prove than the reports of other hosts were awaited (soak seed 4001).
+	@Test
+	void theReportsOfOtherHostsAreAwaitedFromTheNewsOfACrashOn() {
+		crash(1, true, PART, NEIGHBOUR);
+		crash(2, true, PART, NEIGHBOUR);
+		long proven = 3 * STEP + 600_000_000L;
+		Involvement waiting = new Involvement(3 * STEP - STEP / 2, false);
+		this.evidence.recordCrash(3, 3 * STEP, Map.of(NEIGHBOUR, waiting), proven);
+		assertThat(this.evidence.evaluate(List.of(), proven + CrashEvidence.REPORT_DELAY_NANOS - 1).culprits())
+			.isEmpty();
+		assertThat(this.evidence.evaluate(List.of(), proven + CrashEvidence.REPORT_DELAY_NANOS).culprits()).hasSize(1);
+	}
+
 	// Guards against blaming a part that nearly all requests have, by a host that lacks
 	// the reports of the culprit's hosts (found by CI on a busy machine).
 	@Test
--- a/gateway/src/main/java/io/sequoialink/gateway/crash/AbandonedRequests.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/AbandonedRequests.java
@@ -11,8 +11,9 @@
 /**
  * Requests that this host withdrew from their servers a short time ago, before their
  * responses had begun: dropped for a larger model, cancelled by the client or timed out.
- * A server that had begun to work on one of them may crash for it all the same. Confined
- * to the event loop.
+ * A server that had begun to work on one of them may crash for it all the same. Also
+ * those whose connection was lost, until this host or another one has proven a crash.
+ * Confined to the event loop.
  */
 final class AbandonedRequests {
 
--- a/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
@@ -233,8 +233,9 @@
 	}
 
 	/**
-	 * Records that this host withdrew a request from its server before its response had
-	 * begun.
+	 * Records that this host withdrew a request from its server, or lost it there for an
+	 * unknown reason, before its response had begun. It counts once any host has proven
+	 * that the server crashed.
 	 * @param server hash of the server's incarnation
 	 * @param ofRequest traits of the request
 	 * @param involvement how it would be involved in a crash
@@ -276,14 +277,15 @@
 		judgeSoon("a crash that this host observed");
 	}
 
-	// Adds what this host withdrew from the server before, as soon as it knows of the
-	// crash.
+	// Adds what this host withdrew from the server before or lost there, as soon as it
+	// knows of the crash.
 	private void recordCrash(TraitNews.LostTraits crash) {
-		if (this.evidence.recordCrash(crash.server(), crash.atNanos(), crash.involved())) {
+		long now = this.clock.getAsLong();
+		if (this.evidence.recordCrash(crash.server(), crash.atNanos(), crash.involved(), now)) {
 			this.timer.schedule(() -> judgeSoon("the reports of a crash"), REPORTS_MILLIS);
 			this.gossip.crashKnown(crash.server());
 			this.abandoned.involved(crash.server(), crash.atNanos()).forEach((trait, involvement) -> {
-				this.evidence.recordCrash(crash.server(), crash.atNanos(), Map.of(trait, involvement));
+				this.evidence.recordCrash(crash.server(), crash.atNanos(), Map.of(trait, involvement), now);
 				this.timer.schedule(() -> addToReport(crash.server(), crash.atNanos(), trait, involvement), 0);
 			});
 		}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/CrashingRequestCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/CrashingRequestCheck.java
@@ -130,8 +130,11 @@
 	 */
 	void checkForCrash(ServerState server, long sentNanos, ResponseProgress progress) {
 		this.disconnects++;
-		if (progress != ResponseProgress.BEGUN) {
+		boolean begun = progress == ResponseProgress.BEGUN;
+		Involvement involvement = new Involvement(sentNanos, progress == ResponseProgress.HEAD);
+		if (!begun) {
 			this.traits.lost();
+			this.traits.abandoned(server, involvement);
 		}
 		long suspected = fingerprint();
 		long lostNanos = this.gateway.clock().getAsLong();
@@ -139,9 +142,8 @@
 		this.gateway.pool().probe(server.entry(), (failure) -> {
 			if (failure.filter(ServerConnector::refused).isPresent()) {
 				crashes().serverCrashed(suspected, incarnation, sentNanos, lostNanos);
-				if (progress != ResponseProgress.BEGUN) {
-					boolean answering = progress == ResponseProgress.HEAD;
-					this.traits.serverCrashed(server, new Involvement(sentNanos, answering), lostNanos);
+				if (!begun) {
+					this.traits.serverCrashed(server, involvement, lostNanos);
 				}
 				return;
 			}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/TraitCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/TraitCheck.java
@@ -173,7 +173,8 @@
 	}
 
 	/**
-	 * Called when the request is withdrawn from a server before its response has begun.
+	 * Called when the request is withdrawn from a server, or its connection is lost,
+	 * before its response has begun.
 	 * @param server the server
 	 * @param involvement how the request would be involved in a crash
 	 */
--- a/gateway/src/test/java/io/sequoialink/gateway/crash/TraitCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/crash/TraitCoordinatorTests.java
@@ -61,6 +61,33 @@
 		assertThat(host(0).verdict(DROPPED)).isEqualTo(TraitVerdict.FREE);
 	}
 
+	// Guards against blaming a part that many requests have, because the host that lost
+	// the
+	// culprit takes longer to prove the crash than another one (soak seed 4001).
+	@Test
+	void whatAHostLostCountsAsSoonAsAnotherHasProvenTheCrash() {
+		Set<Long> crashing = Set.of(1L, 9L);
+		for (long server = 1; server <= 2; server++) {
+			this.fleet.run(500);
+			host(0).serverCrashed(server, crashing, new Involvement(this.fleet.nanos(), true), this.fleet.nanos() + 1);
+			this.fleet.run(100);
+		}
+		this.fleet.run(500);
+		long lostNanos = this.fleet.nanos();
+		Involvement answering = new Involvement(lostNanos - 1000, true);
+		host(0).requestAbandoned(3, crashing, answering);
+		this.fleet.run(600);
+		host(1).serverCrashed(3, Set.of(1L, 5L), answering, lostNanos);
+		this.fleet.run(230);
+		host(0).serverCrashed(3, crashing, answering, lostNanos);
+		for (int i = 0; i < 20; i++) {
+			this.fleet.run(50);
+			assertThat(host(i % 3).verdict(Set.of(1L, 5L)).kind()).as("after %s x 50 ms", i)
+				.isNotEqualTo(TraitVerdict.Kind.BLOCKED);
+		}
+		assertThat(host(2).verdict(crashing).kind()).isEqualTo(TraitVerdict.Kind.BLOCKED);
+	}
+
 	// Guards against a record in the store that blocks a part on hosts that start later,
 	// though it was found to be harmless (found by the soak).
 	@Test
