Prove a crash also while all servers of a service are down

Change: if none of the service takes a connection, two servers of other services are tried; one that does shows that this host's path is whole. What a host answers to others (REFUSED or UNDECIDED) stays decided by the same service, so hosts that are cut off from one service still help and are helped as before.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/OtherServers.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/OtherServers.java
@@ -39,7 +39,22 @@
 	 */
 	List<ServerEntry> draw(ServerEntry refusing, int most) {
 		List<ServerEntry> sameService = usable(this.view.servers(refusing.service()), refusing);
-		List<ServerEntry> candidates = sameService.isEmpty() ? usable(this.view.servers(), refusing) : sameService;
+		return drawFrom(sameService.isEmpty() ? usable(this.view.servers(), refusing) : sameService, most);
+	}
+
+	/**
+	 * Draws servers of other services.
+	 * @param refusing a server of the service to leave out
+	 * @param most most servers to draw
+	 * @return the servers, none if no other is registered
+	 */
+	List<ServerEntry> drawOfOtherServices(ServerEntry refusing, int most) {
+		List<ServerEntry> candidates = usable(this.view.servers(), refusing);
+		candidates.removeIf((server) -> server.service().equals(refusing.service()));
+		return drawFrom(candidates, most);
+	}
+
+	private List<ServerEntry> drawFrom(List<ServerEntry> candidates, int most) {
 		Collections.shuffle(candidates, new Random(this.random.nextLong()));
 		return candidates.subList(0, Math.min(most, candidates.size()));
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/path/OwnPathCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/OwnPathCheck.java
@@ -24,7 +24,7 @@
 	}
 
 	/**
-	 * Checks the path.
+	 * Checks the path to the servers of one service.
 	 * @param refusing the server that refuses
 	 * @param callback receives whether another server takes a connection, or none is
 	 * registered
@@ -35,9 +35,31 @@
 			callback.accept(true);
 			return;
 		}
-		OpenChecks checks = new OpenChecks(drawn.size(), callback);
-		for (ServerEntry other : drawn) {
-			this.connector.checkDirectly(other, (cause) -> checks.ended(cause.isEmpty()));
+		connectToAny(drawn, callback);
+	}
+
+	/**
+	 * Checks the path to the servers of all services: those of one may all have ended.
+	 * @param refusing the server that refuses
+	 * @param callback receives whether another server takes a connection, of whatever
+	 * service, or none is registered
+	 */
+	void checkAllServices(ServerEntry refusing, Consumer<Boolean> callback) {
+		check(refusing, (whole) -> {
+			List<ServerEntry> elsewhere = whole ? List.of() : this.others.drawOfOtherServices(refusing, MAX_CHECKED);
+			if (elsewhere.isEmpty()) {
+				callback.accept(whole);
+			}
+			else {
+				connectToAny(elsewhere, callback);
+			}
+		});
+	}
+
+	private void connectToAny(List<ServerEntry> servers, Consumer<Boolean> callback) {
+		OpenChecks checks = new OpenChecks(servers.size(), callback);
+		for (ServerEntry server : servers) {
+			this.connector.checkDirectly(server, (cause) -> checks.ended(cause.isEmpty()));
 		}
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
@@ -83,13 +83,15 @@
 		return drawn;
 	}
 
-	// Without any other host there is nobody who could be reached instead.
+	// Without any other host there is nobody who could be reached instead. Servers of
+	// other
+	// services decide too: all of one service may have ended, and then no host connects.
 	private void concludeAlone(ServerEntry server, Throwable result, Consumer<Optional<Throwable>> callback) {
 		if (!ServerConnector.refused(result) || !this.hosts.anyKnown()) {
 			callback.accept(Optional.of(result));
 			return;
 		}
-		this.ownPathCheck.check(server,
+		this.ownPathCheck.checkAllServices(server,
 				(whole) -> callback.accept(Optional.of(whole ? result : new IOException("no host can tell"))));
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
@@ -19,6 +19,8 @@
 import io.sequoialink.gateway.relay.Peer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -35,6 +37,8 @@
 
 	private final NioEventLoopGroup loop = new NioEventLoopGroup(1);
 
+	private final FleetView view = new FleetView();
+
 	private final ServerSocket silent = listen();
 
 	private final ServerSocket answering = listen();
@@ -95,16 +99,36 @@
 		}
 	}
 
+	// Guards against crashes that never count, because all servers of the service have
+	// ended, so that no host can tell them from a broken path: a request that crashes
+	// servers then runs again and again.
+	@ParameterizedTest(name = "a server of another service takes connections: {0}")
+	@ValueSource(booleans = { true, false })
+	void whetherAllServersOfAServiceHaveEndedIsSeenAtAnotherService(boolean otherServiceReached) throws Exception {
+		answer(TunnelAnswer.UNDECIDED);
+		InetAddress loopback = InetAddress.getLoopbackAddress();
+		this.view.put(server("i-2", "svc", new InetSocketAddress(loopback, 1)));
+		this.view.put(server("i-3", "svc", new InetSocketAddress(loopback, 1)));
+		int port = otherServiceReached ? this.silent.getLocalPort() : 1;
+		this.view.put(server("o-1", "other", new InetSocketAddress(loopback, port)));
+		Throwable failure = probe(1).orElseThrow();
+		assertThat(ServerConnector.refused(failure)).as("counts as a crash: %s", failure)
+			.isEqualTo(otherServiceReached);
+	}
+
+	private static ServerEntry server(String id, String service, InetSocketAddress address) {
+		return new ServerEntry(id, service, address, "z", "v1", 1, false, 0, 0);
+	}
+
 	private Optional<Throwable> probe(int seed) throws Exception {
 		Peer self = new Peer("self", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
 		HelpingHosts hosts = new HelpingHosts(self,
 				() -> List.of(peer("silent", this.silent), peer("answering", this.answering)), System::nanoTime,
 				new SplittableRandom(seed));
 		ServerConnector connector = new ServerConnector(this.loop, (address) -> address,
-				new ServicePaths(System::nanoTime), hosts, new OtherServers(new FleetView(), new SplittableRandom(2)),
+				new ServicePaths(System::nanoTime), hosts, new OtherServers(this.view, new SplittableRandom(2)),
 				new GatewayMetrics().tunnels(), System::nanoTime);
-		ServerEntry server = new ServerEntry("i-1", "svc", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
-				"z", "v1", 1, false, 0, 0);
+		ServerEntry server = server("i-1", "svc", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
 		CompletableFuture<Optional<Throwable>> outcome = new CompletableFuture<>();
 		this.loop.submit(() -> connector.probe(server, outcome::complete)).sync();
 		return outcome.get(5, TimeUnit.SECONDS);
