Say at once that this host is cut off, and check the path meanwhile

Cause: a host that is asked for a connection and knows that its path is silent tried it directly once in 500 ms. That hangs for 500 ms; the asking host waits for 300 ms of it, holds its request that long, and then leaves the other out for all services as not answering.

Change: it answers CUT_OFF at once and tries the path beside that.

Tests of paths and cut-off hosts pass, 80. Test code: one copy of a host that answers as told, and of a connection that carries nothing.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -245,10 +245,14 @@
 		return connecting;
 	}
 
-	// Beside each connection through another host, so that a path that is whole again is
-	// found whether or not another host helps. A server to which one has just connected
-	// is alive, so that a direct connection to it tells most.
-	private void checkDirectPath(ServerEntry server) {
+	/**
+	 * Tries a suspected path directly, unless that was done a moment ago. Done beside
+	 * each connection through another host, so that a path that is whole again is found
+	 * whether or not another host helps. A server to which one has just connected is
+	 * alive, so that a direct connection to it tells most.
+	 * @param server the server
+	 */
+	void checkDirectPath(ServerEntry server) {
 		if (this.paths.suspected(server.service()) && this.paths.tryCheck(server.service())) {
 			checkDirectly(server, (cause) -> {
 				// the outcome has been recorded
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
@@ -136,7 +136,8 @@
 	}
 
 	/**
-	 * Returns why no connection is opened.
+	 * Returns why no connection is opened. On a silent path the other host does not wait
+	 * until this one has found out whether it still is.
 	 * @param target the server
 	 * @return the answer, empty if a connection may be opened
 	 */
@@ -148,10 +149,11 @@
 		if (server.isEmpty()) {
 			return Optional.of(TunnelAnswer.UNKNOWN_SERVER);
 		}
-		ServicePaths paths = this.connector.paths();
-		String service = server.get().service();
-		return (paths.silent(service) && !paths.tryCheck(service)) ? Optional.of(TunnelAnswer.CUT_OFF)
-				: Optional.empty();
+		if (this.connector.paths().silent(server.get().service())) {
+			this.connector.checkDirectPath(server.get());
+			return Optional.of(TunnelAnswer.CUT_OFF);
+		}
+		return Optional.empty();
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/http/SilentAddress.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/SilentAddress.java
@@ -13,7 +13,7 @@
  * An address on loopback to which connects hang: the queue of its listening socket is
  * full, so that the system drops the opening packets.
  */
-final class SilentAddress implements AutoCloseable {
+public final class SilentAddress implements AutoCloseable {
 
 	private static final int MAX_CONNECTS = 16;
 
@@ -23,7 +23,11 @@
 
 	private final List<Socket> queue = new ArrayList<>();
 
-	SilentAddress() throws IOException {
+	/**
+	 * Fills the queue of a listening socket, so that further connects hang.
+	 * @throws IOException if connects do not hang
+	 */
+	public SilentAddress() throws IOException {
 		boolean silent = false;
 		for (int i = 0; i < MAX_CONNECTS && !silent; i++) {
 			silent = fill();
@@ -45,7 +49,11 @@
 		}
 	}
 
-	InetSocketAddress address() {
+	/**
+	 * Returns the address at which connects hang.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
 		return new InetSocketAddress(InetAddress.getLoopbackAddress(), this.listening.getLocalPort());
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
@@ -1,11 +1,9 @@
 package io.sequoialink.gateway.path;
 
-import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -39,19 +37,13 @@
 
 	private final FleetView view = new FleetView();
 
-	private final ServerSocket silent = listen();
+	private final ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 
-	private final ServerSocket answering = listen();
+	private TunnelAnswer answer = TunnelAnswer.UNDECIDED;
 
-	WitnessTests() throws IOException {
-	}
+	private final AnsweringHost answering = new AnsweringHost("answering", (server) -> this.answer);
 
-	private static ServerSocket listen() throws IOException {
-		return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-	}
-
-	private static Peer peer(String name, ServerSocket listening) {
-		return new Peer(name, "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), listening.getLocalPort()));
+	WitnessTests() throws IOException {
 	}
 
 	@AfterEach
@@ -61,29 +53,11 @@
 		this.loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
 	}
 
-	private void answer(TunnelAnswer answer) {
-		Thread serving = new Thread(() -> {
-			while (!this.answering.isClosed()) {
-				try (Socket socket = this.answering.accept()) {
-					DataInputStream in = new DataInputStream(socket.getInputStream());
-					in.readByte();
-					in.readNBytes(in.readInt());
-					socket.getOutputStream().write(new byte[] { 1, 0, 0, 0, 1, answer.code() });
-				}
-				catch (IOException ex) {
-					// the test has ended
-				}
-			}
-		});
-		serving.setDaemon(true);
-		serving.start();
-	}
-
 	// Guards against crashes that are reported too late to count, because the first
 	// witness does not answer.
 	@Test
 	void aHostThatDoesNotAnswerDoesNotDelayTheProofOfACrash() throws Exception {
-		answer(TunnelAnswer.REFUSED);
+		this.answer = TunnelAnswer.REFUSED;
 		for (int i = 0; i < PROOFS; i++) {
 			long began = System.nanoTime();
 			assertThat(probe(i)).as("refused, also to the witness").isPresent();
@@ -93,7 +67,7 @@
 
 	@Test
 	void aHostThatConnectsProvesThatThereWasNoCrash() throws Exception {
-		answer(TunnelAnswer.CONNECTED);
+		this.answer = TunnelAnswer.CONNECTED;
 		for (int i = 0; i < PROOFS; i++) {
 			assertThat(probe(i)).as("no error: the server takes connections of the witness").isEmpty();
 		}
@@ -105,7 +79,7 @@
 	@ParameterizedTest(name = "a server of another service takes connections: {0}")
 	@ValueSource(booleans = { true, false })
 	void whetherAllServersOfAServiceHaveEndedIsSeenAtAnotherService(boolean otherServiceReached) throws Exception {
-		answer(TunnelAnswer.UNDECIDED);
+		this.answer = TunnelAnswer.UNDECIDED;
 		InetAddress loopback = InetAddress.getLoopbackAddress();
 		this.view.put(server("i-2", "svc", new InetSocketAddress(loopback, 1)));
 		this.view.put(server("i-3", "svc", new InetSocketAddress(loopback, 1)));
@@ -120,11 +94,15 @@
 		return new ServerEntry(id, service, address, "z", "v1", 1, false, 0, 0);
 	}
 
+	private Peer silentPeer() {
+		return new Peer("silent", "z",
+				new InetSocketAddress(InetAddress.getLoopbackAddress(), this.silent.getLocalPort()));
+	}
+
 	private Optional<Throwable> probe(int seed) throws Exception {
 		Peer self = new Peer("self", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
-		HelpingHosts hosts = new HelpingHosts(self,
-				() -> List.of(peer("silent", this.silent), peer("answering", this.answering)), System::nanoTime,
-				new SplittableRandom(seed));
+		HelpingHosts hosts = new HelpingHosts(self, () -> List.of(silentPeer(), this.answering.peer()),
+				System::nanoTime, new SplittableRandom(seed));
 		ServerConnector connector = new ServerConnector(this.loop, (address) -> address,
 				new ServicePaths(System::nanoTime), hosts, new OtherServers(this.view, new SplittableRandom(2)),
 				new GatewayMetrics().tunnels(), System::nanoTime);
