Prove a crash also on a path that is suspected to be silent

Cause: on such a path only witnesses were asked, drawn among all hosts; most of those drawn were cut off or suspected their own path too. The path may be suspected only because one server did not answer.

Change: hosts that have helped of late are the first witnesses, since they are not cut off; if none can tell, the server is tried directly, and a refusal counts as on any other path.

Still not proven: a crash of all servers of a service, at a host whose path is silent.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
@@ -46,39 +46,50 @@
 	 */
 	void check(ServerEntry server, Consumer<Optional<Throwable>> callback) {
 		if (this.connector.paths().silent(server.service()) && this.hosts.of(server.service()).anyUsable()) {
-			askWitnesses(server, new IOException("the direct path is suspected"), callback);
+			askWitnesses(server, callback, () -> checkAlone(server, callback));
 			return;
 		}
-		this.connector.checkDirectly(server, (cause) -> {
-			if (cause.filter(ServerConnector::refused).isPresent()) {
-				askWitnesses(server, cause.get(), callback);
-			}
-			else {
-				callback.accept(cause);
-			}
-		});
+		checkDirectly(server, callback,
+				(refusal) -> askWitnesses(server, callback, () -> concludeAlone(server, refusal, callback)));
 	}
 
-	private void askWitnesses(ServerEntry server, Throwable result, Consumer<Optional<Throwable>> callback) {
+	private void askWitnesses(ServerEntry server, Consumer<Optional<Throwable>> callback, Runnable noneCanTell) {
 		List<Peer> witnesses = drawWitnesses(server);
 		if (witnesses.isEmpty()) {
-			concludeAlone(server, result, callback);
+			noneCanTell.run();
 			return;
 		}
-		Inquiry inquiry = new Inquiry(witnesses.size(), callback, () -> concludeAlone(server, result, callback));
+		Inquiry inquiry = new Inquiry(witnesses.size(), callback, noneCanTell);
 		for (Peer witness : witnesses) {
 			this.connector.checkThroughHost(witness, server, (answer) -> inquiry.answered(witness, answer));
 		}
 	}
 
+	// The path may be suspected wrongly, because one server did not answer.
+	private void checkAlone(ServerEntry server, Consumer<Optional<Throwable>> callback) {
+		checkDirectly(server, callback, (refusal) -> concludeAlone(server, refusal, callback));
+	}
+
+	private void checkDirectly(ServerEntry server, Consumer<Optional<Throwable>> callback,
+			Consumer<Throwable> ifRefused) {
+		this.connector.checkDirectly(server, (cause) -> {
+			if (cause.filter(ServerConnector::refused).isPresent()) {
+				ifRefused.accept(cause.get());
+			}
+			else {
+				callback.accept(cause);
+			}
+		});
+	}
+
 	private List<Peer> drawWitnesses(ServerEntry server) {
 		List<Peer> drawn = new ArrayList<>();
 		Set<String> names = new HashSet<>();
-		Optional<Peer> next = this.hosts.of(server.service()).chooseAny(names);
+		Optional<Peer> next = this.hosts.of(server.service()).chooseWitness(names);
 		while (next.isPresent() && drawn.size() < MAX_WITNESSES) {
 			drawn.add(next.get());
 			names.add(next.get().host());
-			next = this.hosts.of(server.service()).chooseAny(names);
+			next = this.hosts.of(server.service()).chooseWitness(names);
 		}
 		return drawn;
 	}
@@ -86,13 +97,13 @@
 	// Without any other host there is nobody who could be reached instead. Servers of
 	// other
 	// services decide too: all of one service may have ended, and then no host connects.
-	private void concludeAlone(ServerEntry server, Throwable result, Consumer<Optional<Throwable>> callback) {
-		if (!ServerConnector.refused(result) || !this.hosts.anyKnown()) {
-			callback.accept(Optional.of(result));
+	private void concludeAlone(ServerEntry server, Throwable refusal, Consumer<Optional<Throwable>> callback) {
+		if (!this.hosts.anyKnown()) {
+			callback.accept(Optional.of(refusal));
 			return;
 		}
 		this.ownPathCheck.checkAllServices(server,
-				(whole) -> callback.accept(Optional.of(whole ? result : new IOException("no host can tell"))));
+				(whole) -> callback.accept(Optional.of(whole ? refusal : new IOException("no host can tell"))));
 	}
 
 	/** Questions to witnesses; the first that can tell decides. */
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServiceHelpers.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServiceHelpers.java
@@ -133,7 +133,7 @@
 
 	// Hosts that helped of late, or else those of this host's zone unless it is doubted.
 	private List<Peer> preferred(List<Peer> usable, long now) {
-		List<Peer> helpers = usable.stream().filter((peer) -> helpedSince(peer, now - KNOWN_HELPER_NANOS)).toList();
+		List<Peer> helpers = recentHelpers(usable, now);
 		boolean explores = helpers.size() < USED_HOSTS && this.random.nextInt(EXPLORE_ONE_IN) == 0;
 		if (!helpers.isEmpty() && !explores) {
 			return helpers;
@@ -175,12 +175,19 @@
 	}
 
 	/**
-	 * Chooses any host, so that hosts of other zones are asked as well.
+	 * Chooses a host that is asked whether a server has ended: one that has helped of
+	 * late, as it is not cut off itself, or else any, so that hosts of other zones are
+	 * asked as well.
 	 * @param asked names of the hosts that were asked already
 	 * @return the host, empty if none is left
 	 */
-	Optional<Peer> chooseAny(Set<String> asked) {
-		return any(usableBesides(asked));
+	Optional<Peer> chooseWitness(Set<String> asked) {
+		List<Peer> usable = usableBesides(asked);
+		return any(recentHelpers(usable, this.clock.getAsLong())).or(() -> any(usable));
+	}
+
+	private List<Peer> recentHelpers(List<Peer> among, long now) {
+		return among.stream().filter((peer) -> helpedSince(peer, now - KNOWN_HELPER_NANOS)).toList();
 	}
 
 	private boolean helpedSince(Peer peer, long sinceNanos) {
--- a/gateway/src/test/java/io/sequoialink/gateway/path/HelpingHostsTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/HelpingHostsTests.java
@@ -125,7 +125,7 @@
 	private static List<Peer> usable(ServiceHelpers hosts, List<Peer> all) {
 		Set<String> asked = new HashSet<>();
 		Set<Peer> found = new HashSet<>();
-		for (Optional<Peer> host = hosts.chooseAny(asked); host.isPresent(); host = hosts.chooseAny(asked)) {
+		for (Optional<Peer> host = hosts.chooseWitness(asked); host.isPresent(); host = hosts.chooseWitness(asked)) {
 			asked.add(host.get().host());
 			found.add(host.get());
 		}
--- a/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -35,6 +36,8 @@
 
 	private final NioEventLoopGroup loop = new NioEventLoopGroup(1);
 
+	private final ServicePaths paths = new ServicePaths(System::nanoTime);
+
 	private final FleetView view = new FleetView();
 
 	private final ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -90,6 +93,39 @@
 			.isEqualTo(otherServiceReached);
 	}
 
+	// Guards against crashes that never count on a path that is suspected to be silent,
+	// because one server did not answer, while the hosts that are asked suspect theirs
+	// too (soak seed 4101): the host itself is refused.
+	@Test
+	void aPathThatIsSuspectedWronglyDoesNotHideACrash() throws Exception {
+		this.answer = TunnelAnswer.CUT_OFF;
+		this.view.put(server("o-1", "other",
+				new InetSocketAddress(InetAddress.getLoopbackAddress(), this.silent.getLocalPort())));
+		suspectPath();
+		assertThat(ServerConnector.refused(probe(1).orElseThrow())).as("counts as a crash").isTrue();
+	}
+
+	// Guards against asking hosts that are cut off too, while one is known that helps.
+	@Test
+	void onASuspectedPathAHostThatHasHelpedIsAWitness() throws Exception {
+		this.answer = TunnelAnswer.CUT_OFF;
+		List<Peer> others = new ArrayList<>();
+		try (AnsweringHost helping = new AnsweringHost("helping", (server) -> TunnelAnswer.REFUSED)) {
+			for (int i = 0; i < 20; i++) {
+				others.add(new Peer("cut " + i, "z", this.answering.peer().address()));
+			}
+			others.add(helping.peer());
+			suspectPath();
+			HelpingHosts hosts = hosts(1, others);
+			this.loop.submit(() -> hosts.of("svc").helped(helping.peer())).sync();
+			assertThat(probe(hosts).orElseThrow()).hasMessageContaining("refused, also to host helping");
+		}
+	}
+
+	private void suspectPath() throws Exception {
+		this.loop.submit(() -> this.paths.failed(server("i-9", "svc", new InetSocketAddress(1)), true)).sync();
+	}
+
 	private static ServerEntry server(String id, String service, InetSocketAddress address) {
 		return new ServerEntry(id, service, address, "z", "v1", 1, false, 0, 0);
 	}
@@ -100,12 +136,17 @@
 	}
 
 	private Optional<Throwable> probe(int seed) throws Exception {
+		return probe(hosts(seed, List.of(silentPeer(), this.answering.peer())));
+	}
+
+	private static HelpingHosts hosts(int seed, List<Peer> others) {
 		Peer self = new Peer("self", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
-		HelpingHosts hosts = new HelpingHosts(self, () -> List.of(silentPeer(), this.answering.peer()),
-				System::nanoTime, new SplittableRandom(seed));
-		ServerConnector connector = new ServerConnector(this.loop, (address) -> address,
-				new ServicePaths(System::nanoTime), hosts, new OtherServers(this.view, new SplittableRandom(2)),
-				new GatewayMetrics().tunnels(), System::nanoTime);
+		return new HelpingHosts(self, () -> others, System::nanoTime, new SplittableRandom(seed));
+	}
+
+	private Optional<Throwable> probe(HelpingHosts hosts) throws Exception {
+		ServerConnector connector = new ServerConnector(this.loop, (address) -> address, this.paths, hosts,
+				new OtherServers(this.view, new SplittableRandom(2)), new GatewayMetrics().tunnels(), System::nanoTime);
 		ServerEntry server = server("i-1", "svc", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
 		CompletableFuture<Optional<Throwable>> outcome = new CompletableFuture<>();
 		this.loop.submit(() -> connector.probe(server, outcome::complete)).sync();
