--- a/decision/src/main/java/io/sequoialink/decision/crash/CrashEvidence.java
+++ b/decision/src/main/java/io/sequoialink/decision/crash/CrashEvidence.java
@@ -99,6 +99,19 @@
 		return news;
 	}
 
+	/**
+	 * Returns whether it is known how requests with a trait were involved in a crash.
+	 * @param server hash of the server's incarnation
+	 * @param trait the trait
+	 * @param involvement how one of them was involved
+	 * @return whether that adds nothing to what is known
+	 */
+	public boolean knows(long server, long trait, Involvement involvement) {
+		Crash crash = this.crashes.get(server);
+		Involvement known = (crash != null) ? crash.involved.get(trait) : null;
+		return known != null && known.merge(involvement).equals(known);
+	}
+
 	/**
 	 * Returns when a server crashed.
 	 * @param server hash of the server's incarnation
--- a/decision/src/test/java/io/sequoialink/decision/crash/CrashEvidenceTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/crash/CrashEvidenceTests.java
@@ -156,6 +156,18 @@
 		assertThat(culprits()).containsExactly(Set.of(PART));
 	}
 
+	@Test
+	void whatIsKnownOfACrashNeedsNoFurtherReport() {
+		Involvement answering = new Involvement(STEP, true);
+		assertThat(this.evidence.knows(3, PART, answering)).isFalse();
+		this.evidence.recordCrash(3, 2 * STEP, Map.of(PART, answering), 2 * STEP);
+		assertThat(this.evidence.knows(3, PART, answering)).isTrue();
+		assertThat(this.evidence.knows(3, PART, new Involvement(STEP - 1, false))).isTrue();
+		assertThat(this.evidence.knows(3, PART, new Involvement(STEP + 1, false))).isFalse();
+		assertThat(this.evidence.knows(3, NEIGHBOUR, answering)).isFalse();
+		assertThat(this.evidence.knows(4, PART, answering)).isFalse();
+	}
+
 	@Test
 	void twoCulpritsAreToldApart() {
 		for (int i = 1; i <= 8; i++) {
--- a/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
@@ -246,14 +246,17 @@
 
 	/**
 	 * Records that a server crashed while a request ran there whose response had not
-	 * begun.
+	 * begun. What has been reported already, because another host had proven the crash
+	 * before, is not reported again.
 	 * @param server hash of the server's incarnation
 	 * @param ofRequest traits of the request
 	 * @param involvement how it was involved
 	 * @param crashedNanos monotonic time of the crash
 	 */
 	public void serverCrashed(long server, Set<Long> ofRequest, Involvement involvement, long crashedNanos) {
-		ofRequest.forEach((trait) -> addToReport(server, crashedNanos, trait, involvement));
+		ofRequest.stream()
+			.filter((trait) -> !this.evidence.knows(server, trait, involvement))
+			.forEach((trait) -> addToReport(server, crashedNanos, trait, involvement));
 	}
 
 	private void addToReport(long server, long crashedNanos, long trait, Involvement involvement) {
