--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
@@ -43,27 +43,12 @@
 	/** Time between two looks at what changed at brittle servers, in milliseconds. */
 	public static final long ROUND_MILLIS = 250;
 
-	/** Time after which a question is asked again, in milliseconds. */
-	private static final long REPEAT_MILLIS = 50;
-
-	/** Time after which a question counts as unanswered, in milliseconds. */
-	private static final long ANSWER_MILLIS = 120;
-
 	/** Time after which a request that waits for a slot asks again, in milliseconds. */
 	private static final long WAIT_STEP_MILLIS = 60;
 
 	/** Requests of this host that may wait for a slot at a time. */
 	private static final int MAX_WAITING = 16;
 
-	/**
-	 * Number of questions in a row without an answer after which a keeper counts as
-	 * silent. Single datagrams are lost now and then while it gives the slots to others.
-	 */
-	private static final int UNANSWERED_TO_BE_SILENT = 3;
-
-	/** Time for which a keeper that did not answer is not asked. */
-	private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(2);
-
 	private final Peer self;
 
 	private final RequestPermits rates;
@@ -84,11 +69,7 @@
 
 	private final Map<Long, Use> uses = new HashMap<>();
 
-	private final Map<Long, Question> questions = new HashMap<>();
-
-	private final Map<String, Long> silentUntil = new HashMap<>();
-
-	private final Map<String, Integer> unanswered = new HashMap<>();
+	private final SlotQuestions questions;
 
 	private long lastNumber;
 
@@ -117,6 +98,7 @@
 		this.brittle = new BrittleServices(servers, incarnations);
 		this.inFlight = inFlight;
 		this.sender = sender;
+		this.questions = new SlotQuestions(sender, timer, clock);
 		this.timer = timer;
 		this.clock = clock;
 		this.lastSequence = clock.getAsLong() / 1000;
@@ -213,7 +195,6 @@
 	}
 
 	private void ask(long server, Consumer<Boolean> receiver) {
-		long now = this.clock.getAsLong();
 		long number = ++this.lastNumber;
 		SlotMessage.Report question = message(server, number);
 		Peer keeper = keeper(server);
@@ -222,14 +203,15 @@
 			use(server).lastDecided = number;
 			receiver.accept(given);
 		}
-		else if (this.silentUntil.getOrDefault(keeper.host(), now) - now > 0) {
+		else if (this.questions.silent(keeper)) {
 			receiver.accept(mayUseOwnPart(server, question));
 		}
 		else {
-			this.questions.put(number, new Question(server, keeper, receiver));
-			send(keeper, question);
-			this.timer.schedule(() -> repeat(number, question), REPEAT_MILLIS);
-			this.timer.schedule(() -> giveUp(number, question), ANSWER_MILLIS);
+			this.questions.ask(keeper, question, (outcome) -> {
+				use(server).lastDecided = Math.max(use(server).lastDecided, number);
+				receiver.accept(outcome == SlotQuestions.Outcome.GIVEN
+						|| (outcome == SlotQuestions.Outcome.SILENT && mayUseOwnPart(server, question)));
+			});
 		}
 	}
 
@@ -250,26 +232,6 @@
 		this.sender.send(to.address(), SlotFormat.write(message));
 	}
 
-	private void repeat(long number, SlotMessage.Report question) {
-		Question asked = this.questions.get(number);
-		if (asked != null) {
-			send(asked.keeper, question);
-		}
-	}
-
-	private void giveUp(long number, SlotMessage.Report question) {
-		Question asked = this.questions.remove(number);
-		if (asked != null) {
-			use(asked.server).lastDecided = Math.max(use(asked.server).lastDecided, number);
-			int unanswered = this.unanswered.merge(asked.keeper.host(), 1, Integer::sum);
-			boolean silent = unanswered >= UNANSWERED_TO_BE_SILENT;
-			if (silent) {
-				this.silentUntil.put(asked.keeper.host(), this.clock.getAsLong() + SILENT_NANOS);
-			}
-			asked.receiver.accept(silent && mayUseOwnPart(asked.server, question));
-		}
-	}
-
 	// Without the keeper, as many hosts as the server has slots may have one request each
 	// there; they are drawn by rendezvous hashing, so that all hosts agree on them. With
 	// fewer hosts than slots each has its part.
@@ -370,8 +332,7 @@
 				logger.debug("dropped a datagram from {}: not the address of the host that it names", from);
 				return;
 			}
-			this.silentUntil.remove(peer.host());
-			this.unanswered.remove(peer.host());
+			this.questions.heardFrom(peer);
 			process(peer, message);
 		}
 		catch (IOException ex) {
@@ -387,13 +348,7 @@
 			}
 			return;
 		}
-		SlotMessage.Answer answer = (SlotMessage.Answer) message;
-		Question asked = this.questions.remove(answer.number());
-		if (asked != null) {
-			Use use = use(asked.server);
-			use.lastDecided = Math.max(use.lastDecided, answer.number());
-			asked.receiver.accept(answer.given());
-		}
+		this.questions.answered((SlotMessage.Answer) message);
 	}
 
 	/** This host's requests at one server. */
@@ -417,8 +372,4 @@
 
 	}
 
-	/** A question that awaits its answer. Immutable. */
-	private record Question(long server, Peer keeper, Consumer<Boolean> receiver) {
-	}
-
 }
