--- a/gateway/src/main/java/io/sequoialink/gateway/path/LeftOutHosts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/LeftOutHosts.java
@@ -61,9 +61,9 @@
 	 * @param peer the host
 	 * @param reason why, for the log
 	 */
-	void add(Peer peer, String reason) {
+	void leaveOut(Peer peer, String reason) {
 		remove(peer);
-		addLonger(peer, reason);
+		leaveOutLonger(peer, reason);
 	}
 
 	/**
@@ -72,7 +72,7 @@
 	 * @param peer the host
 	 * @param reason why, for the log
 	 */
-	void addLonger(Peer peer, String reason) {
+	void leaveOutLonger(Peer peer, String reason) {
 		if (contains(peer)) {
 			return;
 		}
@@ -89,7 +89,7 @@
 	 * Leaves a host out that can't tell whether it is cut off.
 	 * @param peer the host
 	 */
-	void addBriefly(Peer peer) {
+	void leaveOutBriefly(Peer peer) {
 		this.hosts.put(peer.host(), new Failures(1, this.clock.getAsLong() + UNDECIDED_NANOS));
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServiceHelpers.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServiceHelpers.java
@@ -66,13 +66,13 @@
 
 	private final Supplier<List<Peer>> others;
 
-	private final LeftOutHosts ofAllServices;
+	private final LeftOutHosts leftOutEverywhere;
 
 	private final LongSupplier clock;
 
 	private final RandomGenerator random;
 
-	private final LeftOutHosts ofThisService;
+	private final LeftOutHosts leftOutHere;
 
 	private final Map<String, Long> helpedAt = new HashMap<>();
 
@@ -89,18 +89,18 @@
 	 * @param service name of the service
 	 * @param self this host
 	 * @param others returns the other hosts that are known
-	 * @param ofAllServices hosts that are left out for all services
+	 * @param leftOutEverywhere hosts that are left out for all services
 	 * @param clock monotonic time in nanoseconds
 	 * @param random source of randomness
 	 */
-	ServiceHelpers(String service, Peer self, Supplier<List<Peer>> others, LeftOutHosts ofAllServices,
+	ServiceHelpers(String service, Peer self, Supplier<List<Peer>> others, LeftOutHosts leftOutEverywhere,
 			LongSupplier clock, RandomGenerator random) {
 		this.self = self;
 		this.others = others;
-		this.ofAllServices = ofAllServices;
+		this.leftOutEverywhere = leftOutEverywhere;
 		this.clock = clock;
 		this.random = random;
-		this.ofThisService = new LeftOutHosts(service, clock);
+		this.leftOutHere = new LeftOutHosts(service, clock);
 	}
 
 	/**
@@ -204,7 +204,7 @@
 	}
 
 	private boolean usable(Peer peer) {
-		return !this.ofThisService.contains(peer) && !this.ofAllServices.contains(peer);
+		return !this.leftOutHere.contains(peer) && !this.leftOutEverywhere.contains(peer);
 	}
 
 	/**
@@ -213,8 +213,8 @@
 	 */
 	void helped(Peer peer) {
 		this.zoneFailures = sameZone(peer) ? 0 : this.zoneFailures;
-		this.ofThisService.remove(peer);
-		this.ofAllServices.remove(peer);
+		this.leftOutHere.remove(peer);
+		this.leftOutEverywhere.remove(peer);
 		long now = this.clock.getAsLong();
 		this.helpedAt.values().removeIf((at) -> now - at > LAST_HELPER_NANOS);
 		this.helpedAt.put(peer.host(), now);
@@ -227,7 +227,7 @@
 	 */
 	void cutOff(Peer peer, String reason) {
 		recordZoneFailure(peer);
-		this.ofThisService.addLonger(peer, reason);
+		this.leftOutHere.leaveOutLonger(peer, reason);
 	}
 
 	/**
@@ -238,7 +238,7 @@
 	 */
 	void unreachable(Peer peer, String reason) {
 		recordZoneFailure(peer);
-		this.ofAllServices.addLonger(peer, reason);
+		this.leftOutEverywhere.leaveOutLonger(peer, reason);
 	}
 
 	/**
@@ -247,7 +247,7 @@
 	 */
 	void busy(Peer peer) {
 		recordZoneFailure(peer);
-		this.ofAllServices.add(peer, "it is busy");
+		this.leftOutEverywhere.leaveOut(peer, "it is busy");
 	}
 
 	/**
@@ -256,7 +256,7 @@
 	 */
 	void undecided(Peer peer) {
 		recordZoneFailure(peer);
-		this.ofThisService.addBriefly(peer);
+		this.leftOutHere.leaveOutBriefly(peer);
 	}
 
 	private void recordZoneFailure(Peer peer) {
@@ -275,7 +275,7 @@
 	void doubted(Peer peer, String reason) {
 		if (!trusted(peer)) {
 			recordZoneFailure(peer);
-			this.ofThisService.add(peer, reason);
+			this.leftOutHere.leaveOut(peer, reason);
 		}
 	}
 
