Share the proof of a crash among the requests that were lost in it

Cause: each request that lost its connection asked two witnesses and looked at other servers by itself: some ten connections a request, in a burst when a path breaks under load. A busy host that was asked as a last resort was logged and left out anew each time.

Change: checks of one server process at the same time share one outcome; four other servers are tried instead of two; a host that is left out as busy is not left out anew before that time is over.

Measured: WitnessTests.requestsThatAreLostAtOneServerShareTheProof red before (20 questions), passes (1); paths, cut-off and crash tests pass, 90.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/LeftOutHosts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/LeftOutHosts.java
@@ -57,13 +57,15 @@
 	}
 
 	/**
-	 * Leaves a host out for the shortest time, whatever happened before.
+	 * Leaves a host out for the shortest time, unless it is left out already.
 	 * @param peer the host
 	 * @param reason why, for the log
 	 */
 	void leaveOut(Peer peer, String reason) {
-		remove(peer);
-		leaveOutLonger(peer, reason);
+		if (!contains(peer)) {
+			remove(peer);
+			leaveOutLonger(peer, reason);
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/path/OwnPathCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/OwnPathCheck.java
@@ -11,8 +11,11 @@
  */
 final class OwnPathCheck {
 
-	/** Number of servers at which a host checks its own path. */
-	private static final int MAX_CHECKED = 2;
+	/**
+	 * Number of servers at which a host checks its own path. After a series of crashes
+	 * several that are registered have ended.
+	 */
+	private static final int MAX_CHECKED = 4;
 
 	private final ServerConnector connector;
 
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerProbe.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -33,6 +35,8 @@
 
 	private final OwnPathCheck ownPathCheck;
 
+	private final Map<Incarnation, List<Consumer<Optional<Throwable>>>> running = new HashMap<>();
+
 	ServerProbe(ServerConnector connector, HelpingHosts hosts, OwnPathCheck ownPathCheck) {
 		this.connector = connector;
 		this.hosts = hosts;
@@ -40,11 +44,22 @@
 	}
 
 	/**
-	 * Checks a server.
+	 * Checks a server. Checks of the same server at the same time share their outcome.
 	 * @param server the server
 	 * @param callback receives the connection error, or empty if a connection was made
 	 */
 	void check(ServerEntry server, Consumer<Optional<Throwable>> callback) {
+		Incarnation incarnation = new Incarnation(server.id(), server.startMillis());
+		List<Consumer<Optional<Throwable>>> waiting = this.running.get(incarnation);
+		if (waiting != null) {
+			waiting.add(callback);
+			return;
+		}
+		this.running.put(incarnation, new ArrayList<>(List.of(callback)));
+		begin(server, (outcome) -> this.running.remove(incarnation).forEach((each) -> each.accept(outcome)));
+	}
+
+	private void begin(ServerEntry server, Consumer<Optional<Throwable>> callback) {
 		if (this.connector.paths().silent(server.service()) && this.hosts.of(server.service()).anyUsable()) {
 			askWitnesses(server, callback, () -> checkAlone(server, callback));
 			return;
@@ -106,6 +121,10 @@
 				(whole) -> callback.accept(Optional.of(whole ? refusal : new IOException("no host can tell"))));
 	}
 
+	/** A server process. Immutable. */
+	private record Incarnation(String id, long startMillis) {
+	}
+
 	/** Questions to witnesses; the first that can tell decides. */
 	private static final class Inquiry {
 
--- a/gateway/src/test/java/io/sequoialink/gateway/path/AnsweringHost.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/AnsweringHost.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 import io.sequoialink.gateway.relay.Peer;
@@ -29,6 +30,8 @@
 
 	private final Function<String, TunnelAnswer> answers;
 
+	private final AtomicInteger asked = new AtomicInteger();
+
 	/**
 	 * Starts a host.
 	 * @param name name of the host
@@ -47,6 +50,14 @@
 				new InetSocketAddress(InetAddress.getLoopbackAddress(), this.listening.getLocalPort()));
 	}
 
+	/**
+	 * Returns how often the host was asked for a connection.
+	 * @return number of questions
+	 */
+	int asked() {
+		return this.asked.get();
+	}
+
 	private void serve() {
 		while (!this.listening.isClosed()) {
 			try {
@@ -54,6 +65,7 @@
 				this.open.add(socket);
 				DataInputStream in = new DataInputStream(socket.getInputStream());
 				in.readByte();
+				this.asked.incrementAndGet();
 				String target = new String(in.readNBytes(in.readInt()), StandardCharsets.US_ASCII);
 				socket.getOutputStream().write(new byte[] { 1, 0, 0, 0, 1, this.answers.apply(target).code() });
 			}
--- a/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/WitnessTests.java
@@ -122,6 +122,29 @@
 		}
 	}
 
+	// Guards against a burst of connections when a path breaks while many requests run:
+	// each
+	// of them asked witnesses and looked at other servers.
+	@Test
+	void requestsThatAreLostAtOneServerShareTheProof() throws Exception {
+		this.answer = TunnelAnswer.REFUSED;
+		ServerConnector connector = connector(hosts(1, List.of(this.answering.peer())));
+		List<CompletableFuture<Optional<Throwable>>> outcomes = new ArrayList<>();
+		this.loop.submit(() -> {
+			for (int i = 0; i < 20; i++) {
+				CompletableFuture<Optional<Throwable>> outcome = new CompletableFuture<>();
+				outcomes.add(outcome);
+				connector.probe(crashed(), outcome::complete);
+			}
+		}).sync();
+		for (CompletableFuture<Optional<Throwable>> outcome : outcomes) {
+			assertThat(ServerConnector.refused(outcome.get(5, TimeUnit.SECONDS).orElseThrow())).isTrue();
+		}
+		assertThat(this.answering.asked()).isEqualTo(1);
+		assertThat(probe(1)).as("a later one is proven anew").isPresent();
+		assertThat(this.answering.asked()).isEqualTo(2);
+	}
+
 	private void suspectPath() throws Exception {
 		this.loop.submit(() -> this.paths.failed(server("i-9", "svc", new InetSocketAddress(1)), true)).sync();
 	}
@@ -144,12 +167,19 @@
 		return new HelpingHosts(self, () -> others, System::nanoTime, new SplittableRandom(seed));
 	}
 
-	private Optional<Throwable> probe(HelpingHosts hosts) throws Exception {
-		ServerConnector connector = new ServerConnector(this.loop, (address) -> address, this.paths, hosts,
+	private ServerConnector connector(HelpingHosts hosts) {
+		return new ServerConnector(this.loop, (address) -> address, this.paths, hosts,
 				new OtherServers(this.view, new SplittableRandom(2)), new GatewayMetrics().tunnels(), System::nanoTime);
-		ServerEntry server = server("i-1", "svc", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+	}
+
+	private static ServerEntry crashed() {
+		return server("i-1", "svc", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+	}
+
+	private Optional<Throwable> probe(HelpingHosts hosts) throws Exception {
+		ServerConnector connector = connector(hosts);
 		CompletableFuture<Optional<Throwable>> outcome = new CompletableFuture<>();
-		this.loop.submit(() -> connector.probe(server, outcome::complete)).sync();
+		this.loop.submit(() -> connector.probe(crashed(), outcome::complete)).sync();
 		return outcome.get(5, TimeUnit.SECONDS);
 	}
 
