Review: order the cases by gravity

A graver case comes first, so the cases of ROUTE and of the added route move to folders 2 and 4, and the case of the stopping host leaves the five. Their classes are named by what they test.

--- a/review/2/Case2.java
+++ b/review/4/AddedRoute.java
@@ -7,24 +7,24 @@
  * A route is added whose streams may not be resumed and whose model the system chooses.
  * Requests on it are sent when the configuration has long been in force.
  */
-final class Case2 {
+final class AddedRoute {
 
     private static final int REQUESTS = 45;
 
     private static final int EVENTS = 5;
 
-    private Case2() {
+    private AddedRoute() {
     }
 
     public static void main(String[] arguments) {
-        Rig.main(arguments, Case2::run);
+        Rig.main(arguments, AddedRoute::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
         String first = Settings.stream("r-first", "/first/", 25_000, true);
         rig.store().put("op", "config", Settings.config(1, first));
         for (int i = 1; i <= 6; i++) {
-            rig.runner("i-model" + i, "copy-model", "v1", 48, Case2::answer);
+            rig.runner("i-model" + i, "copy-model", "v1", 48, AddedRoute::answer);
         }
         rig.startHosts(3);
         Thread.sleep(4000);
--- a/review/rig/Client.java
+++ b/review/rig/Client.java
@@ -37,6 +37,18 @@
         this.socket.getOutputStream().flush();
     }
 
+    /** Sends the head of a request whose body follows by {@link #write}. */
+    void head(String method, String path, String id, String headers, int bodyBytes) throws IOException {
+        write((method + " " + path + " HTTP/1.1\r\nHost: " + Rig.HOST + "\r\nX-Sequoialink-Request-Id: " + id + "\r\n"
+                + headers + "Content-Length: " + bodyBytes + "\r\n\r\n")
+            .getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    void write(byte[] bytes) throws IOException {
+        this.socket.getOutputStream().write(bytes);
+        this.socket.getOutputStream().flush();
+    }
+
     /** Reads a line as it comes, which should be a status line; null at the end. */
     String line() throws IOException {
         return Http.line(this.in);
--- a/review/rig/Runner.java
+++ b/review/rig/Runner.java
@@ -62,6 +62,10 @@
         return this.service;
     }
 
+    String version() {
+        return this.version;
+    }
+
     /** Writes a line about this runner to record.txt. */
     void note(String text) {
         this.rig.note("runner " + this.id + " " + text);
--- a/review/rig/Settings.java
+++ b/review/rig/Settings.java
@@ -25,8 +25,13 @@
 
     /** Returns a route to a plain service. */
     static String plain(String name, String prefix, String kind, String service) {
+        return plain(name, prefix, kind, service, 30_000);
+    }
+
+    /** Returns a route to a plain service. */
+    static String plain(String name, String prefix, String kind, String service, int timeoutMillis) {
         return "{\"name\":\"" + name + "\",\"host\":\"" + Rig.HOST + "\",\"path_prefix\":\"" + prefix
-                + "\",\"kind\":\"" + kind + "\",\"timeout_ms\":30000,\"target_latency_ms\":193,\"priority\":2,"
+                + "\",\"kind\":\"" + kind + "\",\"timeout_ms\":" + timeoutMillis + ",\"target_latency_ms\":193,\"priority\":2,"
                 + "\"service\":\"" + service + "\",\"max_attempts\":2,\"public\":false}";
     }
 
