--- a/review/rig/Balancer.java
+++ b/review/rig/Balancer.java
@@ -11,6 +11,8 @@
  */
 final class Balancer {
 
+    private static final long PERIOD_MILLIS = 1000;
+
     private final Rig rig;
 
     private final Map<EntryProcess, Boolean> out = new ConcurrentHashMap<>();
@@ -27,6 +29,7 @@
     private void watch(EntryProcess host) throws InterruptedException {
         int misses = 0;
         while (true) {
+            long asked = System.nanoTime();
             boolean ready = host.ready();
             misses = ready ? 0 : misses + 1;
             boolean isOut = misses >= 2;
@@ -34,7 +37,7 @@
                 this.rig.note("the platform " + (isOut ? "takes " + host.name() + " out" : "uses " + host.name() + " again"));
             }
             this.out.put(host, isOut);
-            Thread.sleep(ready ? 1000 : 500);
+            Thread.sleep(Math.max(1, PERIOD_MILLIS - (System.nanoTime() - asked) / 1_000_000));
         }
     }
 
