Keep a low-confidence response that nothing may replace

Cause: RequestFlow.mayDiscardResponse counted attempts only, while discarded also asked whether the request may run twice. The attempt was ended on the word of the first, then the second returned NOTHING, and the request stayed in flight without an attempt until its timer.

Change: the question asks all that the decision needs, and the decision is taken before the attempt is ended. Each end of an attempt leads to another or to a final response in every phase. A response is kept also if the request is blocked, the host stops, or no server is left (this gave a 502).

--- a/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/flow/RequestFlow.java
@@ -9,7 +9,9 @@
  * earlier attempt executed it; {@link NextStep#REJECT} is returned only while
  * {@link #executed()} is {@link Executed#NO}; no request reaches more servers than
  * allowed, and at most {@link #MAX_CONNECT_FAILURES} further attempts fail to reach one;
- * after the request has ended, every input returns {@link NextStep#NOTHING}.
+ * after the request has ended, every input returns {@link NextStep#NOTHING}. The end of
+ * an attempt is never followed by {@link NextStep#NOTHING} while it is in progress, so no
+ * request waits for its time limit without an attempt.
  */
 public final class RequestFlow {
 
@@ -80,7 +82,7 @@
 	 */
 	public NextStep connectFailed() {
 		if (this.phase != Phase.IN_FLIGHT) {
-			return NextStep.NOTHING;
+			return brokeOff(true);
 		}
 		this.connectFailures++;
 		return retryOrFinish(true);
@@ -103,7 +105,7 @@
 	 */
 	public NextStep notExecuted(boolean retryAllowed) {
 		if (this.phase != Phase.IN_FLIGHT) {
-			return NextStep.NOTHING;
+			return brokeOff(retryAllowed);
 		}
 		return retryOrFinish(retryAllowed);
 	}
@@ -132,7 +134,7 @@
 	 */
 	public NextStep failed(boolean retryAllowed) {
 		if (this.phase != Phase.IN_FLIGHT) {
-			return NextStep.NOTHING;
+			return brokeOff(retryAllowed);
 		}
 		this.ran = Executed.YES;
 		this.failureAvailable = true;
@@ -141,11 +143,11 @@
 
 	/**
 	 * Discards the response of the current attempt in favour of another model's. Possible
-	 * only before any of it was forwarded to the client.
-	 * @return the next step: another attempt, or nothing if no attempt is left
+	 * only if {@link #mayDiscardResponse()}; otherwise the attempt goes on.
+	 * @return the next step: another attempt, or nothing if the response must be kept
 	 */
 	public NextStep discarded() {
-		if (this.phase != Phase.IN_FLIGHT || this.forwardingStarted || !this.repeatable || !attemptsLeft()) {
+		if (!mayDiscardResponse()) {
 			return NextStep.NOTHING;
 		}
 		this.ran = Executed.YES;
@@ -263,12 +265,16 @@
 	}
 
 	/**
-	 * Returns whether a response may be discarded in favour of another model's. One
-	 * attempt is reserved for the case that a server breaks off, unless only two are
-	 * allowed in total.
+	 * Returns whether the response of the current attempt may be discarded in favour of
+	 * another model's: only if the request may run twice and none of the response was
+	 * forwarded. One attempt is reserved for the case that a server breaks off, unless
+	 * only two are allowed in total.
 	 * @return whether an attempt may be used for it
 	 */
 	public boolean mayDiscardResponse() {
+		if (this.phase != Phase.IN_FLIGHT || this.forwardingStarted || !this.repeatable) {
+			return false;
+		}
 		int attemptsLeft = this.maxAttempts - (this.attempts - this.connectFailures);
 		return attemptsLeft > 1 || (attemptsLeft == 1 && this.maxAttempts == 2);
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -268,7 +268,8 @@
 
 	/**
 	 * Decides from the model's confidence whether a larger model is asked, before any
-	 * part of the response is forwarded.
+	 * part of the response is forwarded. If so, the caller ends the attempt and calls
+	 * {@link #sendToLargerModel()}.
 	 * @param confidence the confidence, from 0 to 100
 	 * @return whether the response was dropped in favour of a larger model
 	 */
@@ -277,21 +278,28 @@
 			return false;
 		}
 		OptionalInt larger = this.modelChoice.largerModel(confidence);
-		if (larger.isEmpty() || remainingMillis() < MIN_ESCALATION_MILLIS || !this.flow.mayDiscardResponse()
-				|| (this.gateway.permits().anyLimited() && !this.dispatcher.hasServerWithoutLimit())
+		if (larger.isEmpty() || !mayReplaceResponse()
 				|| !this.gateway.retryBudget().tryAcquireRetry(service(), now())) {
 			return false;
 		}
 		this.modelChoice.escalate(larger.getAsInt(), confidence);
-		return true;
+		return this.flow.discarded() == NextStep.SEND;
+	}
+
+	// A response in hand is dropped only for an attempt that nothing known prevents.
+	private boolean mayReplaceResponse() {
+		return this.flow.mayDiscardResponse() && remainingMillis() >= MIN_ESCALATION_MILLIS
+				&& !this.crashCheck.blocked() && !this.client.hostStopsBefore(usualMillis())
+				&& this.dispatcher.hasServerWithoutLimit();
 	}
 
 	/**
-	 * Sends the request to the larger model after a response was dropped.
+	 * Sends the request to the larger model after a response was dropped and its attempt
+	 * has ended.
 	 */
 	void sendToLargerModel() {
 		this.dispatcher.clearTried();
-		perform(this.flow.discarded());
+		perform(NextStep.SEND);
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/flow/RequestFlowTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -149,6 +150,38 @@
 		assertThat(flow.discarded()).isEqualTo(NextStep.NOTHING);
 	}
 
+	// Guards against requests that nothing ends before their time limit: an attempt's end
+	// was ignored, so that no other attempt and no final response followed.
+	@ParameterizedTest
+	@CsvSource({ "true, false", "true, true", "false, false", "false, true" })
+	void theEndOfAnAttemptIsFollowedByAnotherOrByTheEndOfTheRequest(boolean repeatable, boolean partForwarded) {
+		List<Function<RequestFlow, NextStep>> ends = List.of((flow) -> flow.notExecuted(true),
+				(flow) -> flow.notExecuted(false), (flow) -> flow.brokeOff(true), (flow) -> flow.brokeOff(false),
+				(flow) -> flow.failed(true), (flow) -> flow.failed(false), RequestFlow::connectFailed);
+		for (Function<RequestFlow, NextStep> end : ends) {
+			RequestFlow flow = new RequestFlow(repeatable, 3);
+			flow.attemptStarted();
+			if (partForwarded) {
+				flow.forwardingStarted();
+			}
+			assertThat(end.apply(flow)).isNotEqualTo(NextStep.NOTHING);
+			assertThat(flow.waiting() || flow.done()).isTrue();
+		}
+	}
+
+	// Guards against a response that is dropped although the request must not be sent
+	// again: the question and the decision disagreed.
+	@ParameterizedTest
+	@CsvSource({ "true, 1", "true, 2", "true, 3", "false, 1", "false, 2", "false, 3" })
+	void aResponseThatMayBeDiscardedIsFollowedByAnotherAttempt(boolean repeatable, int maxAttempts) {
+		RequestFlow flow = new RequestFlow(repeatable, maxAttempts);
+		flow.attemptStarted();
+		boolean mayDiscard = flow.mayDiscardResponse();
+		assertThat(mayDiscard).isEqualTo(repeatable && maxAttempts > 1);
+		assertThat(flow.discarded()).isEqualTo(mayDiscard ? NextStep.SEND : NextStep.NOTHING);
+		assertThat(flow.waiting()).isEqualTo(mayDiscard);
+	}
+
 	/**
 	 * Replays a sequence of inputs and counts what the client and the servers would see.
 	 */
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -72,8 +72,9 @@
  * A gateway on loopback in front of scripted backend servers. Paths: {@code /safe/}
  * idempotent with two attempts, {@code /once/} non-idempotent with two attempts, {@code
  * /stream/} resumable with three, {@code /firm/} a stream that must not be retried,
- * {@code /sized/} a stream with two models, {@code /brief/} idempotent with a timeout of
- * 300 ms, {@code /brief-once/} non-idempotent with the same.
+ * {@code /sized/} a stream with two models, {@code /firm-sized/} the same without
+ * retries, {@code /brief/} idempotent with a timeout of 300 ms, {@code /brief-once/}
+ * non-idempotent with the same.
  */
 final class GatewayFixture implements AutoCloseable {
 
@@ -274,6 +275,14 @@
 		return this.table;
 	}
 
+	/**
+	 * Removes a server from the view of the fleet.
+	 * @param number number of the server, from 1
+	 */
+	void removeServer(int number) {
+		this.loops.submit(() -> this.view.remove("s" + number)).syncUninterruptibly();
+	}
+
 	static GatewayFixture withServers(ScriptedServer.Script... scripts) throws Exception {
 		GatewayFixture fixture = withoutConfiguration(scripts);
 		fixture.publishConfiguration();
@@ -314,7 +323,8 @@
 				route("/brief-once/", RequestKind.NON_IDEMPOTENT, 300, 2, false, List.of()),
 				route("/stream/", RequestKind.STREAMING, 5000, 3, true, List.of()),
 				route("/firm/", RequestKind.STREAMING, 5000, 3, false, List.of()),
-				route("/sized/", RequestKind.STREAMING, 5000, 3, true, List.of("small", "large")));
+				route("/sized/", RequestKind.STREAMING, 5000, 3, true, List.of("small", "large")),
+				route("/firm-sized/", RequestKind.STREAMING, 5000, 3, false, List.of("small", "large")));
 		BackendService service = new BackendService("svc", "/health", 100, 1000,
 				List.of(new ModelCost("small", 0.1), new ModelCost("large", 1)));
 		return new Configuration(1, routes, List.of(service),
