Compare each route of a new version with its own reference

Against a reference share of a tenth, a few bad answers of the new version on the other routes say nothing.

Change: the likelihood ratios are summed over the routes, each with the reference of that route. RouteAnswerCounts moves to the module decision, so that the test takes it as it is; records and reports keep their form.

--- a/decision/src/main/java/io/sequoialink/decision/rollout/BadAnswerTest.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/BadAnswerTest.java
@@ -1,5 +1,8 @@
 package io.sequoialink.decision.rollout;
 
+import java.util.Collection;
+import java.util.List;
+
 /**
  * Sequential test of whether a version gives more bad answers than its reference. The
  * score may be checked after every answer: for a version as good as its reference, the
@@ -30,34 +33,55 @@
 
 	/**
 	 * Returns the natural logarithm of the e-value for the hypothesis that the version is
-	 * worse than its reference.
-	 * @param tested answers of the version
-	 * @param reference answers of the version that it would replace
+	 * worse than its reference. Each route is compared with its own reference.
+	 * @param routes answers of the version and of the version that it would replace, by
+	 * route
 	 * @return the score; 0 or less if there is no evidence against the version
 	 */
-	public double score(AnswerCounts tested, AnswerCounts reference) {
-		return this.tests.failures(statistics(tested), statistics(reference));
+	public double score(Collection<RouteAnswerCounts> routes) {
+		return this.tests.failures(routes.stream()
+			.map((route) -> new SequentialTests.Stratum(statistics(route.target()), statistics(route.reference())))
+			.toList());
 	}
 
 	/**
-	 * Returns whether the evidence is strong enough to stop the version at any time.
+	 * Returns whether the evidence on one route is strong enough to stop the version at
+	 * any time.
 	 * @param tested answers of the version
 	 * @param reference answers of the version that it would replace
 	 * @return whether the score reaches the threshold ln(1 / alpha)
 	 */
 	public boolean isWorse(AnswerCounts tested, AnswerCounts reference) {
-		return score(tested, reference) >= this.threshold;
+		return isWorse(score(List.of(new RouteAnswerCounts(tested, reference))));
 	}
 
 	/**
-	 * Returns whether the version is more likely worse than not. The threshold is low, so
-	 * use it to decide only when the decision is due, not after every answer.
+	 * Returns whether the version is more likely worse than not on one route.
 	 * @param tested answers of the version
 	 * @param reference answers of the version that it would replace
 	 * @return whether the e-value is at least 10
 	 */
 	public boolean isProbablyWorse(AnswerCounts tested, AnswerCounts reference) {
-		return score(tested, reference) >= PROBABLY_WORSE_SCORE;
+		return isProbablyWorse(score(List.of(new RouteAnswerCounts(tested, reference))));
+	}
+
+	/**
+	 * Returns whether the evidence is strong enough to stop the version at any time.
+	 * @param score the score of the version's answers
+	 * @return whether the score reaches the threshold ln(1 / alpha)
+	 */
+	public boolean isWorse(double score) {
+		return score >= this.threshold;
+	}
+
+	/**
+	 * Returns whether the version is more likely worse than not. The threshold is low, so
+	 * use it to decide only when the decision is due, not after every answer.
+	 * @param score the score of the version's answers
+	 * @return whether the e-value is at least 10
+	 */
+	public boolean isProbablyWorse(double score) {
+		return score >= PROBABLY_WORSE_SCORE;
 	}
 
 	private static AnswerStatistics statistics(AnswerCounts counts) {
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RouteAnswerCounts.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/RouteAnswerCounts.java
@@ -1,6 +1,4 @@
-package io.sequoialink.gateway.rollout;
-
-import io.sequoialink.decision.rollout.AnswerCounts;
+package io.sequoialink.decision.rollout;
 
 /**
  * Answer counts on one route during a roll-out. Immutable.
--- a/decision/src/main/java/io/sequoialink/decision/rollout/SequentialTests.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/SequentialTests.java
@@ -1,5 +1,6 @@
 package io.sequoialink.decision.rollout;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -70,19 +71,44 @@
 	// flight count as successes until they end, in the order of their start, so that fast
 	// failures count no more than slow successes.
 	double failures(AnswerStatistics tested, AnswerStatistics reference) {
-		double expected = upperShare(reference.failed(), reference.ended(), this.settings.minFailureShare());
-		long trials = Math.max(tested.started(), tested.ended());
-		if (tested.failed() <= expected * trials) {
+		return failures(List.of(new Stratum(tested, reference)));
+	}
+
+	// Each stratum is compared with its own reference, so that one in which most answers
+	// of any version fail hides nothing in the others.
+	double failures(List<Stratum> strata) {
+		double failed = 0;
+		double expected = 0;
+		for (Stratum stratum : strata) {
+			failed += stratum.tested().failed();
+			expected += expectedShare(stratum) * trials(stratum);
+		}
+		if (failed <= expected) {
 			return 0;
 		}
 		double[] scores = new double[FAILURE_ALTERNATIVES.length];
 		for (int i = 0; i < scores.length; i++) {
-			double alternative = expected + (1 - expected) * FAILURE_ALTERNATIVES[i];
-			scores[i] = logLikelihoodRatio(tested.failed(), trials, expected, alternative);
+			for (Stratum stratum : strata) {
+				scores[i] += failureScore(stratum, FAILURE_ALTERNATIVES[i]);
+			}
 		}
 		return logOfMean(scores);
 	}
 
+	private double failureScore(Stratum stratum, double excess) {
+		double expected = expectedShare(stratum);
+		double alternative = expected + (1 - expected) * excess;
+		return logLikelihoodRatio(stratum.tested().failed(), trials(stratum), expected, alternative);
+	}
+
+	private double expectedShare(Stratum stratum) {
+		return upperShare(stratum.reference().failed(), stratum.reference().ended(), this.settings.minFailureShare());
+	}
+
+	private static long trials(Stratum stratum) {
+		return Math.max(stratum.tested().started(), stratum.tested().ended());
+	}
+
 	// Tests the mean rating by a betting e-value, which assumes no distribution of the
 	// ratings.
 	double ratings(AnswerStatistics tested, AnswerStatistics reference) {
@@ -162,6 +188,15 @@
 		return highest + Math.log(sum / scores.length);
 	}
 
+	/**
+	 * Answers that are compared with a reference of their own. Immutable and thread-safe.
+	 *
+	 * @param tested answers of the tested version
+	 * @param reference answers of the reference to the same kind of requests
+	 */
+	record Stratum(AnswerStatistics tested, AnswerStatistics reference) {
+	}
+
 	/**
 	 * Result of one test. Immutable and thread-safe.
 	 *
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/FleetAnswerCounts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/FleetAnswerCounts.java
@@ -5,8 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import io.sequoialink.decision.rollout.AnswerCounts;
 import io.sequoialink.decision.rollout.BadAnswerTest;
+import io.sequoialink.decision.rollout.RouteAnswerCounts;
 
 /**
  * Answer counts of one roll-out's versions: those of this host and those reported by the
@@ -107,19 +107,20 @@
 	}
 
 	/**
-	 * Compares the versions by the counts of all hosts, summed over all routes and for
-	 * each route alone.
+	 * Compares the versions by the counts of all hosts, over all routes and for each
+	 * route alone. Each route is compared with its own reference, because routes differ
+	 * in their usual share of bad answers.
 	 * @return the comparison
 	 */
 	VersionComparison compare() {
 		Map<String, RouteAnswerCounts> sums = totalsByRoute();
-		AnswerCounts tested = sums.values().stream().reduce(RouteAnswerCounts.NONE, RouteAnswerCounts::plus).target();
-		AnswerCounts reference = weightedReference(sums, tested.answers());
-		boolean onOneRoute = sums.size() > 1
-				&& sums.values().stream().anyMatch((route) -> this.test.isWorse(route.target(), route.reference()));
-		return new VersionComparison(tested, reference, this.reportsOfOthers.size() + 1,
-				this.test.score(tested, reference), onOneRoute || this.test.isWorse(tested, reference),
-				this.test.isProbablyWorse(tested, reference));
+		RouteAnswerCounts all = sums.values().stream().reduce(RouteAnswerCounts.NONE, RouteAnswerCounts::plus);
+		double score = this.test.score(sums.values());
+		boolean onOneRoute = sums.values()
+			.stream()
+			.anyMatch((route) -> this.test.isWorse(route.target(), route.reference()));
+		return new VersionComparison(all.target(), all.reference(), this.reportsOfOthers.size() + 1, score,
+				onOneRoute || this.test.isWorse(score), this.test.isProbablyWorse(score));
 	}
 
 	private Map<String, RouteAnswerCounts> totalsByRoute() {
@@ -130,22 +131,6 @@
 		return sums;
 	}
 
-	// Weights each route's share of bad answers of the old versions by the number of
-	// the new version's answers on that route, because routes differ in their usual
-	// share of bad answers.
-	private static AnswerCounts weightedReference(Map<String, RouteAnswerCounts> sums, long testedAnswers) {
-		double expected = 0;
-		long referenceAnswers = 0;
-		for (RouteAnswerCounts route : sums.values()) {
-			AnswerCounts reference = route.reference();
-			double share = (reference.answers() == 0) ? 0 : (double) reference.bad() / reference.answers();
-			expected += share * route.target().answers();
-			referenceAnswers += reference.answers();
-		}
-		long bad = Math.round(expected / Math.max(1, testedAnswers) * referenceAnswers);
-		return new AnswerCounts(referenceAnswers, bad);
-	}
-
 	/**
 	 * Good stream that waits for {@link #GOOD_STREAM_DELAY_NANOS} before it is counted.
 	 * Immutable.
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/HostRolloutReport.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/HostRolloutReport.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.sequoialink.decision.rollout.RouteAnswerCounts;
+
 /**
  * Report that one host publishes about a roll-out. Immutable.
  *
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/VersionComparison.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/VersionComparison.java
@@ -7,11 +7,10 @@
  * over all hosts. Immutable.
  *
  * @param tested answer counts of the new version
- * @param reference answer counts of the old versions, weighted by the routes that the new
- * version answered
+ * @param reference answer counts of the old versions
  * @param hosts number of hosts whose counts are included, this one too
  * @param score natural logarithm of the e-value (strength of evidence) for the hypothesis
- * that the new version is worse
+ * that the new version is worse, each route compared with its own reference
  * @param worse whether the score, over all routes or on one route, is high enough to roll
  * back at any time
  * @param probablyWorse whether the score is high enough to roll back once a decision is
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
@@ -12,6 +12,7 @@
 import io.sequoialink.decision.rollout.AnswerCounts;
 import io.sequoialink.decision.rollout.BadAnswerTest;
 import io.sequoialink.decision.rollout.RolloutSettings;
+import io.sequoialink.decision.rollout.RouteAnswerCounts;
 import io.sequoialink.gateway.feed.StoreReply;
 import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
@@ -395,6 +396,27 @@
 		assertThat(published.get(0).targetAnswers()).isEqualTo(10);
 	}
 
+	// Guards against incident EXPOSURE (review/5): on a route whose requests always
+	// exceed its timeout all answers were bad, of any version, and in the sum over the
+	// routes they hid the bad answers of the other routes.
+	@Test
+	void routeOnWhichAllAnswersAreBadHidesNothingOnTheOthers() {
+		FleetAnswerCounts counts = new FleetAnswerCounts("h1", new BadAnswerTest(RolloutSettings.defaults()));
+		record(counts, "charge", false, 140, 0);
+		record(counts, "fetch", false, 60, 0);
+		record(counts, "overdue", false, 25, 25);
+		record(counts, "charge", true, 14, 3);
+		record(counts, "fetch", true, 6, 1);
+		record(counts, "overdue", true, 3, 3);
+		assertThat(counts.compare().probablyWorse()).isTrue();
+	}
+
+	private static void record(FleetAnswerCounts counts, String route, boolean ofTarget, int answers, int bad) {
+		for (int i = 0; i < answers; i++) {
+			counts.recordAnswer(route, ofTarget, i < bad, false, 0);
+		}
+	}
+
 	// The state that is written is read back at once.
 	private static RolloutStore recordsInto(List<HostRolloutReport> published, List<RolloutState> states,
 			Supplier<RolloutCoordinator> reader) {
