Complete a version without streams only on evidence given under load

Cause: the new version had 3.75 % of the requests on one server of four, 0.75 a second where each bears 5 after the roll-out, so that no two requests met. Eight answers and a low score were enough to complete, though a low score only says that nothing speaks against the version.

Change: just before all requests move, those without a session go to the new version's fewest servers for 0.15 of the time, from the part of the permitted exposure that nothing used (expose_slack, shared between the hosts). A version of routes without streams is completed on evidence of 20 to 1 that it fails no tenth more often, and rolled back when a decision is due and the evidence is as strong the other way. In between the roll-out waits, with its old servers alive.

Ruled out: a higher number of answers alone (a good version is then late in half of the roll-outs).

--- a/decision/src/main/java/io/sequoialink/decision/rollout/BadAnswerTest.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/BadAnswerTest.java
@@ -17,6 +17,24 @@
 	 */
 	private static final double PROBABLY_WORSE_SCORE = Math.log(10);
 
+	/**
+	 * Logarithm of the likelihood ratio from which a version counts as good, or as
+	 * clearly worse: evidence of 20 to 1.
+	 */
+	private static final double GOOD_SCORE = Math.log(20);
+
+	/**
+	 * Excess of the share of bad answers that a version found good does not have, as a
+	 * fraction of the distance from the reference's share to 1.
+	 */
+	private static final double EXCLUDED_EXCESS = 0.1;
+
+	/** Smallest share of bad answers that is assumed of any version. */
+	private static final double MIN_REFERENCE_SHARE = 0.004;
+
+	/** Weight of that assumption, in answers of the reference. */
+	private static final double ASSUMED_ANSWERS = 5;
+
 	private final SequentialTests tests;
 
 	private final double threshold;
@@ -84,6 +102,48 @@
 		return score >= PROBABLY_WORSE_SCORE;
 	}
 
+	/**
+	 * Returns the natural logarithm of the e-value against the hypothesis that the
+	 * version is clearly worse: that its share of bad answers exceeds the reference's on
+	 * all routes by {@link #EXCLUDED_EXCESS}.
+	 * @param routes answers of the version and of the version that it would replace, by
+	 * route
+	 * @return the score; it grows with good answers and falls with bad ones, least where
+	 * the reference fails often too
+	 */
+	public double goodScore(Collection<RouteAnswerCounts> routes) {
+		return routes.stream().mapToDouble(BadAnswerTest::goodScore).sum();
+	}
+
+	private static double goodScore(RouteAnswerCounts route) {
+		AnswerCounts reference = route.reference();
+		double usual = (reference.bad() + MIN_REFERENCE_SHARE * ASSUMED_ANSWERS)
+				/ (reference.answers() + ASSUMED_ANSWERS);
+		double expected = Math.max(MIN_REFERENCE_SHARE, usual);
+		double excluded = expected + (1 - expected) * EXCLUDED_EXCESS;
+		long good = route.target().answers() - route.target().bad();
+		return -good * Math.log(1 - EXCLUDED_EXCESS) + route.target().bad() * Math.log(expected / excluded);
+	}
+
+	/**
+	 * Returns whether the evidence that the version is not clearly worse is strong enough
+	 * to complete its roll-out, which cannot be undone.
+	 * @param goodScore the score against the hypothesis that the version is clearly worse
+	 * @return whether the evidence is at least 20 to 1
+	 */
+	public boolean isGood(double goodScore) {
+		return goodScore >= GOOD_SCORE;
+	}
+
+	/**
+	 * Returns whether the evidence that the version is clearly worse is as strong.
+	 * @param goodScore the score against the hypothesis that the version is clearly worse
+	 * @return whether the evidence for that hypothesis is at least 20 to 1
+	 */
+	public boolean isClearlyWorse(double goodScore) {
+		return goodScore <= -GOOD_SCORE;
+	}
+
 	private static AnswerStatistics statistics(AnswerCounts counts) {
 		long[] values = new long[AnswerStatistics.SIZE];
 		values[AnswerStatistics.STARTED] = counts.answers();
--- a/decision/src/main/java/io/sequoialink/decision/rollout/CanarySchedule.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/CanarySchedule.java
@@ -43,6 +43,12 @@
 	 */
 	private static final double COMPLETION_FRACTION = 0.55;
 
+	/**
+	 * Point between the end of the ramp and the deadline at which all requests without
+	 * sessions move, as a fraction of that time.
+	 */
+	private static final double SHORT_ANSWERS_FRACTION = 0.08;
+
 	/**
 	 * Time reserved before the deadline for writing the completion, in milliseconds; less
 	 * if the ramp ends later.
@@ -64,12 +70,42 @@
 	 */
 	private static final double LOW_TRAFFIC_FRACTION = 0.25;
 
+	/**
+	 * Fraction of the requests beyond the permitted share that the load stage uses. The
+	 * rest is a reserve, because few requests vary much.
+	 */
+	private static final double PLANNED_EXTRA_FRACTION = 0.75;
+
+	/**
+	 * Minimum length of the load stage, as a fraction of the duration. Short, so that the
+	 * few requests that it may use make a high load.
+	 */
+	private static final double MIN_LOAD_STAGE = 0.15;
+
+	/** Maximum share of the requests without sessions in the load stage. */
+	private static final double MAX_LOAD_STAGE_SHARE = 0.75;
+
+	/**
+	 * Part of the new version's servers that the load stage uses, relative to its share
+	 * of the requests: each of them bears two to three times what it will usually bear
+	 * after the roll-out, as in a peak of the traffic.
+	 */
+	private static final double LOAD_STAGE_SERVERS = 0.22;
+
+	/**
+	 * The same from the start of the ramp until the new version is known to be good:
+	 * twice its usual load.
+	 */
+	private static final double RAMP_SERVERS = 0.33;
+
 	private final double firstShare;
 
 	private final double rampStart;
 
 	private final double rampLength;
 
+	private final double shortAnswersMove;
+
 	private final double completionProgress;
 
 	/**
@@ -85,6 +121,7 @@
 		this.rampLength = Math.min(MAX_RAMP, planned * RAMP_FRACTION);
 		this.rampStart = Math.max(SESSIONS_STAY_UNTIL, rampMiddle(planned, this.firstShare) - this.rampLength / 2);
 		double rampEnd = this.rampStart + this.rampLength;
+		this.shortAnswersMove = rampEnd + (1 - rampEnd) * SHORT_ANSWERS_FRACTION;
 		double longAnswersEnded = rampEnd + (1 - rampEnd) * COMPLETION_FRACTION;
 		double latestStart = 1 - COMPLETION_WRITE_MILLIS / Math.max(1, durationMillis);
 		this.completionProgress = Math.max(rampEnd, Math.min(longAnswersEnded, latestStart));
@@ -109,6 +146,69 @@
 		return Math.min(1, this.firstShare + (1 - this.firstShare) * ramped);
 	}
 
+	/**
+	 * Returns the share of the requests without sessions for the new version. Before all
+	 * of these move there is a stage in which it receives more of them, on few servers,
+	 * so that a fault that shows only under load appears before the roll-out can
+	 * complete. They move later than sessions and at once, as their answers are short;
+	 * the load stage uses also what that saves.
+	 * @param progress elapsed fraction of the duration; may exceed 1
+	 * @param extraRequests number of requests that the load stage may use beyond the
+	 * permitted share, as a fraction of all requests during the roll-out; 0 for the share
+	 * of the sessions
+	 * @return the share, 0 to 1
+	 */
+	public double shareWithoutSession(double progress, double extraRequests) {
+		if (extraRequests <= 0 || progress < loadStageStart(extraRequests)) {
+			return share(progress);
+		}
+		return (progress < this.shortAnswersMove) ? loadStageShare(extraRequests) : 1;
+	}
+
+	/**
+	 * Returns the part of the new version's servers that receive requests while it is not
+	 * known yet to be good. Each bears more than it will usually bear after the roll-out.
+	 * @param progress elapsed fraction of the duration; may exceed 1
+	 * @param extraRequests number of requests that the load stage may use beyond the
+	 * permitted share, as a fraction of all requests during the roll-out
+	 * @return the part, 0 to 1
+	 */
+	public double serverShare(double progress, double extraRequests) {
+		boolean allMoved = extraRequests <= 0 || progress >= this.shortAnswersMove;
+		double relative = allMoved ? RAMP_SERVERS : LOAD_STAGE_SERVERS;
+		return Math.max(this.firstShare, relative * shareWithoutSession(progress, extraRequests));
+	}
+
+	private double loadStageStart(double extraRequests) {
+		return this.shortAnswersMove - loadStageLength(extraRequests);
+	}
+
+	private double loadStageLength(double extraRequests) {
+		double atHighestShare = loadStageRequests(extraRequests)
+				/ Math.max(0.01, MAX_LOAD_STAGE_SHARE - this.firstShare);
+		return Math.min(this.shortAnswersMove - SESSIONS_STAY_UNTIL, Math.max(MIN_LOAD_STAGE, atHighestShare));
+	}
+
+	private double loadStageShare(double extraRequests) {
+		return Math.min(1, this.firstShare + loadStageRequests(extraRequests) / loadStageLength(extraRequests));
+	}
+
+	private double loadStageRequests(double extraRequests) {
+		double rampMiddle = this.rampStart + this.rampLength / 2;
+		return extraRequests + (1 - this.firstShare) * (this.shortAnswersMove - rampMiddle);
+	}
+
+	/**
+	 * Returns the part of additional requests that the load stage uses. The rest is a
+	 * reserve for traffic that grows meanwhile.
+	 * @param permitted number of requests that a bad version may receive beyond the
+	 * permitted share
+	 * @return number of requests
+	 */
+	public static double plannedExtraRequests(double permitted) {
+		return PLANNED_EXTRA_FRACTION * permitted;
+	}
+
 	/**
 	 * Holds the progress at the start of the ramp while the new version's answers are
 	 * probably worse, even though the roll-out is not decided yet. Holds it there also
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -503,9 +503,9 @@
 		return RetryBudget.slackPerHost(bounds.repeatSlack(), this.permits.hosts());
 	}
 
-	private static RolloutCoordinator.Options rolloutOptions(EntrySettings.Bounds bounds) {
-		return new RolloutCoordinator.Options(bounds.exposureShare(),
-				TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis()));
+	private RolloutCoordinator.Options rolloutOptions(EntrySettings.Bounds bounds) {
+		return new RolloutCoordinator.Options(bounds.exposureShare(), bounds.exposureSlack(),
+				() -> this.permits.hosts(), TimeUnit.MILLISECONDS.toNanos(bounds.sessionMillis()));
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -165,7 +165,7 @@
 	public static final String ROLLOUT_ORDER_OF_COPY = "SL-3308 roll-out of {} to {}: its order at offset {} of the store's older copy is ignored unless no other is written soon; this host knows an order for {}";
 
 	/** The response counts that led to a new state of a roll-out. */
-	public static final String ROLLOUT_EVALUATED = "SL-3307 roll-out of {} to {}: state {} follows from {} bad of {} responses of the new version and {} of {} of the old versions, reported by {} hosts; score {}";
+	public static final String ROLLOUT_EVALUATED = "SL-3307 roll-out of {} to {}: state {} follows from {} bad of {} responses of the new version and {} of {} of the old versions, reported by {} hosts; score {}, evidence that it is not clearly worse {}";
 
 	/**
 	 * A server crashed while it ran a request; the last value says whether the crash was
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
@@ -68,11 +68,17 @@
 	}
 
 	private LoadBalancingRequest loadBalancingRequest(Set<String> excluded, long permitWaitNanos) {
-		VersionGroup versions = this.gateway.rollouts()
-			.chooseVersions(service(), this.stickyKey, this.metadata.session().isPresent());
+		VersionGroup versions = versions();
 		PromptSize work = this.prompt.work(this.models.modelName().orElse(""));
 		return new LoadBalancingRequest(service(), versions, this.gateway.rollouts().targetVersion(service()),
-				this.gateway.rollouts().targetShare(service()), work, excluded, permitWaitNanos);
+				this.gateway.rollouts().serverShare(service()), work, excluded, permitWaitNanos);
+	}
+
+	private VersionGroup versions() {
+		boolean session = this.metadata.session().isPresent();
+		return (session || this.admission.route().streaming())
+				? this.gateway.rollouts().chooseVersions(service(), this.stickyKey, session)
+				: this.gateway.rollouts().chooseVersionsWithoutSession(service(), this.stickyKey);
 	}
 
 	/**
@@ -86,7 +92,7 @@
 		boolean mayChange = placement.versionGroup() == VersionGroup.PREFER_TARGET && this.metadata.session().isEmpty();
 		return mayChange
 				? Optional.of(new LoadBalancingRequest(placement.service(), VersionGroup.PREFER_OLD, placement.target(),
-						placement.targetShare(), placement.prompt(), placement.tried(), placement.permitWaitNanos()))
+						placement.serverShare(), placement.prompt(), placement.tried(), placement.permitWaitNanos()))
 				: Optional.empty();
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LoadBalancingRequest.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LoadBalancingRequest.java
@@ -11,13 +11,14 @@
  * @param versionGroup which versions may handle it
  * @param target version that a running roll-out moves the service to; empty without a
  * roll-out
- * @param targetShare share of the requests that goes to the target version, from 0 to 1
+ * @param serverShare part of the target version's servers that receive requests, from 0
+ * to 1
  * @param prompt size of the prompt
  * @param tried identifiers of the servers to which the request was sent before
  * @param permitWaitNanos how long the request may wait for a permit of a limited server
  * if there is no other, in nanoseconds; {@link #NO_LIMITED_SERVER} leaves them out
  */
-public record LoadBalancingRequest(String service, VersionGroup versionGroup, String target, double targetShare,
+public record LoadBalancingRequest(String service, VersionGroup versionGroup, String target, double serverShare,
 		PromptSize prompt, Set<String> tried, long permitWaitNanos) {
 
 	/** Only servers for which no permit is needed are chosen. */
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
@@ -171,7 +171,7 @@
 		if (request.versionGroup() != VersionGroup.ANY) {
 			boolean wantsTarget = request.versionGroup() == VersionGroup.PREFER_TARGET;
 			allowed = filter(usable, (state) -> state.entry().version().equals(request.target()) == wantsTarget);
-			allowed = wantsTarget ? RolloutSubset.of(allowed, request.targetShare()) : allowed;
+			allowed = wantsTarget ? RolloutSubset.of(allowed, request.serverShare()) : allowed;
 		}
 		List<ServerState> permitted = (request.versionGroup() == VersionGroup.OLD_ONLY) ? allowed : usable;
 		List<ServerState> untried = firstNonEmpty(filter(allowed, (state) -> untried(state, request)),
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 
 import io.sequoialink.decision.rollout.BadAnswerTest;
 import io.sequoialink.decision.rollout.CanarySchedule;
@@ -35,8 +36,10 @@
 
 	/**
 	 * Maximum score (strength of evidence that the new version is worse) at which the
-	 * roll-out completes. Above it the roll-out waits for more answers, past the deadline
-	 * if necessary, until they lower the score or justify a rollback.
+	 * roll-out completes. Above it, or while the answers do not show that the version is
+	 * not clearly worse, the roll-out waits for more answers, past the deadline if
+	 * necessary, until they decide. Its old servers run until then, so it can still be
+	 * rolled back.
 	 */
 	static final double MAX_SCORE_TO_COMPLETE = 0.5;
 
@@ -47,6 +50,12 @@
 	 */
 	private static final double MAX_UNDECIDED_PROGRESS = 2;
 
+	/**
+	 * Part of the duration after which a host knows its own rate of requests well enough
+	 * for the load stage.
+	 */
+	private static final double MIN_OBSERVED_PROGRESS = 0.1;
+
 	private final String host;
 
 	private PositionedValue<RolloutOrder> order;
@@ -67,6 +76,12 @@
 
 	private long statesReadAtNanos;
 
+	private final long createdAtNanos;
+
+	private final DoubleSupplier extraRequests;
+
+	private long ownAnswers;
+
 	private final Set<Long> sessionsPinnedHere = new HashSet<>();
 
 	private final Set<Long> pinnedSessions = new HashSet<>();
@@ -78,11 +93,15 @@
 	 * record in the store
 	 * @param schedule share of the sessions for the new version over time
 	 * @param test statistical test of the new version's answers
+	 * @param extraRequests number of requests that this host may send to the new version
+	 * beyond the schedule's share, in its load stage
 	 * @param startedAtNanos monotonic time at which this host read the order
 	 */
 	public Canary(String host, PositionedValue<RolloutOrder> order, CanarySchedule schedule, BadAnswerTest test,
-			long startedAtNanos) {
+			DoubleSupplier extraRequests, long startedAtNanos) {
 		this.host = host;
+		this.extraRequests = extraRequests;
+		this.createdAtNanos = startedAtNanos;
 		this.order = order;
 		this.orderOffsets.add(order.offset());
 		this.schedule = schedule;
@@ -237,6 +256,49 @@
 		return this.schedule.share(allowedProgress(nowNanos));
 	}
 
+	/**
+	 * Returns the part of the new version's servers that receive requests now.
+	 * @param nowNanos monotonic time in nanoseconds
+	 * @return the part, 0 to 1
+	 */
+	double serverShare(long nowNanos) {
+		double progress = allowedProgress(nowNanos);
+		if (this.lastComparison.probablyWorse() || !this.lastComparison.withoutStreams()) {
+			return this.schedule.share(progress);
+		}
+		return this.lastComparison.shownGood() ? this.schedule.share(progress)
+				: this.schedule.serverShare(progress, extraShare(nowNanos));
+	}
+
+	/**
+	 * Chooses the versions for a request that belongs to no session and whose answer is
+	 * no stream. More of these go to the new version in the load stage.
+	 * @param pinKey hash of the request
+	 * @param nowNanos monotonic time in nanoseconds
+	 * @return group of versions, with the preferred one
+	 */
+	VersionGroup chooseVersionsWithoutSession(long pinKey, long nowNanos) {
+		if (ended() || this.stopped) {
+			return chooseVersions(pinKey, false, nowNanos);
+		}
+		double share = this.schedule.shareWithoutSession(allowedProgress(nowNanos), extraShare(nowNanos));
+		return (hashPosition(pinKey) < share) ? VersionGroup.PREFER_TARGET : VersionGroup.PREFER_OLD;
+	}
+
+	// Estimated from the answers since this process knows the order.
+	private double extraShare(long nowNanos) {
+		boolean held = allowedProgress(nowNanos) < progress(nowNanos);
+		if (held) {
+			return 0;
+		}
+		double elapsed = (nowNanos - this.createdAtNanos) / (this.order.value().durationMillis() * 1_000_000.0);
+		if (elapsed < MIN_OBSERVED_PROGRESS) {
+			return 0;
+		}
+		return CanarySchedule.plannedExtraRequests(this.extraRequests.getAsDouble())
+				/ Math.max(1, this.ownAnswers / elapsed);
+	}
+
 	private double allowedProgress(long nowNanos) {
 		return this.schedule.limitProgress(progress(nowNanos), this.lastComparison.answers(),
 				this.lastComparison.probablyWorse());
@@ -289,6 +351,7 @@
 	 * @param nowNanos monotonic time in nanoseconds
 	 */
 	public void recordAnswer(String route, boolean ofTarget, boolean bad, boolean streamed, long nowNanos) {
+		this.ownAnswers++;
 		this.answerCounts.recordAnswer(route, ofTarget, bad, streamed, nowNanos);
 	}
 
@@ -359,14 +422,16 @@
 	 * Returns whether the roll-out may be completed, after which the old versions may be
 	 * stopped.
 	 * @param nowNanos monotonic time in nanoseconds
-	 * @return whether the schedule allows it and enough answers of the new version were
-	 * compared with a low score (strength of evidence that it is worse)
+	 * @return whether the schedule allows it, and
+	 * enough answers of the new version were compared with a low score (strength of
+	 * evidence that it is worse) and show that it is not clearly worse
 	 */
 	public boolean mayComplete(long nowNanos) {
 		boolean undecided = this.lastComparison.score() > MAX_SCORE_TO_COMPLETE
 				&& progress(nowNanos) < MAX_UNDECIDED_PROGRESS;
 		boolean enoughAnswers = this.lastComparison.answers() >= MIN_ANSWERS_TO_COMPLETE && !undecided;
-		return enoughAnswers && !this.stopped && !ended() && this.schedule.mayComplete(allowedProgress(nowNanos));
+		return enoughAnswers && this.lastComparison.shownGood() && !this.stopped && !ended()
+				&& this.schedule.mayComplete(allowedProgress(nowNanos));
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/FleetAnswerCounts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/FleetAnswerCounts.java
@@ -3,7 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.sequoialink.decision.rollout.BadAnswerTest;
 import io.sequoialink.decision.rollout.RouteAnswerCounts;
@@ -30,6 +33,10 @@
 
 	private final Map<String, HostRolloutReport> reportsOfOthers = new HashMap<>();
 
+	// Learnt from the answers that this host received; a route that is not known counts
+	// as one without streams, which needs more evidence.
+	private final Set<String> streamedRoutes = new HashSet<>();
+
 	private final Deque<PendingGoodStream> pendingGoodStreams = new ArrayDeque<>();
 
 	private boolean ownReportsIgnored;
@@ -50,6 +57,9 @@
 	 * @param nowNanos monotonic time in nanoseconds
 	 */
 	void recordAnswer(String route, boolean ofTarget, boolean bad, boolean streamed, long nowNanos) {
+		if (streamed) {
+			this.streamedRoutes.add(route);
+		}
 		if (bad || !streamed) {
 			count(route, ofTarget, bad);
 		}
@@ -119,8 +129,21 @@
 		boolean onOneRoute = sums.values()
 			.stream()
 			.anyMatch((route) -> this.test.isWorse(route.target(), route.reference()));
+		List<RouteAnswerCounts> withoutStreams = withoutStreams(sums);
+		double goodScore = this.test.goodScore(withoutStreams);
+		boolean shownGood = withoutStreams.isEmpty() || this.test.isGood(goodScore);
 		return new VersionComparison(all.target(), all.reference(), this.reportsOfOthers.size() + 1, score,
-				onOneRoute || this.test.isWorse(score), this.test.isProbablyWorse(score));
+				onOneRoute || this.test.isWorse(score),
+				this.test.isProbablyWorse(score) || this.test.isClearlyWorse(goodScore), goodScore,
+				!withoutStreams.isEmpty(), shownGood);
+	}
+
+	private List<RouteAnswerCounts> withoutStreams(Map<String, RouteAnswerCounts> sums) {
+		return sums.entrySet()
+			.stream()
+			.filter((route) -> !this.streamedRoutes.contains(route.getKey()))
+			.map(Map.Entry::getValue)
+			.toList();
 	}
 
 	private Map<String, RouteAnswerCounts> totalsByRoute() {
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -120,7 +121,7 @@
 		}
 		CanarySchedule schedule = new CanarySchedule(this.options.permittedShare(), order.value().durationMillis());
 		Canary canary = new Canary(this.host, order, schedule, new BadAnswerTest(RolloutSettings.defaults()),
-				this.clock.getAsLong());
+				this::extraRequestsOfThisHost, this.clock.getAsLong());
 		this.canaries.put(order.value().service(), canary);
 		this.publishers.put(order.value().service(),
 				new RolloutPublisher(canary, this.records, this.clock, this.random));
@@ -134,6 +135,10 @@
 		this.reports.values().forEach(this::onReport);
 	}
 
+	private double extraRequestsOfThisHost() {
+		return this.options.permittedSlack() / Math.max(1, this.options.hosts().getAsInt());
+	}
+
 	/**
 	 * Applies an order of the copy from which the store returned. One that differs from
 	 * what this host knows may be older: it counts only if no other is written within
@@ -245,6 +250,19 @@
 		return canary.chooseVersions(pinKey, session && onOld, now);
 	}
 
+	/**
+	 * Chooses the versions for a request that belongs to no session and whose answer is
+	 * no stream.
+	 * @param service service of the request
+	 * @param pinKey hash of the request
+	 * @return group of versions, with the preferred one
+	 */
+	public VersionGroup chooseVersionsWithoutSession(String service, long pinKey) {
+		Canary canary = this.canaries.get(service);
+		return (canary != null) ? canary.chooseVersionsWithoutSession(pinKey, this.clock.getAsLong())
+				: VersionGroup.ANY;
+	}
+
 	/**
 	 * Returns the new version of a service's latest roll-out.
 	 * @param service name of the service
@@ -256,13 +274,13 @@
 	}
 
 	/**
-	 * Returns the share of the requests that goes to the new version of a service.
+	 * Returns the part of the new version's servers that receive requests of a service.
 	 * @param service name of the service
-	 * @return the share, 0 to 1; 1 if no roll-out is active
+	 * @return the part, 0 to 1; 1 if no roll-out is active
 	 */
-	public double targetShare(String service) {
+	public double serverShare(String service) {
 		Canary canary = this.canaries.get(service);
-		return (canary != null && !canary.ended()) ? canary.targetShare(this.clock.getAsLong()) : 1;
+		return (canary != null && !canary.ended()) ? canary.serverShare(this.clock.getAsLong()) : 1;
 	}
 
 	/**
@@ -379,10 +397,25 @@
 	 *
 	 * @param permittedShare maximum share of the requests that a bad version may receive
 	 * during a roll-out
+	 * @param permittedSlack number of requests that it may receive on top of that share,
+	 * from all hosts together
+	 * @param hosts returns the number of hosts, this one included
 	 * @param sessionNanos time without activity after which a session counts as ended, in
 	 * nanoseconds
 	 */
-	public record Options(double permittedShare, long sessionNanos) {
+	public record Options(double permittedShare, double permittedSlack, IntSupplier hosts, long sessionNanos) {
+
+		/**
+		 * Limits without requests on top of the share.
+		 * @param permittedShare maximum share of the requests that a bad version may
+		 * receive during a roll-out
+		 * @param sessionNanos time without activity after which a session counts as
+		 * ended, in nanoseconds
+		 */
+		public Options(double permittedShare, long sessionNanos) {
+			this(permittedShare, 0, () -> 1, sessionNanos);
+		}
+
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutPublisher.java
@@ -207,7 +207,12 @@
 		VersionComparison comparison = this.canary.lastComparison();
 		logger.info(GatewayEvents.ROLLOUT_EVALUATED, order().service(), order().target(), state,
 				comparison.tested().bad(), comparison.tested().answers(), comparison.reference().bad(),
-				comparison.reference().answers(), comparison.hosts(), Math.round(10 * comparison.score()) / 10.0);
+				comparison.reference().answers(), comparison.hosts(), rounded(comparison.score()),
+				rounded(comparison.goodScore()));
+	}
+
+	private static double rounded(double score) {
+		return Math.round(10 * score) / 10.0;
 	}
 
 	private long randomDelayNanos(long now) {
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/VersionComparison.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/VersionComparison.java
@@ -13,15 +13,20 @@
  * that the new version is worse, each route compared with its own reference
  * @param worse whether the score, over all routes or on one route, is high enough to roll
  * back at any time
- * @param probablyWorse whether the score is high enough to roll back once a decision is
- * due
+ * @param probablyWorse whether the score is high enough, or the score against a clearly
+ * worse version low enough, to roll back once a decision is due
+ * @param goodScore natural logarithm of the e-value against the hypothesis that the new
+ * version is clearly worse, by the routes without streams; 0 if there are none
+ * @param withoutStreams whether there are such routes
+ * @param shownGood whether that score is high enough to complete the roll-out; true if
+ * there are no such routes
  */
 record VersionComparison(AnswerCounts tested, AnswerCounts reference, int hosts, double score, boolean worse,
-		boolean probablyWorse) {
+		boolean probablyWorse, double goodScore, boolean withoutStreams, boolean shownGood) {
 
 	/** Comparison before any answer was counted. */
 	static final VersionComparison NONE = new VersionComparison(AnswerCounts.NONE, AnswerCounts.NONE, 0, 0, false,
-			false);
+			false, 0, false, false);
 
 	/**
 	 * Returns the number of the new version's answers in the comparison.
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
@@ -27,6 +27,16 @@
 
 	private static final long ORDER_OFFSET = 7;
 
+	/** Share of the plain requests on the route of which any version fails many. */
+	private static final double OFTEN_FAILING_ROUTE_SHARE = 0.28;
+
+	/** Number of requests that a bad version may receive on top of the share. */
+	private static final double PERMITTED_SLACK = 30;
+
+	private static final double OFTEN_FAILING_SHARE = 0.14;
+
+	private static final double SELDOM_FAILING_SHARE = 0.004;
+
 	/** Maximum time between two requests of a session, in nanoseconds. */
 	private static final long SESSION_NANOS = 5_000_000_000L;
 
@@ -76,6 +86,10 @@
 
 	private long writeDelayNanos;
 
+	private LoadedServers targetServers;
+
+	private long nextArrival;
+
 	RolloutFleet(long seed, int size, double badShare, double requestsPerSecond) {
 		this.random = new Random(seed);
 		this.badShare = badShare;
@@ -121,6 +135,19 @@
 		return this;
 	}
 
+	/**
+	 * Makes all requests plain ones without sessions, of two routes as on the users'
+	 * deployments, and the target's servers fail half of those that arrive while another
+	 * one is running.
+	 * @param servers number of servers of the target version
+	 * @param workMillis duration of a request at its server
+	 * @param failsUnderLoad whether the servers fail; otherwise only as the old ones do
+	 */
+	RolloutFleet plainRequests(int servers, long workMillis, boolean failsUnderLoad) {
+		this.targetServers = new LoadedServers(servers, workMillis * 1_000_000L, failsUnderLoad);
+		return this;
+	}
+
 	int conflicts() {
 		return this.conflicts;
 	}
@@ -168,6 +195,10 @@
 	}
 
 	private void sendDueRequests() {
+		if (this.targetServers != null) {
+			sendPlainRequests();
+			return;
+		}
 		double due = this.requestsPerStep;
 		while (due > this.random.nextDouble()) {
 			due--;
@@ -199,6 +230,28 @@
 		host.watch.recordAnswer("s", version, "r", bad, true);
 	}
 
+	// Arrivals at random times, so that some requests overlap.
+	private void sendPlainRequests() {
+		this.nextArrival = Math.max(this.nextArrival, this.now - STEP);
+		while (this.nextArrival < this.now) {
+			plainRequest(this.hosts.get(this.random.nextInt(this.hosts.size())), this.nextArrival);
+			this.nextArrival += (long) (-Math.log(1 - this.random.nextDouble()) * STEP / this.requestsPerStep);
+		}
+	}
+
+	private void plainRequest(Host host, long arrival) {
+		VersionGroup versions = host.watch.chooseVersionsWithoutSession("s", this.random.nextLong());
+		boolean target = versions == VersionGroup.PREFER_TARGET;
+		boolean often = this.random.nextDouble() < OFTEN_FAILING_ROUTE_SHARE;
+		this.requests++;
+		this.targetRequests += target ? 1 : 0;
+		boolean bad = this.random.nextDouble() < (often ? OFTEN_FAILING_SHARE : SELDOM_FAILING_SHARE);
+		if (target) {
+			bad |= this.targetServers.fails(host.watch.serverShare("s"), arrival);
+		}
+		host.watch.recordAnswer("s", target ? "v2" : "v1", often ? "often" : "seldom", bad, false);
+	}
+
 	private void countMoves(String before, String version) {
 		if ("v2".equals(before) && version.equals("v1")) {
 			this.movedBackSessions++;
@@ -239,6 +292,37 @@
 		return this.hosts.get(index);
 	}
 
+	/**
+	 * Servers of the target version. A share of the requests goes to as large a part of
+	 * them as in the load balancing, one server at least.
+	 */
+	private final class LoadedServers {
+
+		/** Part of the servers relative to the share of the requests. */
+		private static final double OVERSAMPLING = 1.5;
+
+		private final long[] busyUntil;
+
+		private final long workNanos;
+
+		private final boolean failsUnderLoad;
+
+		private LoadedServers(int servers, long workNanos, boolean failsUnderLoad) {
+			this.busyUntil = new long[servers];
+			this.workNanos = workNanos;
+			this.failsUnderLoad = failsUnderLoad;
+		}
+
+		private boolean fails(double share, long arrival) {
+			int used = (int) Math.ceil(Math.min(1, OVERSAMPLING * share) * this.busyUntil.length);
+			int server = RolloutFleet.this.random.nextInt(Math.max(1, used));
+			boolean busy = arrival < this.busyUntil[server];
+			this.busyUntil[server] = Math.max(this.busyUntil[server], arrival + this.workNanos);
+			return this.failsUnderLoad && busy && RolloutFleet.this.random.nextBoolean();
+		}
+
+	}
+
 	/** Write that the log applies at a simulated time. */
 	private record PendingWrite(long at, Runnable write) {
 	}
@@ -272,8 +356,9 @@
 
 		private void createWatch() {
 			this.watch = new RolloutCoordinator("h" + this.index,
-					new RolloutCoordinator.Options(RolloutFleet.this.permittedShare, SESSION_NANOS), this,
-					() -> RolloutFleet.this.now, new Random(this.index));
+					new RolloutCoordinator.Options(RolloutFleet.this.permittedShare, PERMITTED_SLACK,
+							RolloutFleet.this.hosts::size, SESSION_NANOS),
+					this, () -> RolloutFleet.this.now, new Random(this.index));
 		}
 
 		private void start(long durationMillis) {
