Await a round of reports after an outage before completing a version

Cause: the first host that read the store again completed the version on what it knew from before the outage, 0.2 to 0.4 s before the others had written what they had seen in it. The condition on the log's end doesn't cover records not yet written.

Change: after a gap of more than 2 s between two reads a host waits for 1.5 s. That is longer than the interval of reports and the pause between reads.

--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -50,6 +50,19 @@
 	 */
 	private static final double MAX_UNDECIDED_PROGRESS = 2;
 
+	/**
+	 * Gap between two reads of the published states after which the other hosts may not
+	 * have published yet what they have seen meanwhile, in nanoseconds. Longer than the
+	 * usual pause between two reads in a large fleet.
+	 */
+	private static final long READ_GAP_NANOS = 2_000_000_000L;
+
+	/**
+	 * Time after such a gap in which the other hosts publish their reports and this one
+	 * reads them, in nanoseconds.
+	 */
+	private static final long REPORTS_SETTLE_NANOS = 1_500_000_000L;
+
 	/**
 	 * Part of the duration after which a host knows its own rate of requests well enough
 	 * for the load stage.
@@ -76,6 +89,8 @@
 
 	private long statesReadAtNanos;
 
+	private long reportsSettledAtNanos;
+
 	private final long createdAtNanos;
 
 	private final DoubleSupplier extraRequests;
@@ -108,6 +123,7 @@
 		this.answerCounts = new FleetAnswerCounts(host, test);
 		this.startedAtNanos = startedAtNanos;
 		this.statesReadAtNanos = startedAtNanos;
+		this.reportsSettledAtNanos = startedAtNanos;
 	}
 
 	/**
@@ -218,10 +234,15 @@
 
 	/**
 	 * Records that all states published up to a time were read, so that the progress may
-	 * continue for {@link RolloutCoordinator#MAX_STATE_AGE_NANOS} after it.
+	 * continue for {@link RolloutCoordinator#MAX_STATE_AGE_NANOS} after it. After a gap
+	 * the roll-out is not completed before the other hosts had time to publish what they
+	 * have seen meanwhile.
 	 * @param nanos monotonic time in nanoseconds
 	 */
 	public void markStatesRead(long nanos) {
+		if (nanos - this.statesReadAtNanos > READ_GAP_NANOS) {
+			this.reportsSettledAtNanos = nanos + REPORTS_SETTLE_NANOS;
+		}
 		this.statesReadAtNanos = Math.max(this.statesReadAtNanos, nanos);
 	}
 
@@ -422,15 +443,16 @@
 	 * Returns whether the roll-out may be completed, after which the old versions may be
 	 * stopped.
 	 * @param nowNanos monotonic time in nanoseconds
-	 * @return whether the schedule allows it, and
+	 * @return whether the schedule allows it, the reports of all hosts are current, and
 	 * enough answers of the new version were compared with a low score (strength of
 	 * evidence that it is worse) and show that it is not clearly worse
 	 */
 	public boolean mayComplete(long nowNanos) {
 		boolean undecided = this.lastComparison.score() > MAX_SCORE_TO_COMPLETE
 				&& progress(nowNanos) < MAX_UNDECIDED_PROGRESS;
+		boolean settled = nowNanos - this.reportsSettledAtNanos >= 0;
 		boolean enoughAnswers = this.lastComparison.answers() >= MIN_ANSWERS_TO_COMPLETE && !undecided;
-		return enoughAnswers && this.lastComparison.shownGood() && !this.stopped && !ended()
+		return enoughAnswers && this.lastComparison.shownGood() && settled && !this.stopped && !ended()
 				&& this.schedule.mayComplete(allowedProgress(nowNanos));
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
@@ -398,6 +398,28 @@
 		assertThat(published).hasSize(1);
 	}
 
+	// Guards against incident EXPOSURE (outage before a deadline): a host completed a
+	// version on what it had read before an outage of the store, 0.3 s before the others
+	// had written what they had seen in it.
+	@Test
+	void roundOfReportsIsAwaitedAfterAnOutageOfTheStore() {
+		List<RolloutState> states = new ArrayList<>();
+		long[] now = { 1 };
+		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
+				recordsInto(new ArrayList<>(), states), () -> now[0], new Random(1));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
+		for (int i = 0; i < 100; i++) {
+			watch.recordAnswer("s", "v2", "r", false, true);
+			watch.recordAnswer("s", "v1", "r", false, true);
+		}
+		runFor(watch, now, 18_000);
+		now[0] += 5_500_000_000L;
+		runFor(watch, now, 1_400);
+		assertThat(states).doesNotContain(RolloutState.COMPLETED);
+		runFor(watch, now, 2_000);
+		assertThat(states).contains(RolloutState.COMPLETED);
+	}
+
 	// Guards against the fault of incident BUDGET: a restarted host published before
 	// its first read, which removed the bad answers that its earlier process had
 	// published.
