Count plain answers of four times the usual duration as slow

Cause: a plain answer was slow from five times the usual duration on, the factor for streams, whose pace depends on the other prompts of their engine.

Change: 3.5 times, and 20 ms at least, for answers that are no streams. The old version's answers are judged alike, so a wider spread speaks against neither.

Evidence: LatencyCheckTests.responseIsSlowFromSomewhatBelowFourTimesTheBaseline failed in 2 of 4 cases before. slowThresholdsAreMultiplesOfTheBaseline asked for 150 ms of a usual 30, the old factor; it asks for 105 now, as exactly.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/LatencyCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/LatencyCheck.java
@@ -46,6 +46,19 @@
 	 */
 	private static final double MIN_SLOW_HEAD_MILLIS = 2000;
 
+	/**
+	 * A response that is not a stream counts as slow if its duration exceeds this
+	 * multiple of the usual one. Lower than for streams, whose pace depends on the other
+	 * prompts of their engine: a version that is four times slower must be found.
+	 */
+	private static final double SLOW_RESPONSE_FACTOR = 3.5;
+
+	/**
+	 * Duration below which no response counts as slow, in milliseconds: a few
+	 * milliseconds may be a delay of the host itself.
+	 */
+	private static final double MIN_SLOW_RESPONSE_MILLIS = 20;
+
 	/**
 	 * Time after the head at which the event rate of a stream is first checked, in
 	 * milliseconds: healthy engines fall behind for one or two seconds at a time.
@@ -90,13 +103,19 @@
 	 * @return milliseconds since the attempt began, empty while the baseline is not known
 	 */
 	OptionalLong slowHeadMillis() {
-		String key = this.keys.streaming() ? this.keys.head() : this.keys.duration();
-		OptionalDouble slowFrom = this.baseline.slowThresholdMillis(key);
-		if (slowFrom.isEmpty()) {
-			return OptionalLong.empty();
+		if (!this.keys.streaming()) {
+			OptionalDouble usual = this.baseline.typicalMillis(this.keys.duration());
+			return usual.isPresent() ? OptionalLong.of(Math.round(slowResponseMillis(usual.getAsDouble())))
+					: OptionalLong.empty();
 		}
-		double minimum = this.keys.streaming() ? MIN_SLOW_HEAD_MILLIS : 0;
-		return OptionalLong.of(Math.round(Math.max(minimum, slowFrom.getAsDouble())));
+		OptionalDouble slowFrom = this.baseline.slowThresholdMillis(this.keys.head());
+		return slowFrom.isPresent()
+				? OptionalLong.of(Math.round(Math.max(MIN_SLOW_HEAD_MILLIS, slowFrom.getAsDouble())))
+				: OptionalLong.empty();
+	}
+
+	private static double slowResponseMillis(double usualMillis) {
+		return Math.max(MIN_SLOW_RESPONSE_MILLIS, SLOW_RESPONSE_FACTOR * usualMillis);
 	}
 
 	/**
@@ -181,7 +200,8 @@
 	 * @param millis time since the attempt began, in milliseconds
 	 */
 	void responseEnded(double millis) {
-		report(this.baseline.slow(this.keys.duration(), millis));
+		OptionalDouble usual = this.baseline.typicalMillis(this.keys.duration());
+		report(usual.isPresent() && millis > slowResponseMillis(usual.getAsDouble()));
 		observe(this.keys.duration(), millis);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LatencyBaseline.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LatencyBaseline.java
@@ -30,8 +30,8 @@
 	 * @return whether it is slow; false while there are too few samples
 	 */
 	public boolean slow(String key, double millis) {
-		GeometricMean mean = this.means.get(key);
-		return mean != null && mean.count >= MIN_SAMPLES && millis > SLOW_FACTOR * mean.millis();
+		OptionalDouble threshold = slowThresholdMillis(key);
+		return threshold.isPresent() && millis > threshold.getAsDouble();
 	}
 
 	/**
--- a/gateway/src/test/java/io/sequoialink/gateway/http/LatencyCheckTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/LatencyCheckTests.java
@@ -82,6 +82,21 @@
 		assertThat(this.results).containsExactly(bad);
 	}
 
+	// Guards against incident EXPOSURE (slow-four-times): a version that took four times
+	// as long as the old one counted as good, as slow began at five times.
+	@ParameterizedTest
+	@CsvSource({ "30, 100, false", "30, 120, true", "2, 15, false", "2, 25, true" })
+	void responseIsSlowFromSomewhatBelowFourTimesTheBaseline(double usualMillis, double millis, boolean bad) {
+		LatencyBaseline usual = new LatencyBaseline();
+		for (int i = 0; i < 20; i++) {
+			usual.observe(PLAIN.duration(), usualMillis);
+		}
+		LatencyCheck check = new LatencyCheck(usual, PLAIN, () -> true, this.results::add);
+		assertThat(check.slowHeadMillis().getAsLong() < millis).isEqualTo(bad);
+		check.responseEnded(millis);
+		assertThat(this.results).containsExactly(bad);
+	}
+
 	@Test
 	void streamIsNotReportedWithoutABaseline() {
 		LatencyCheck check = new LatencyCheck(new LatencyBaseline(), STREAM, () -> true, this.results::add);
@@ -95,7 +110,7 @@
 	@Test
 	void slowThresholdsAreMultiplesOfTheBaseline() {
 		assertThat(check(STREAM).slowHeadMillis()).hasValue(2000);
-		assertThat(check(PLAIN).slowHeadMillis()).hasValue(150);
+		assertThat(check(PLAIN).slowHeadMillis()).hasValue(105);
 	}
 
 	// Guards against an EXPOSURE violation found by the "hasty" run: an overdue
