Send no request twice over one connection to a server

The repeat comes back to the same server when the others fail or are all tried.

Change: a connection remembers all requests that it has answered, carries none of them again, and ends after 64.

Evidence: LateSecondAnswerTests.lateAnswerIsNotThatOfARepeatAfterAnotherRequest failed before. RepeatedRefusalTests (12) and GatewayTests (51) pass. Ruled out: second answers to other requests, with an id or without.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -1,6 +1,8 @@
 package io.sequoialink.gateway.http;
 
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -22,13 +24,20 @@
 
 /**
  * A connection to a backend server. Confined to the event loop. A response is accepted
- * only if it carries the id of the request that was sent. A response to an earlier
- * request is discarded, and after any unexpected data the connection is not reused.
+ * only if it carries the id of the request that was sent, and no request is sent twice on
+ * one connection. A response to an earlier request is discarded, and after any unexpected
+ * data the connection is not reused.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
 	private static final int INFORMATIONAL = 1;
 
+	/**
+	 * Number of requests after which a connection is closed, so that it can remember all
+	 * of them.
+	 */
+	private static final int MAX_REQUESTS = 64;
+
 	private final ServerConnections owner;
 
 	private final HeaderMapping dialect;
@@ -57,7 +66,7 @@
 
 	private boolean headRequest;
 
-	private String answeredRequest = "";
+	private final Set<String> answeredRequests = new HashSet<>();
 
 	BackendConnection(ServerConnections owner) {
 		this.owner = owner;
@@ -107,12 +116,13 @@
 
 	/**
 	 * Returns whether a response on this connection can be told from one that the server
-	 * writes once more: it has not answered the same request before.
+	 * writes once more, however late: it has not answered the same request before, also
+	 * with others in between.
 	 * @param outbound the request to send
 	 * @return whether the request may be sent here
 	 */
 	boolean mayCarry(OutboundRequest outbound) {
-		return !this.answeredRequest.equals(outbound.requestId());
+		return !this.answeredRequests.contains(outbound.requestId());
 	}
 
 	void send(OutboundRequest outbound) {
@@ -165,7 +175,7 @@
 			return;
 		}
 		ResponseMetadata metadata = this.dialect.readResponse(response.headers());
-		boolean unattributable = metadata.requestId().isEmpty() && !this.answeredRequest.isEmpty();
+		boolean unattributable = metadata.requestId().isEmpty() && !this.answeredRequests.isEmpty();
 		if (unattributable) {
 			close();
 			return;
@@ -219,8 +229,9 @@
 		}
 		OutboundRequest finished = this.request;
 		this.request = null;
-		this.answeredRequest = finished.requestId();
-		boolean keep = this.reusable && this.writing.isDone() && this.channel.isActive();
+		this.answeredRequests.add(finished.requestId());
+		boolean keep = this.reusable && this.answeredRequests.size() < MAX_REQUESTS && this.writing.isDone()
+				&& this.channel.isActive();
 		if (keep) {
 			this.idleSince = System.nanoTime();
 			this.owner.release(this);
