Let no server's small pieces take the event loop from other requests

Cause: limits on bytes did not limit the work. Each piece of an incomplete event copied and searched the whole event again; each piece of a buffered body was an object of its own, joined anew at each 1,024; a connection read up to 1 MB in its turn, some 100,000 pieces; each small event was a system call; incomplete events were not limited in sum.

Change: the splitter goes on where it stopped; small pieces of a body are copied together; a connection to a server reads 16 KB in its turn; parts of responses are written together within a turn; incomplete events count in the 32 MB of buffered responses.

Process memory after the change was not measured.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -3,8 +3,6 @@
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoialink.decision.crash.Involvement;
@@ -73,7 +71,7 @@
 
 	private HttpHeaders headers;
 
-	private CompositeByteBuf body;
+	private BufferedBody body;
 
 	private EventStreamSplitter events;
 
@@ -191,7 +189,7 @@
 			startStream(metadata);
 		}
 		else {
-			this.body = Unpooled.compositeBuffer(1024);
+			this.body = new BufferedBody();
 		}
 	}
 
@@ -255,9 +253,10 @@
 		if (this.events.events() >= MIN_BEGUN_EVENTS) {
 			markBegun();
 		}
-		if (this.events.limitExceeded()) {
+		boolean withinLimit = reserveForPartialEvent();
+		if (this.events.limitExceeded() || !withinLimit) {
 			ready.release();
-			abort("event exceeds the size limit, or too many bytes without an event");
+			abort("event exceeds the size or buffer limit, or too many bytes without an event");
 			return;
 		}
 		if (!goesOn()) {
@@ -275,6 +274,16 @@
 		}
 	}
 
+	private boolean reserveForPartialEvent() {
+		int grown = this.events.partialBytes() - this.bufferedBytes;
+		this.bufferedBytes += grown;
+		if (grown < 0) {
+			this.exchange.gateway().responseBuffers().release(-grown);
+			return true;
+		}
+		return grown == 0 || this.exchange.gateway().responseBuffers().reserve(grown);
+	}
+
 	private boolean goesOn() {
 		return this.continuation
 			.map((part) -> !this.events.textBeforeFirstEvent()
@@ -291,7 +300,7 @@
 
 	private void buffer(ByteBuf data) {
 		int bytes = data.readableBytes();
-		this.body.addComponent(true, data);
+		this.body.append(data);
 		this.bufferedBytes += bytes;
 		boolean withinLimit = this.exchange.gateway().responseBuffers().reserve(bytes);
 		if (!withinLimit || this.bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -322,7 +331,7 @@
 			case FAILURE -> {
 				logFailedEnd("failed with status " + this.status);
 				this.latency.markFailed();
-				this.exchange.failed(new BackendFailure(this.status, this.headers, this.body));
+				this.exchange.failed(new BackendFailure(this.status, this.headers, this.body.take()));
 			}
 			case SUCCESS -> succeed();
 			case NONE -> this.exchange.incomplete("response without a head");
@@ -346,7 +355,7 @@
 		this.server.succeeded();
 		recordLatency();
 		if (this.events == null) {
-			this.exchange.forwarding().forwardResponse(this.status, this.headers, this.body);
+			this.exchange.forwarding().forwardResponse(this.status, this.headers, this.body.take());
 			return;
 		}
 		this.exchange.forwarding().endStream(this.status, this.headers);
--- a/gateway/src/main/java/io/sequoialink/gateway/http/EventStreamSplitter.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/EventStreamSplitter.java
@@ -37,62 +37,78 @@
 
 	private int bytesSinceEvent;
 
+	private int searched;
+
+	private int lineStart;
+
+	private String blockId;
+
+	private boolean blockText;
+
 	/**
-	 * Appends received bytes and returns all events that are complete.
+	 * Appends received bytes and returns all events that are complete. Each byte is
+	 * searched once and copied once or twice, in however small pieces it arrives.
 	 * @param data bytes of the stream; ownership passes to this splitter
 	 * @return complete events, empty if none has ended; the caller releases it
 	 */
 	ByteBuf append(ByteBuf data) {
 		int previous = this.events;
 		this.bytesSinceEvent += data.readableBytes();
-		ByteBuf all = this.partial.isReadable() ? concatenate(this.partial, data) : data;
+		ByteBuf all = this.partial.isReadable() ? appendToPartial(data) : data;
 		this.partial = Unpooled.EMPTY_BUFFER;
-		int end = endOfWholeEvents(all);
+		int length = lengthOfWholeEvents(all);
 		this.bytesSinceEvent = (this.events > previous) ? 0 : this.bytesSinceEvent;
-		if (end == all.readerIndex()) {
-			this.partial = all;
-			return Unpooled.EMPTY_BUFFER;
-		}
-		if (end == all.writerIndex()) {
+		if (length == all.readableBytes()) {
 			return all;
 		}
-		ByteBuf complete = all.readRetainedSlice(end - all.readerIndex());
-		this.partial = all;
+		ByteBuf complete = (length > 0) ? all.readRetainedSlice(length) : Unpooled.EMPTY_BUFFER;
+		this.partial = (all == data || length > 0) ? copyAndRelease(all) : all;
 		return complete;
 	}
 
-	// Copies into a single buffer: with a composite buffer, each further piece would
-	// be searched together with all pieces before it.
-	private static ByteBuf concatenate(ByteBuf partial, ByteBuf data) {
-		ByteBuf all = Unpooled.buffer(partial.readableBytes() + data.readableBytes());
-		all.writeBytes(partial).writeBytes(data);
-		partial.release();
+	// The buffer doubles when it is full, so all copies together are linear.
+	private ByteBuf appendToPartial(ByteBuf data) {
+		this.partial.writeBytes(data);
 		data.release();
-		return all;
+		return this.partial;
+	}
+
+	private static ByteBuf copyAndRelease(ByteBuf rest) {
+		ByteBuf copy = Unpooled.buffer(rest.readableBytes());
+		copy.writeBytes(rest);
+		rest.release();
+		return copy;
 	}
 
-	private int endOfWholeEvents(ByteBuf all) {
-		int end = all.readerIndex();
-		int lineStart = end;
-		String id = null;
-		boolean text = false;
-		int newline = all.indexOf(lineStart, all.writerIndex(), LINE_END);
+	// Goes on where the last search ended; positions are relative to the first byte that
+	// was not returned yet.
+	private int lengthOfWholeEvents(ByteBuf all) {
+		int start = all.readerIndex();
+		int length = 0;
+		int newline = all.indexOf(start + this.searched, all.writerIndex(), LINE_END);
 		while (newline >= 0) {
-			int length = lineLength(all, lineStart, newline);
-			if (length == 0) {
-				end = newline + 1;
-				blockEnded(id, text);
-				id = null;
-				text = false;
-			}
-			else {
-				id = idOf(all, lineStart, length, id);
-				text = text || all.getByte(lineStart) != COMMENT;
+			if (lineEnded(all, start + this.lineStart, newline)) {
+				length = newline + 1 - start;
 			}
-			lineStart = newline + 1;
-			newline = (lineStart < all.writerIndex()) ? all.indexOf(lineStart, all.writerIndex(), LINE_END) : -1;
+			this.lineStart = newline + 1 - start;
+			newline = (newline + 1 < all.writerIndex()) ? all.indexOf(newline + 1, all.writerIndex(), LINE_END) : -1;
 		}
-		return end;
+		this.lineStart -= length;
+		this.searched = all.readableBytes() - length;
+		return length;
+	}
+
+	private boolean lineEnded(ByteBuf all, int from, int newline) {
+		int length = lineLength(all, from, newline);
+		if (length > 0) {
+			this.blockId = idOf(all, from, length, this.blockId);
+			this.blockText = this.blockText || all.getByte(from) != COMMENT;
+			return false;
+		}
+		blockEnded(this.blockId, this.blockText);
+		this.blockId = null;
+		this.blockText = false;
+		return true;
 	}
 
 	private void blockEnded(String id, boolean text) {
@@ -163,6 +179,14 @@
 		return this.partial.isReadable();
 	}
 
+	/**
+	 * Returns the size of the incomplete event.
+	 * @return number of buffered bytes
+	 */
+	int partialBytes() {
+		return this.partial.readableBytes();
+	}
+
 	/**
 	 * Returns whether an event exceeds its maximum size, or too many bytes arrived
 	 * without a complete event that has an id, as in an endless run of comments.
--- a/gateway/src/main/java/io/sequoialink/gateway/http/FrontendServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/FrontendServer.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.sequoialink.gateway.fleet.ClientLimits;
 import io.sequoialink.gateway.fleet.Configuration;
 
@@ -38,6 +39,12 @@
 	 */
 	private static final double USUAL_DURATIONS_LEFT = 3;
 
+	/**
+	 * Number of parts of a response that may wait to be written together within one turn
+	 * of the event loop: a system call for each of many small events takes most of it.
+	 */
+	private static final int MAX_WRITES_PER_FLUSH = 256;
+
 	private final GatewayContext gateway;
 
 	private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -82,7 +89,8 @@
 				ClientConnection connection = new ClientConnection(FrontendServer.this.gateway, FrontendServer.this);
 				int headerBytes = limits().headerBytes();
 				channel.pipeline()
-					.addLast(new ByteArrivalHandler(connection), new Decoder(headerBytes), new HttpResponseEncoder(),
+					.addLast(new FlushConsolidationHandler(MAX_WRITES_PER_FLUSH, true),
+							new ByteArrivalHandler(connection), new Decoder(headerBytes), new HttpResponseEncoder(),
 							connection);
 			}
 		};
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -17,6 +17,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.sequoialink.gateway.GatewayEvents;
@@ -87,8 +88,10 @@
 	 */
 	public ServerConnector(EventLoopGroup loop, UnaryOperator<InetSocketAddress> addresses, ServicePaths paths,
 			HelpingHosts hosts, OtherServers others, LabelledCounters counts, LongSupplier clock) {
-		this.toServers = KeepAlive.newBootstrap(loop, CONNECT_MILLIS);
-		this.toHosts = KeepAlive.newBootstrap(loop, HOST_CONNECT_MILLIS);
+		this.toServers = KeepAlive.newBootstrap(loop, CONNECT_MILLIS)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, ReadSize.newAllocator());
+		this.toHosts = KeepAlive.newBootstrap(loop, HOST_CONNECT_MILLIS)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, ReadSize.newAllocator());
 		this.addresses = addresses;
 		this.paths = paths;
 		this.hosts = hosts;
--- a/gateway/src/test/java/io/sequoialink/gateway/http/EndlessResponseTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/EndlessResponseTests.java
@@ -70,6 +70,24 @@
 		}
 	}
 
+	// Guards against incomplete events of many streams that fill the memory together:
+	// only
+	// each of them was limited.
+	@Test
+	void incompleteEventsOfAllStreamsAreLimitedTogether() throws Exception {
+		ScriptedServer.Script script = (call) -> {
+			call.streamHead("");
+			call.chunk("id: 1\ndata: " + BLOCK);
+			call.awaitClientClose();
+		};
+		try (GatewayFixture fixture = GatewayFixture.withServers(script)) {
+			fixture.onLoop(() -> fixture.responseBuffers().reserve((int) ResponseBufferLimit.MAX_BYTES - 10_000));
+			assertThat(RawHttp.status(fixture.exchange("/firm/x", ""))).isEqualTo(502);
+			fixture.onLoop(() -> assertThat(fixture.responseBuffers().bytes())
+				.isEqualTo(ResponseBufferLimit.MAX_BYTES - 10_000));
+		}
+	}
+
 	private static String exchange(GatewayFixture fixture, Endless kind) {
 		try {
 			return fixture.exchange(kind.path, "");
--- a/gateway/src/test/java/io/sequoialink/gateway/http/EventStreamSplitterTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/EventStreamSplitterTests.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -41,6 +42,21 @@
 		assertThat(splitter.hasPartialEvent()).isFalse();
 	}
 
+	// Guards against an event loop that copies and searches one growing event anew for
+	// each of its pieces: 260,000 pieces took many seconds.
+	@Test
+	@Timeout(5)
+	void workOfALongEventInSmallPiecesIsLinear() {
+		EventStreamSplitter splitter = new EventStreamSplitter();
+		byte[] piece = "abcd".getBytes(StandardCharsets.US_ASCII);
+		for (int sent = 0; sent < EventStreamSplitter.MAX_EVENT_BYTES; sent += piece.length) {
+			splitter.append(Unpooled.wrappedBuffer(piece)).release();
+		}
+		assertThat(splitter.limitExceeded()).isFalse();
+		assertThat(text(splitter.append(bytes("\nid: 3\n\n")))).hasSize(EventStreamSplitter.MAX_EVENT_BYTES + 8);
+		assertThat(splitter.lastId()).contains("3");
+	}
+
 	@Test
 	void endlessEventExceedsTheLimit() {
 		EventStreamSplitter splitter = new EventStreamSplitter();
