EngineClientTests: await the queue instead of 30 ms

The test asked the engine for its queue 30 ms after a thread had been told to send; nothing bounds how long the thread takes to start, connect and send. The condition is the same (exactly 1, then exactly 2 queued), awaited for 2 s at most; the order of the runs is checked as before.

--- a/standin/src/test/java/io/sequoialink/standin/EngineClientTests.java
+++ b/standin/src/test/java/io/sequoialink/standin/EngineClientTests.java
@@ -182,9 +182,8 @@
 			queued.add(callers.submit(() -> this.client.generate(this.engine.directoryEntry(),
 					request("q" + priority, 0, 0, Duration.ofSeconds(5), priority), (number, text) -> {
 					})));
-			TimeUnit.MILLISECONDS.sleep(30);
+			awaitQueued(queued.size());
 		}
-		assertThat(this.client.load(this.engine.directoryEntry()).queued()).isEqualTo(2);
 		assertFailure(request("r4", 0), Kind.REJECTED, Effect.NONE);
 		running.get();
 		for (Future<?> future : queued) {
@@ -194,6 +193,19 @@
 		callers.shutdown();
 	}
 
+	// How long a call takes to reach the engine depends on the machine.
+	private void awaitQueued(int expected) throws Exception {
+		long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+		while (queuedRequests() < expected && System.nanoTime() - until < 0) {
+			TimeUnit.MILLISECONDS.sleep(5);
+		}
+		assertThat(queuedRequests()).isEqualTo(expected);
+	}
+
+	private int queuedRequests() throws Exception {
+		return this.client.load(this.engine.directoryEntry()).queued();
+	}
+
 	@Test
 	void secondTurnOfASessionUsesTheCachedPrefix() throws BackendException {
 		List<Message> turns = List.of(new Message("system", "s".repeat(400)), new Message("user", "u".repeat(40)));
