Spread streams over the new version's servers by their share only

Operators would have seen: nothing yet; found when the diff was read. The smaller part of the servers that bears the load stage was used for all requests of a service as soon as one of its routes was not known to be streamed, so a host that had just started would have sent streams to half of the new version's servers in the ramp. A long prompt there delays the others of its engine.

--- a/decision/src/main/java/io/sequoialink/decision/rollout/CanarySchedule.java
+++ b/decision/src/main/java/io/sequoialink/decision/rollout/CanarySchedule.java
@@ -166,14 +166,15 @@
 	}
 
 	/**
-	 * Returns the part of the new version's servers that receive requests while it is not
-	 * known yet to be good. Each bears more than it will usually bear after the roll-out.
+	 * Returns the part of the new version's servers that receive requests without
+	 * sessions while it is not known yet to be good. Each bears more than it will usually
+	 * bear after the roll-out.
 	 * @param progress elapsed fraction of the duration; may exceed 1
 	 * @param extraRequests number of requests that the load stage may use beyond the
 	 * permitted share, as a fraction of all requests during the roll-out
 	 * @return the part, 0 to 1
 	 */
-	public double serverShare(double progress, double extraRequests) {
+	public double serverShareWithoutSession(double progress, double extraRequests) {
 		boolean allMoved = extraRequests <= 0 || progress >= this.shortAnswersMove;
 		double relative = allMoved ? RAMP_SERVERS : LOAD_STAGE_SERVERS;
 		return Math.max(this.firstShare, relative * shareWithoutSession(progress, extraRequests));
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
@@ -69,16 +69,22 @@
 
 	private LoadBalancingRequest loadBalancingRequest(Set<String> excluded, long permitWaitNanos) {
 		VersionGroup versions = versions();
+		double servers = withoutSession() ? this.gateway.rollouts().serverShareWithoutSession(service())
+				: this.gateway.rollouts().targetShare(service());
 		PromptSize work = this.prompt.work(this.models.modelName().orElse(""));
-		return new LoadBalancingRequest(service(), versions, this.gateway.rollouts().targetVersion(service()),
-				this.gateway.rollouts().serverShare(service()), work, excluded, permitWaitNanos);
+		return new LoadBalancingRequest(service(), versions, this.gateway.rollouts().targetVersion(service()), servers,
+				work, excluded, permitWaitNanos);
 	}
 
 	private VersionGroup versions() {
-		boolean session = this.metadata.session().isPresent();
-		return (session || this.admission.route().streaming())
-				? this.gateway.rollouts().chooseVersions(service(), this.stickyKey, session)
-				: this.gateway.rollouts().chooseVersionsWithoutSession(service(), this.stickyKey);
+		return withoutSession() ? this.gateway.rollouts().chooseVersionsWithoutSession(service(), this.stickyKey)
+				: this.gateway.rollouts()
+					.chooseVersions(service(), this.stickyKey, this.metadata.session().isPresent());
+	}
+
+	// Only such a request may be answered by either version, and its answer is short.
+	private boolean withoutSession() {
+		return this.metadata.session().isEmpty() && !this.admission.route().streaming();
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/Canary.java
@@ -278,17 +278,16 @@
 	}
 
 	/**
-	 * Returns the part of the new version's servers that receive requests now.
+	 * Returns the part of the new version's servers that receive requests which belong to
+	 * no session and whose answers are no streams. Streams are not sent to fewer servers
+	 * than their share, as a long prompt delays the others of its engine.
 	 * @param nowNanos monotonic time in nanoseconds
 	 * @return the part, 0 to 1
 	 */
-	double serverShare(long nowNanos) {
-		double progress = allowedProgress(nowNanos);
-		if (this.lastComparison.probablyWorse() || !this.lastComparison.withoutStreams()) {
-			return this.schedule.share(progress);
-		}
-		return this.lastComparison.shownGood() ? this.schedule.share(progress)
-				: this.schedule.serverShare(progress, extraShare(nowNanos));
+	double serverShareWithoutSession(long nowNanos) {
+		boolean decided = this.lastComparison.probablyWorse() || this.lastComparison.shownGood();
+		return decided ? targetShare(nowNanos)
+				: this.schedule.serverShareWithoutSession(allowedProgress(nowNanos), extraShare(nowNanos));
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/FleetAnswerCounts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/FleetAnswerCounts.java
@@ -134,8 +134,7 @@
 		boolean shownGood = withoutStreams.isEmpty() || this.test.isGood(goodScore);
 		return new VersionComparison(all.target(), all.reference(), this.reportsOfOthers.size() + 1, score,
 				onOneRoute || this.test.isWorse(score),
-				this.test.isProbablyWorse(score) || this.test.isClearlyWorse(goodScore), goodScore,
-				!withoutStreams.isEmpty(), shownGood);
+				this.test.isProbablyWorse(score) || this.test.isClearlyWorse(goodScore), goodScore, shownGood);
 	}
 
 	private List<RouteAnswerCounts> withoutStreams(Map<String, RouteAnswerCounts> sums) {
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/RolloutCoordinator.java
@@ -274,13 +274,25 @@
 	}
 
 	/**
-	 * Returns the part of the new version's servers that receive requests of a service.
+	 * Returns the share of the sessions that goes to the new version of a service, which
+	 * is also the part of its servers that receive their requests and streams.
+	 * @param service name of the service
+	 * @return the share, 0 to 1; 1 if no roll-out is active
+	 */
+	public double targetShare(String service) {
+		Canary canary = this.canaries.get(service);
+		return (canary != null && !canary.ended()) ? canary.targetShare(this.clock.getAsLong()) : 1;
+	}
+
+	/**
+	 * Returns the part of the new version's servers that receive requests which belong to
+	 * no session and whose answers are no streams.
 	 * @param service name of the service
 	 * @return the part, 0 to 1; 1 if no roll-out is active
 	 */
-	public double serverShare(String service) {
+	public double serverShareWithoutSession(String service) {
 		Canary canary = this.canaries.get(service);
-		return (canary != null && !canary.ended()) ? canary.serverShare(this.clock.getAsLong()) : 1;
+		return (canary != null && !canary.ended()) ? canary.serverShareWithoutSession(this.clock.getAsLong()) : 1;
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/VersionComparison.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/VersionComparison.java
@@ -17,16 +17,15 @@
  * worse version low enough, to roll back once a decision is due
  * @param goodScore natural logarithm of the e-value against the hypothesis that the new
  * version is clearly worse, by the routes without streams; 0 if there are none
- * @param withoutStreams whether there are such routes
  * @param shownGood whether that score is high enough to complete the roll-out; true if
  * there are no such routes
  */
 record VersionComparison(AnswerCounts tested, AnswerCounts reference, int hosts, double score, boolean worse,
-		boolean probablyWorse, double goodScore, boolean withoutStreams, boolean shownGood) {
+		boolean probablyWorse, double goodScore, boolean shownGood) {
 
 	/** Comparison before any answer was counted. */
 	static final VersionComparison NONE = new VersionComparison(AnswerCounts.NONE, AnswerCounts.NONE, 0, 0, false,
-			false, 0, false, false);
+			false, 0, false);
 
 	/**
 	 * Returns the number of the new version's answers in the comparison.
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutFleet.java
@@ -247,7 +247,7 @@
 		this.targetRequests += target ? 1 : 0;
 		boolean bad = this.random.nextDouble() < (often ? OFTEN_FAILING_SHARE : SELDOM_FAILING_SHARE);
 		if (target) {
-			bad |= this.targetServers.fails(host.watch.serverShare("s"), arrival);
+			bad |= this.targetServers.fails(host.watch.serverShareWithoutSession("s"), arrival);
 		}
 		host.watch.recordAnswer("s", target ? "v2" : "v1", often ? "often" : "seldom", bad, false);
 	}
