Ask evidence of services of mostly plain answers only

Cause: evidence of 20 to 1 was asked for as soon as any route had no streams, and counted on these routes alone. Three requests never make it.

Change: it is asked for where more than half of the answers are no streams, and the answers of all routes count.

Result: PlainServiceRolloutTests.aRouteOfFewRequestsDoesNotKeepAServiceOfStreams failed in 2 of 3 cases before and passes; its other cases pass as before.

--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/FleetAnswerCounts.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/FleetAnswerCounts.java
@@ -4,7 +4,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -129,20 +128,29 @@
 		boolean onOneRoute = sums.values()
 			.stream()
 			.anyMatch((route) -> this.test.isWorse(route.target(), route.reference()));
-		List<RouteAnswerCounts> withoutStreams = withoutStreams(sums);
-		double goodScore = this.test.goodScore(withoutStreams);
-		boolean shownGood = withoutStreams.isEmpty() || this.test.isGood(goodScore);
+		boolean evidenceNeeded = mostlyWithoutStreams(sums);
+		double goodScore = evidenceNeeded ? this.test.goodScore(sums.values()) : 0;
+		boolean shownGood = !evidenceNeeded || this.test.isGood(goodScore);
 		return new VersionComparison(all.target(), all.reference(), this.reportsOfOthers.size() + 1, score,
-				onOneRoute || this.test.isWorse(score),
-				this.test.isProbablyWorse(score) || this.test.isClearlyWorse(goodScore), goodScore, shownGood);
+				onOneRoute || this.test.isWorse(score), this.test.isProbablyWorse(score) || this.test.isClearlyWorse(goodScore), goodScore,
+				shownGood);
 	}
 
-	private List<RouteAnswerCounts> withoutStreams(Map<String, RouteAnswerCounts> sums) {
-		return sums.entrySet()
-			.stream()
-			.filter((route) -> !this.streamedRoutes.contains(route.getKey()))
-			.map(Map.Entry::getValue)
-			.toList();
+	// A route of few requests must not decide for a service of streams, as its evidence
+	// alone would never suffice.
+	private boolean mostlyWithoutStreams(Map<String, RouteAnswerCounts> sums) {
+		long streamed = 0;
+		long others = 0;
+		for (Map.Entry<String, RouteAnswerCounts> route : sums.entrySet()) {
+			long answers = route.getValue().target().answers() + route.getValue().reference().answers();
+			if (this.streamedRoutes.contains(route.getKey())) {
+				streamed += answers;
+			}
+			else {
+				others += answers;
+			}
+		}
+		return others > streamed;
 	}
 
 	private Map<String, RouteAnswerCounts> totalsByRoute() {
--- a/gateway/src/main/java/io/sequoialink/gateway/rollout/VersionComparison.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/rollout/VersionComparison.java
@@ -16,9 +16,9 @@
  * @param probablyWorse whether the score is high enough, or the score against a clearly
  * worse version low enough, to roll back once a decision is due
  * @param goodScore natural logarithm of the e-value against the hypothesis that the new
- * version is clearly worse, by the routes without streams; 0 if there are none
- * @param shownGood whether that score is high enough to complete the roll-out; true if
- * there are no such routes
+ * version is clearly worse; 0 for a service of mostly streams, of which it is not asked
+ * @param shownGood whether that score is high enough to complete the roll-out; true for a
+ * service of mostly streams
  */
 record VersionComparison(AnswerCounts tested, AnswerCounts reference, int hosts, double score, boolean worse,
 		boolean probablyWorse, double goodScore, boolean shownGood) {
--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/PlainServiceRolloutTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/PlainServiceRolloutTests.java
@@ -1,5 +1,7 @@
 package io.sequoialink.gateway.rollout;
 
+import io.sequoialink.decision.rollout.BadAnswerTest;
+import io.sequoialink.decision.rollout.RolloutSettings;
 import io.sequoialink.gateway.fleet.RolloutState;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -53,6 +55,23 @@
 		assertThat(rolledBack).as("rolled back").isLessThanOrEqualTo(likelyAtMost(seeds(hosts)));
 	}
 
+	// Guards against a service of models that is never completed because one of its
+	// routes
+	// has no streams and hardly any requests: its evidence never sufficed.
+	@ParameterizedTest
+	@CsvSource({ "0, 0", "3, 0", "3, 1" })
+	void aRouteOfFewRequestsDoesNotKeepAServiceOfStreams(int plainRequests, int ofTarget) {
+		FleetAnswerCounts counts = new FleetAnswerCounts("h1", new BadAnswerTest(RolloutSettings.defaults()));
+		for (int i = 0; i < 300; i++) {
+			counts.recordAnswer("streams", i < 30, false, true, 0);
+		}
+		for (int i = 0; i < plainRequests; i++) {
+			counts.recordAnswer("plain", i < ofTarget, false, false, 0);
+		}
+		counts.countDueStreams(FleetAnswerCounts.GOOD_STREAM_DELAY_NANOS);
+		assertThat(counts.compare().shownGood()).isTrue();
+	}
+
 	private static int seeds(int hosts) {
 		return (hosts < 50) ? 40 : (hosts < 100) ? 10 : 2;
 	}
