Give a HEAD request a connection of its own

Callers would have seen: a request without an answer until its time limit (5 s in the test), after a server had answered a HEAD on the same connection twice.

Cause: the second answer to a HEAD names a length and has no body. It was read while another request waited, so that request's answer was taken for its body.

Change: a HEAD is sent on a new connection, which is closed after it.

Result: LateSecondAnswerTests.lateAnswerToHeadTakesNothingOfTheNextAnswer failed before (504 after 5 s) and passes within 300 ms; RepeatedRefusalTests, GatewayTests and PassedOnRequestTests pass.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -117,12 +116,13 @@
 	/**
 	 * Returns whether a response on this connection can be told from one that the server
 	 * writes once more, however late: it has not answered the same request before, also
-	 * with others in between.
+	 * with others in between. A HEAD request has a connection of its own, as its response
+	 * is read in another way than any other.
 	 * @param outbound the request to send
 	 * @return whether the request may be sent here
 	 */
 	boolean mayCarry(OutboundRequest outbound) {
-		return !this.answeredRequests.contains(outbound.requestId());
+		return !outbound.head() && !this.answeredRequests.contains(outbound.requestId());
 	}
 
 	void send(OutboundRequest outbound) {
@@ -140,7 +140,8 @@
 		this.headReceived = false;
 		this.discarding = false;
 		var request = outbound.handOver(this.channel);
-		this.headRequest = HttpMethod.HEAD.equals(request.method());
+		this.headRequest = outbound.head();
+		this.reusable = this.reusable && !this.headRequest;
 		this.channel.config().setAutoRead(true);
 		this.writing = this.channel.writeAndFlush(request);
 		outbound.listener().written();
--- a/gateway/src/main/java/io/sequoialink/gateway/http/OutboundRequest.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/OutboundRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 
 /**
  * A request on its way to one backend server. Confined to the event loop. The listener is
@@ -33,6 +34,14 @@
 		return this.requestId;
 	}
 
+	/**
+	 * Returns whether the response has no body, whatever its head says.
+	 * @return whether it is a HEAD request
+	 */
+	boolean head() {
+		return HttpMethod.HEAD.equals(this.request.method());
+	}
+
 	ResponseListener listener() {
 		return this.listener;
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/LateSecondAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/LateSecondAnswerTests.java
@@ -68,6 +68,31 @@
 		}
 	}
 
+	// The second answer to a HEAD names a length, but has no body: the next answer on the
+	// connection was read as that body, and its request went without one.
+	@Test
+	@Timeout(10)
+	void lateAnswerToHeadTakesNothingOfTheNextAnswer() throws Exception {
+		String headAnswer = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ncontent-length: 5000\r\n\r\n";
+		ScriptedServer.Script script = (call) -> {
+			if (call.path().endsWith("head")) {
+				call.write(headAnswer.replace("ID", call.header("id")));
+				ScriptedServer.pause(100);
+				call.write(headAnswer.replace("ID", call.header("id")));
+				return;
+			}
+			call.respond(200, "seal: s\r\n", "next");
+		};
+		try (GatewayFixture fixture = GatewayFixture.withServers(script);
+				GatewayFixture.Client client = fixture.connect()) {
+			client.raw("HEAD /safe/head HTTP/1.1\r\nHost: h.example\r\nid: h1\r\nkey: k\r\nconnection: close\r\n\r\n");
+			assertThat(client.readToEnd()).startsWith("HTTP/1.1 200");
+			long began = System.nanoTime();
+			assertThat(RawHttp.body(fixture.exchange("/safe/x", ""))).isEqualTo("next");
+			assertThat((System.nanoTime() - began) / 1_000_000).isLessThan(300);
+		}
+	}
+
 	private static void awaitAttempts(GatewayFixture fixture, int count) throws InterruptedException {
 		while (fixture.attemptCount() < count) {
 			Thread.sleep(5);
