Count answers in the buffer limit until their clients have taken them

Cause: a response counted in the 32 MB of buffered responses while it was received; when it was complete the bytes were queued for its client and counted no more. Of the class of: a limit that ends before the memory does.

Change: the bytes count until their buffer is released, in whatever way that happens.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -79,7 +79,7 @@
 
 	private boolean done;
 
-	private int bufferedBytes;
+	private int partialEventBytes;
 
 	BackendAttempt(Exchange exchange, SelectedServer placed, PromptSize work, boolean permitted) {
 		this.permitted = permitted;
@@ -189,7 +189,7 @@
 			startStream(metadata);
 		}
 		else {
-			this.body = new BufferedBody();
+			this.body = new BufferedBody(this.exchange.gateway().responseBuffers());
 		}
 	}
 
@@ -275,8 +275,8 @@
 	}
 
 	private boolean reserveForPartialEvent() {
-		int grown = this.events.partialBytes() - this.bufferedBytes;
-		this.bufferedBytes += grown;
+		int grown = this.events.partialBytes() - this.partialEventBytes;
+		this.partialEventBytes += grown;
 		if (grown < 0) {
 			this.exchange.gateway().responseBuffers().release(-grown);
 			return true;
@@ -299,12 +299,9 @@
 	}
 
 	private void buffer(ByteBuf data) {
-		int bytes = data.readableBytes();
-		this.body.append(data);
-		this.bufferedBytes += bytes;
-		boolean withinLimit = this.exchange.gateway().responseBuffers().reserve(bytes);
-		if (!withinLimit || this.bufferedBytes > MAX_BUFFERED_BYTES) {
-			abort("response exceeds the buffer limit, " + this.bufferedBytes + " bytes");
+		boolean withinLimit = this.body.append(data);
+		if (!withinLimit || this.body.bytes() > MAX_BUFFERED_BYTES) {
+			abort("response exceeds the buffer limit, " + this.body.bytes() + " bytes");
 		}
 	}
 
@@ -484,8 +481,8 @@
 	private void finish() {
 		this.done = true;
 		this.exchange.crashCheck().traits().attemptEnded();
-		this.exchange.gateway().responseBuffers().release(this.bufferedBytes);
-		this.bufferedBytes = 0;
+		this.exchange.gateway().responseBuffers().release(this.partialEventBytes);
+		this.partialEventBytes = 0;
 		markResponseStarted();
 		this.server.attemptEnded();
 		this.exchange.gateway().permits().ended(this.server.incarnation());
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ResponseBufferLimit.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ResponseBufferLimit.java
@@ -1,8 +1,9 @@
 package io.sequoialink.gateway.http;
 
 /**
- * Limits the total memory of the responses that are buffered until they are complete.
- * Confined to the event loop.
+ * Limits the total memory of the responses that are buffered until they are complete and
+ * their clients have taken them, and of incomplete events of streams. Confined to the
+ * event loop.
  *
  * <p>
  * Invariant: while more than {@link #MAX_BYTES} are buffered in total, each further
