Log which connection and answer each attempt took, and each head that was not taken

What lacked: no line told on which connection an answer had come, as the connection's how-manieth, with which seal, and heads that were dropped left no line at all; so a wrong answer could not be led back to the one before it, and none of the five hypotheses could be told from another. RequestLogTests compares the whole lines as before, with the port replaced.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -315,8 +315,8 @@
 						random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.latencyPressure, new RequestCostRatio(),
 				this.rollouts, speed, new LatencyBaseline(), this.slots, new ReturnSchedule(random),
-				new BackendPool(this.connector, headers), headers, this.retryBudget, this.crashes, this.traits,
-				new ResponseBufferLimit(), this.counts, System::nanoTime);
+				new BackendPool(this.connector, headers, this.counts.unexpectedHeads()), headers, this.retryBudget,
+				this.crashes, this.traits, new ResponseBufferLimit(), this.counts, System::nanoTime);
 	}
 
 	private boolean mayProbe(long server) {
--- a/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
+++ b/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
@@ -59,6 +59,8 @@
 				"Decisions on permits for servers that take a limited number of requests", this.counts.permits()));
 		metrics.add(counter("sequoialink_tunnels", "Connections to servers that other hosts were asked for",
 				this.counts.tunnels()));
+		metrics.add(counter("sequoialink_unexpected_heads", "Heads of servers' responses that no request took",
+				this.counts.unexpectedHeads()));
 		metrics.add(firstPartHistogram());
 		this.gauges.forEach((gauge) -> metrics.add(gauge.snapshot()));
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
@@ -15,10 +15,11 @@
  * incarnation and outcome
  * @param tunnels number of connections to servers that other hosts were asked for, by
  * outcome
+ * @param unexpectedHeads number of heads of responses that no request took, by reason
  */
 public record GatewayMetrics(LabelledCounters requests, LabelledCounters attempts, DurationHistograms firstPartTimes,
 		LabelledCounters storeCalls, LabelledCounters forwardedReads, LabelledCounters permits,
-		LabelledCounters tunnels) {
+		LabelledCounters tunnels, LabelledCounters unexpectedHeads) {
 
 	/**
 	 * Creates metrics that are all 0.
@@ -27,7 +28,8 @@
 		this(new LabelledCounters("route", "account", "outcome", "ran"),
 				new LabelledCounters("service", "version", "outcome"), new DurationHistograms(),
 				new LabelledCounters("topic", "outcome"), new LabelledCounters("topic", "outcome"),
-				new LabelledCounters("server", "outcome"), new LabelledCounters("outcome"));
+				new LabelledCounters("server", "outcome"), new LabelledCounters("outcome"),
+				new LabelledCounters("reason"));
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/AccessLogEntry.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/AccessLogEntry.java
@@ -49,13 +49,16 @@
 	 * one included
 	 * @param outcome value of the metric label; one of a few fixed texts
 	 * @param reason details for the log line, may be empty
+	 * @param origin connection and response of the last attempt, empty if nothing was
+	 * sent
 	 */
 	record Result(int status, Executed ran, int attempts, String server, long millis, int onConnection, String outcome,
-			String reason) {
+			String reason, String origin) {
 
 		private String detail() {
 			String kept = (this.onConnection > 1) ? ", request " + this.onConnection + " of its connection" : "";
-			return (this.reason.isEmpty() ? this.outcome : this.outcome + " (" + this.reason + ")") + kept;
+			String carried = this.origin.isEmpty() ? "" : " [" + this.origin + "]";
+			return (this.reason.isEmpty() ? this.outcome : this.outcome + " (" + this.reason + ")") + carried + kept;
 		}
 
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/AttemptLog.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/AttemptLog.java
@@ -45,18 +45,21 @@
 	 * Counts and logs the end of an attempt that brought no successful response.
 	 * @param outcome how it ended
 	 * @param detail why
+	 * @param origin where the request was written, empty if it was not
 	 */
-	void failedEnd(String outcome, String detail) {
+	void failedEnd(String outcome, String detail, String origin) {
 		count(outcome);
-		end(detail);
+		end(detail, origin);
 	}
 
 	/**
 	 * Logs the end of an attempt.
 	 * @param detail why it ended
+	 * @param origin where the request was written, empty if it was not
 	 */
-	void end(String detail) {
-		logger.info(GatewayEvents.ATTEMPT_ENDED, this.exchange.id(), this.exchange.attempts(), serverId(), detail,
+	void end(String detail, String origin) {
+		logger.info(GatewayEvents.ATTEMPT_ENDED, this.exchange.id(), this.exchange.attempts(), serverId(),
+				origin.isEmpty() ? detail : detail + " [" + origin + "]",
 				TimeUnit.NANOSECONDS.toMillis(this.exchange.now() - this.startedAt));
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -35,6 +35,11 @@
 	 */
 	private static final int MIN_BEGUN_EVENTS = 2;
 
+	/**
+	 * Longest signature that is logged whole, in characters: a server may send any text.
+	 */
+	private static final int MAX_LOGGED_SEAL = 64;
+
 	private final Exchange exchange;
 
 	private final ServerState server;
@@ -71,6 +76,8 @@
 
 	private HttpHeaders headers;
 
+	private String seal = "";
+
 	private BufferedBody body;
 
 	private EventStreamSplitter events;
@@ -120,6 +127,16 @@
 		return serverId() + '/' + this.server.entry().version() + model;
 	}
 
+	/**
+	 * Returns text that leads from the log to the connection and to the response taken.
+	 * @return connection, number of the request on it, and the response's signature;
+	 * empty if the request was not written to a connection
+	 */
+	String origin() {
+		String signature = this.seal.isEmpty() ? "" : ", seal " + this.seal;
+		return this.outbound.carrier().map((carrier) -> carrier + signature).orElse("");
+	}
+
 	void setReading(boolean reading) {
 		this.outbound.setReading(reading);
 	}
@@ -174,6 +191,9 @@
 	public void head(int responseStatus, HttpHeaders responseHeaders, ResponseMetadata metadata) {
 		this.status = responseStatus;
 		this.headers = responseHeaders;
+		this.seal = metadata.seal()
+			.map((text) -> text.substring(0, Math.min(text.length(), MAX_LOGGED_SEAL)))
+			.orElse("");
 		this.headAt = this.exchange.now();
 		this.progress = ResponseProgress.HEAD;
 		this.server.bytesReceived(this.headAt);
@@ -204,7 +224,7 @@
 		this.watch.streamBegan(this.headAt);
 		recordPromptCache(metadata);
 		if (metadata.confidence().isPresent() && this.exchange.tryEscalate(metadata.confidence().getAsInt())) {
-			this.log.end("dropped for a larger model");
+			this.log.end("dropped for a larger model", origin());
 			cancel();
 			this.exchange.sendToLargerModel();
 		}
@@ -431,7 +451,7 @@
 	}
 
 	private void logFailedEnd(String detail) {
-		this.log.failedEnd(this.verdict.outcome(), detail);
+		this.log.failedEnd(this.verdict.outcome(), detail, origin());
 	}
 
 	/**
@@ -440,7 +460,7 @@
 	 */
 	boolean withdraw() {
 		boolean sent = this.outbound.handedOver();
-		this.log.end("withdrawn");
+		this.log.end("withdrawn", origin());
 		cancel();
 		return sent;
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.http;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -67,6 +68,8 @@
 
 	private final Set<String> answeredRequests = new HashSet<>();
 
+	private ConnectionUse use;
+
 	BackendConnection(ServerConnections owner) {
 		this.owner = owner;
 		this.dialect = owner.dialect();
@@ -139,7 +142,8 @@
 		this.unexpectedBytes.reset();
 		this.headReceived = false;
 		this.discarding = false;
-		var request = outbound.handOver(this.channel);
+		this.use = new ConnectionUse(localPort(), this.answeredRequests.size() + 1, this.direct);
+		var request = outbound.handOver(this.channel, this.use);
 		this.headRequest = outbound.head();
 		this.reusable = this.reusable && !this.headRequest;
 		this.channel.config().setAutoRead(true);
@@ -147,6 +151,10 @@
 		outbound.listener().written();
 	}
 
+	private int localPort() {
+		return (this.channel.localAddress() instanceof InetSocketAddress address) ? address.getPort() : 0;
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		try {
@@ -158,6 +166,9 @@
 	}
 
 	private void read(HttpObject message) {
+		if (this.request == null && message instanceof HttpResponse response) {
+			notTaken(UnexpectedHead.UNAWAITED, response);
+		}
 		if (this.request == null || this.request.done() || message.decoderResult().isFailure()) {
 			close();
 			return;
@@ -172,12 +183,14 @@
 
 	private void head(HttpResponse response) {
 		if (response.status().code() / 100 == INFORMATIONAL) {
+			notTaken(UnexpectedHead.INTERIM, response);
 			this.discarding = true;
 			return;
 		}
 		ResponseMetadata metadata = this.dialect.readResponse(response.headers());
 		boolean unattributable = metadata.requestId().isEmpty() && !this.answeredRequests.isEmpty();
 		if (unattributable) {
+			notTaken(UnexpectedHead.UNNAMED, response);
 			close();
 			return;
 		}
@@ -185,6 +198,8 @@
 				&& !metadata.requestId().get().equals(this.request.requestId());
 		this.discarding = ofOtherRequest;
 		if (ofOtherRequest) {
+			boolean earlier = this.answeredRequests.contains(metadata.requestId().get());
+			notTaken(earlier ? UnexpectedHead.EARLIER : UnexpectedHead.FOREIGN, response);
 			this.reusable = false;
 			this.request.listener().lateHead(response.status().code(), metadata);
 			return;
@@ -194,6 +209,12 @@
 		this.request.listener().head(response.status().code(), response.headers(), metadata);
 	}
 
+	private void notTaken(UnexpectedHead reason, HttpResponse response) {
+		this.owner.headNotTaken(reason, this.use, response.status().code(),
+				this.dialect.readResponse(response.headers()).requestId().orElse(""),
+				(this.request != null) ? this.request.requestId() : "none");
+	}
+
 	private void readKeepAlive(HttpResponse response) {
 		boolean framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
 		if (!framed || !HttpUtil.isKeepAlive(response)) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendPool.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.sequoialink.gateway.count.LabelledCounters;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.path.ServerConnector;
@@ -19,16 +20,21 @@
 
 	private final HeaderMapping dialect;
 
+	private final UnexpectedHeads unexpectedHeads;
+
 	private final Map<String, ServerConnections> servers = new HashMap<>();
 
 	/**
 	 * Creates a pool.
 	 * @param connector opens connections
 	 * @param dialect reads and writes metadata in the headers
+	 * @param unexpectedHeads counts the heads of responses that no request took, by
+	 * reason
 	 */
-	public BackendPool(ServerConnector connector, HeaderMapping dialect) {
+	public BackendPool(ServerConnector connector, HeaderMapping dialect, LabelledCounters unexpectedHeads) {
 		this.connector = connector;
 		this.dialect = dialect;
+		this.unexpectedHeads = new UnexpectedHeads(unexpectedHeads);
 	}
 
 	/**
@@ -53,7 +59,8 @@
 
 	private ServerConnections connections(ServerEntry server) {
 		String key = server.id() + '@' + server.startMillis();
-		return this.servers.computeIfAbsent(key, (id) -> new ServerConnections(server, this.connector, this.dialect));
+		return this.servers.computeIfAbsent(key,
+				(id) -> new ServerConnections(server, this.connector, this.dialect, this.unexpectedHeads));
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -514,6 +514,7 @@
 			this.deadlineTimer.cancel(false);
 		}
 		String server = (this.attempt != null) ? this.attempt.serverLabel() : "none";
+		String origin = (this.attempt != null) ? this.attempt.origin() : "";
 		if (this.attempt != null) {
 			this.attempt.cancel();
 			this.dispatcher.refreshSession(this.attempt.server());
@@ -524,7 +525,7 @@
 		int sends = (this.flow != null) ? this.flow.attempts() : 0;
 		long millis = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
 		new AccessLogEntry(id(), accountLabel(), routeLabel()).write(this.gateway.metrics(), new AccessLogEntry.Result(
-				status, ran, sends, server, millis, this.client.requests(), outcome, this.reason));
+				status, ran, sends, server, millis, this.client.requests(), outcome, this.reason, origin));
 	}
 
 	private String accountLabel() {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/OutboundRequest.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/OutboundRequest.java
@@ -1,5 +1,7 @@
 package io.sequoialink.gateway.http;
 
+import java.util.Optional;
+
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -18,6 +20,8 @@
 
 	private Channel channel;
 
+	private Optional<ConnectionUse> carrier = Optional.empty();
+
 	private boolean handedOver;
 
 	private String failureDetail = "";
@@ -50,6 +54,14 @@
 		return this.handedOver;
 	}
 
+	/**
+	 * Returns where the request was written.
+	 * @return the connection and the number of the request on it, empty before
+	 */
+	Optional<ConnectionUse> carrier() {
+		return this.carrier;
+	}
+
 	boolean done() {
 		return this.done;
 	}
@@ -61,10 +73,12 @@
 	/**
 	 * Transfers the request to a connection.
 	 * @param to channel of the connection
+	 * @param use the connection and the number of the request on it, for the log
 	 * @return the request to write; ownership passes to the channel
 	 */
-	FullHttpRequest handOver(Channel to) {
+	FullHttpRequest handOver(Channel to, ConnectionUse use) {
 		this.channel = to;
+		this.carrier = Optional.of(use);
 		this.handedOver = true;
 		return this.request;
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
@@ -11,7 +11,8 @@
  * Metadata in the headers of a backend server's response. Immutable.
  *
  * @param requestId identifier of the request that it answers
- * @param signed whether it carries the server's signature
+ * @param seal the server's signature, empty if it carries none; a present signature may
+ * be empty text
  * @param notExecuted whether the server states that it did not run the request
  * @param load current load of the server
  * @param confidence the model's confidence in its answer, from 0 to 100
@@ -21,7 +22,16 @@
  * @param bearableRejections requests that the server can turn away in a second without
  * falling over; empty unless it says that it is brittle
  */
-public record ResponseMetadata(Optional<String> requestId, boolean signed, boolean notExecuted,
+public record ResponseMetadata(Optional<String> requestId, Optional<String> seal, boolean notExecuted,
 		Optional<ServerLoad> load, OptionalInt confidence, ResponseNotice notice, NamedLimit limit,
 		OptionalDouble bearableRejections) {
+
+	/**
+	 * Returns whether the response carries the server's signature.
+	 * @return whether it is signed
+	 */
+	public boolean signed() {
+		return this.seal.isPresent();
+	}
+
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
@@ -28,6 +28,8 @@
 
 	private final HeaderMapping dialect;
 
+	private final UnexpectedHeads unexpectedHeads;
+
 	private final Deque<BackendConnection> idle = new ArrayDeque<>();
 
 	private final List<Consumer<Optional<Throwable>>> probeCallbacks = new ArrayList<>();
@@ -36,16 +38,30 @@
 
 	private boolean closed;
 
-	ServerConnections(ServerEntry server, ServerConnector connector, HeaderMapping dialect) {
+	ServerConnections(ServerEntry server, ServerConnector connector, HeaderMapping dialect,
+			UnexpectedHeads unexpectedHeads) {
 		this.server = server;
 		this.connector = connector;
 		this.dialect = dialect;
+		this.unexpectedHeads = unexpectedHeads;
 	}
 
 	HeaderMapping dialect() {
 		return this.dialect;
 	}
 
+	/**
+	 * Records a head that no request took.
+	 * @param reason why it was not taken
+	 * @param use the connection and the number of its last request
+	 * @param status status code of the response
+	 * @param id id in the head, empty without one
+	 * @param awaiting id of the request that awaits a response, "none" without one
+	 */
+	void headNotTaken(UnexpectedHead reason, ConnectionUse use, int status, String id, String awaiting) {
+		this.unexpectedHeads.record(reason, this.server, use, status, id, awaiting);
+	}
+
 	/**
 	 * Sends a request on an idle or a new connection.
 	 * @param outbound the request and its listener
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -164,7 +164,7 @@
 						new SplittableRandom(1))),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new LatencyPressure(), new RequestCostRatio(),
 				this.rollouts, speed, this.latencyBaseline, this.permits, new ReturnSchedule(new SplittableRandom(2)),
-				new BackendPool(connector(), headerMapping), headerMapping,
+				new BackendPool(connector(), headerMapping, this.counts.unexpectedHeads()), headerMapping,
 				new RetryBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashCoordinator, this.traitCoordinator,
 				this.responseBuffers, this.counts, System::nanoTime);
 		this.frontend = new FrontendServer(gateway);
--- a/gateway/src/test/java/io/sequoialink/gateway/http/RequestLogTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/RequestLogTests.java
@@ -159,7 +159,9 @@
 
 	// Which server gets the first attempt is random.
 	private static String withoutTimes(String line) {
-		return line.replaceAll("\\b\\d+ ms", "N ms").replaceAll("\\bs[12]\\b", "S");
+		return line.replaceAll("\\b\\d+ ms", "N ms")
+			.replaceAll("\\[port \\d+", "[port P")
+			.replaceAll("\\bs[12]\\b", "S");
 	}
 
 	private static List<String> golden(String name) throws IOException {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
@@ -39,8 +39,8 @@
 
 	@Override
 	public ResponseMetadata readResponse(HttpHeaders headers) {
-		return new ResponseMetadata(text(headers, "id"), headers.contains("seal"), headers.contains("not-run"),
-				Optional.empty(), number(headers, "confidence"),
+		return new ResponseMetadata(text(headers, "id"), Optional.ofNullable(headers.get("seal")),
+				headers.contains("not-run"), Optional.empty(), number(headers, "confidence"),
 				new ResponseNotice("1".equals(headers.get("leaving")),
 						number(headers, "spare").stream().asLongStream().findFirst()),
 				headers.contains("limit") ? NamedLimit.of(Double.parseDouble(headers.get("limit"))) : NamedLimit.ABSENT,
