--- a/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/rollout/RolloutCoordinatorTests.java
@@ -3,22 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 
 import io.sequoialink.decision.rollout.AnswerCounts;
 import io.sequoialink.decision.rollout.BadAnswerTest;
 import io.sequoialink.decision.rollout.RolloutSettings;
 import io.sequoialink.decision.rollout.RouteAnswerCounts;
-import io.sequoialink.gateway.feed.StoreReply;
 import io.sequoialink.gateway.fleet.PositionedValue;
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.RolloutState;
-import io.sequoialink.gateway.fleet.RolloutStatus;
-import io.sequoialink.gateway.fleet.StorePosition;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -33,14 +27,12 @@
  */
 class RolloutCoordinatorTests {
 
-	private static final long DURATION = 24_000;
-
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
 	void goodVersionCompletesInTimeAndSessionsMoveOnceAndLate(long seed) {
 		RolloutFleet fleet = new RolloutFleet(seed, 8, 0.004, 45);
 		fleet.startWithoutOrder(6_000);
-		fleet.order(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
 		fleet.run(23_500);
 		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.COMPLETED);
 		assertThat(fleet.movedBackSessions()).isZero();
@@ -55,7 +47,7 @@
 	void sessionsWithLongRequestsMoveOnceAndLate(long seed) {
 		RolloutFleet fleet = new RolloutFleet(seed, 8, 0.004, 45).requestDuration(7_000);
 		fleet.startWithoutOrder(14_000);
-		fleet.order(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
 		fleet.run(23_500);
 		assertThat(fleet.movedBackSessions()).isZero();
 		assertThat(fleet.movedEarlySessions()).isLessThanOrEqualTo(3);
@@ -70,7 +62,7 @@
 			.requestDuration(3_000)
 			.sessionsOnAnyHost(1500, 0.03);
 		fleet.startWithoutOrder(14_000);
-		fleet.order(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
 		fleet.run(11_900);
 		assertThat(fleet.movedBackSessions() + fleet.movedEarlySessions()).isLessThanOrEqualTo(3);
 	}
@@ -79,8 +71,8 @@
 	@CsvSource({ "1, 0.33", "2, 0.33", "3, 0.5", "4, 0.5", "5, 0.37", "6, 0.52" })
 	void badVersionIsRolledBackWithinThePermittedExposure(long seed, double badShare) {
 		RolloutFleet fleet = new RolloutFleet(seed, 8, badShare, 45);
-		fleet.order(DURATION);
-		fleet.run(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
+		fleet.run(SingleHostRollout.DURATION);
 		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.ROLLED_BACK);
 		assertThat((double) fleet.targetRequests()).isLessThan(0.15 * fleet.requests() + 30);
 	}
@@ -93,8 +85,8 @@
 		RolloutFleet fleet = new RolloutFleet(seed, size, 0.004, load).permittedShare(permitted).requestDuration(3_000);
 		fleet.startWithoutOrder(6_000);
 		long before = fleet.requests();
-		fleet.order(DURATION);
-		fleet.run(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
+		fleet.run(SingleHostRollout.DURATION);
 		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.COMPLETED);
 		assertThat((double) fleet.targetRequests()).isLessThan(permitted * (fleet.requests() - before) + 30);
 	}
@@ -104,8 +96,8 @@
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 	void badVersionWithFewRequestsIsRolledBackByItsDeadline(long seed) {
 		RolloutFleet fleet = new RolloutFleet(seed, 6, 0.5, 13);
-		fleet.order(DURATION);
-		fleet.run(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
+		fleet.run(SingleHostRollout.DURATION);
 		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.ROLLED_BACK);
 	}
 
@@ -113,8 +105,8 @@
 	@CsvSource({ "1, 0.12", "2, 0.12", "3, 0.2", "4, 0.2", "13, 0.12", "13, 0.2" })
 	void versionWithSomeBadAnswersDoesNotStayUndecided(long seed, double badShare) {
 		RolloutFleet fleet = new RolloutFleet(seed, 6, badShare, 13);
-		fleet.order(DURATION);
-		fleet.run(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
+		fleet.run(SingleHostRollout.DURATION);
 		assertThat(fleet.states()).hasSize(2);
 		assertThat(fleet.states().get(1)).isIn(RolloutState.COMPLETED, RolloutState.ROLLED_BACK);
 	}
@@ -123,13 +115,13 @@
 	@ValueSource(longs = { 1, 2, 3 })
 	void badVersionIsRolledBackWhileHostsRestart(long seed) {
 		RolloutFleet fleet = new RolloutFleet(seed, 8, 0.4, 45);
-		fleet.order(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
 		for (int round = 0; round < 6; round++) {
 			fleet.host(round).kill();
 			fleet.run(700);
 			fleet.host(round).restart();
 		}
-		fleet.run(DURATION - 4_200);
+		fleet.run(SingleHostRollout.DURATION - 4_200);
 		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, RolloutState.ROLLED_BACK);
 		assertThat((double) fleet.targetRequests()).isLessThan(0.15 * fleet.requests() + 30);
 	}
@@ -137,7 +129,7 @@
 	@Test
 	void goodVersionCompletesInTimeAlthoughAllHostsRestart() {
 		RolloutFleet fleet = new RolloutFleet(9, 6, 0.004, 45);
-		fleet.order(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
 		fleet.run(5_000);
 		for (int host = 0; host < 6; host++) {
 			fleet.host(host).restart();
@@ -149,10 +141,10 @@
 	@Test
 	void hostThatCannotReadStatesKeepsTheShareSmall() {
 		RolloutFleet fleet = new RolloutFleet(3, 1, 0.004, 45);
-		fleet.order(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
 		fleet.run(4_000);
 		fleet.host(0).disconnectFromLog(true);
-		fleet.run(DURATION);
+		fleet.run(SingleHostRollout.DURATION);
 		assertThat(fleet.states()).doesNotContain(RolloutState.COMPLETED);
 		assertThat((double) fleet.targetRequests()).isLessThan(0.15 * fleet.requests() + 30);
 	}
@@ -166,8 +158,8 @@
 	void reportsOfManyAnswersDoNotDelayTheFinalState(long seed, int size, double load) {
 		RolloutFleet fleet = new RolloutFleet(seed, size, 0.004, load).writeDelay(150);
 		fleet.startWithoutOrder(6_000);
-		fleet.order(DURATION);
-		fleet.run(DURATION - 350);
+		fleet.order(SingleHostRollout.DURATION);
+		fleet.run(SingleHostRollout.DURATION - 350);
 		assertThat(fleet.states()).endsWith(RolloutState.COMPLETED);
 	}
 
@@ -175,8 +167,8 @@
 	@Test
 	void versionWithoutAnswersNeverCompletes() {
 		RolloutFleet fleet = new RolloutFleet(5, 4, 0.004, 0);
-		fleet.order(DURATION);
-		fleet.run(2 * DURATION);
+		fleet.order(SingleHostRollout.DURATION);
+		fleet.run(2 * SingleHostRollout.DURATION);
 		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE);
 	}
 
@@ -187,8 +179,8 @@
 	@CsvSource({ "1, 65, 0.004", "2, 65, 0.5", "3, 65, 0.37", "4, 330, 0.004", "5, 330, 0.5" })
 	void manyHostsThatPauseBetweenReadsDecideInTime(long seed, int size, double badShare) {
 		RolloutFleet fleet = new RolloutFleet(seed, size, badShare, 4.5 * size).readInterval(1500);
-		fleet.order(DURATION);
-		fleet.run(DURATION - 500);
+		fleet.order(SingleHostRollout.DURATION);
+		fleet.run(SingleHostRollout.DURATION - 500);
 		RolloutState finalState = (badShare < 0.1) ? RolloutState.COMPLETED : RolloutState.ROLLED_BACK;
 		assertThat(fleet.states()).containsExactly(RolloutState.ACTIVE, finalState);
 		assertThat((double) fleet.targetRequests())
@@ -199,7 +191,7 @@
 	@Test
 	void oneFinalStateIsWrittenWhenSeveralHostsDecideAtOnce() {
 		RolloutFleet fleet = new RolloutFleet(4, 30, 0.6, 400);
-		fleet.order(DURATION);
+		fleet.order(SingleHostRollout.DURATION);
 		fleet.run(6_000);
 		assertThat(fleet.states()).containsOnlyOnce(RolloutState.ROLLED_BACK);
 	}
@@ -211,145 +203,39 @@
 	void versionCompletesOnlyAfterEnoughAnswersWithALowScore(int answers, int bad, boolean completed) {
 		List<RolloutState> states = new ArrayList<>();
 		long[] now = { 1 };
-		RolloutStore records = recordsInto(new ArrayList<>(), states);
+		RolloutStore records = SingleHostRollout.recordsInto(new ArrayList<>(), states);
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0), records,
 				() -> now[0], new Random(1));
-		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", SingleHostRollout.DURATION), 7));
 		for (int i = 0; i < answers; i++) {
 			watch.recordAnswer("s", "v2", "r", i < bad, true);
 		}
 		for (int i = 0; i < 200; i++) {
 			watch.recordAnswer("s", "v1", "r", i < 10, true);
 		}
-		runUntilDeadline(watch, now);
+		SingleHostRollout.runUntilDeadline(watch, now);
 		assertThat(states.contains(RolloutState.COMPLETED)).isEqualTo(completed);
 	}
 
-	// Guards against a roll-out that begins anew because the store has returned from an
-	// older copy and its order was written again at another offset.
-	@ParameterizedTest
-	@CsvSource({ "v2, 3, true", "v2, 9, true", "v3, 3, false" })
-	void anEqualOrderOfAnotherEraIsTheSameRollOut(String target, long offset, boolean same) {
-		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> 1, new Random(1));
-		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), new StorePosition(1, 7)));
-		Canary before = watch.canary("s");
-		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", target, DURATION), new StorePosition(2, offset)));
-		assertThat(watch.canary("s") == before).isEqualTo(same);
-		assertThat(watch.canary("s").order().position()).isEqualTo(new StorePosition(2, offset));
-		assertThat(watch.targetVersion("s")).isEqualTo(target);
-	}
-
-	private static PositionedValue<RolloutOrder> order(String target, long era, long offset) {
-		return new PositionedValue<>(new RolloutOrder("s", target, DURATION), new StorePosition(era, offset));
-	}
-
-	private static PositionedValue<RolloutStatus> status(String target, RolloutState state, long order) {
-		return new PositionedValue<>(new RolloutStatus("s", target, state, order, 10), new StorePosition(2, 1));
-	}
-
-	// Guards against a roll-out to an older version that comes back with the store's
-	// copy.
-	@ParameterizedTest
-	@CsvSource({ "true, v3", "false, v2" })
-	void anOlderOrderOfTheCopyCountsOnlyIfNoOtherIsWritten(boolean writtenAgain, String expected) {
-		long[] now = { 1 };
-		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> now[0], new Random(1));
-		watch.onOrder(order("v3", 1, 9));
-		watch.onOrderOfCopy(order("v2", 2, 5));
-		watch.tick();
-		assertThat(watch.targetVersion("s")).isEqualTo("v3");
-		if (writtenAgain) {
-			watch.onOrder(order("v3", 2, 6));
-		}
-		now[0] += RolloutCoordinator.WRITE_AGAIN_NANOS;
-		watch.tick();
-		assertThat(watch.targetVersion("s")).isEqualTo(expected);
-	}
-
-	// Guards against a state or a report of another roll-out, whose order had an offset
-	// that
-	// was given out again.
-	@Test
-	void recordsOfAnotherVersionWithTheSameOrderOffsetDoNotCount() {
-		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> 1, new Random(1));
-		watch.onOrder(order("v3", 2, 7));
-		watch.onStatus(status("v2", RolloutState.COMPLETED, 7));
-		watch.onReport(new HostRolloutReport("s", "h2", "v2", 7,
-				Map.of("r", new RouteAnswerCounts(new AnswerCounts(50, 50), new AnswerCounts(50, 0))), Set.of()));
-		watch.tick();
-		assertThat(watch.canary("s").ended()).isFalse();
-		assertThat(watch.canary("s").stopped()).isFalse();
-	}
-
-	@Test
-	void recordsThatNameTheFormerPositionOfTheOrderCount() {
-		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(new ArrayList<>(), new ArrayList<>()), () -> 1, new Random(1));
-		watch.onOrder(order("v2", 1, 7));
-		watch.onOrder(order("v2", 2, 3));
-		watch.onStatus(status("v2", RolloutState.ROLLED_BACK, 7));
-		assertThat(watch.canary("s").ended()).isTrue();
-	}
-
-	// Guards against a verdict that is lost with the store's records: a host that starts
-	// later would begin the roll-out anew.
-	@ParameterizedTest
-	@CsvSource({ "true, true, 0", "true, false, 1", "false, false, 0" })
-	void aVerdictThatTheStoreHasLostIsWrittenAgainOnceItsOrderIsThere(boolean orderRead, boolean inCopy, int writes) {
-		long[] now = { 1 };
-		List<RolloutState> states = new ArrayList<>();
-		RolloutCoordinator[] watch = new RolloutCoordinator[1];
-		RolloutStore store = recordsInto(new ArrayList<>(), states, () -> watch[0]);
-		watch[0] = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0), store, () -> now[0],
-				new Random(1));
-		watch[0].onOrder(order("v2", 1, 7));
-		watch[0].onStatus(status("v2", RolloutState.COMPLETED, 7));
-		watch[0].storeReturned(2);
-		if (orderRead) {
-			watch[0].onOrder(order("v2", 2, 3));
-		}
-		if (inCopy) {
-			watch[0].onStatus(status("v2", RolloutState.COMPLETED, 7));
-		}
-		runUntilDeadline(watch[0], now);
-		assertThat(states).hasSize(writes).allMatch(RolloutState.COMPLETED::equals);
-	}
-
 	@Test
 	void highScoreDoesNotKeepAVersionUndecidedForever() {
 		List<RolloutState> states = new ArrayList<>();
 		long[] now = { 1 };
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(new ArrayList<>(), states), () -> now[0], new Random(1));
-		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
+				SingleHostRollout.recordsInto(new ArrayList<>(), states), () -> now[0], new Random(1));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", SingleHostRollout.DURATION), 7));
 		for (int i = 0; i < 200; i++) {
 			watch.recordAnswer("s", "v1", "r", i < 10, true);
 		}
 		for (int i = 0; i < 8; i++) {
 			watch.recordAnswer("s", "v2", "r", i < 2, true);
 		}
-		runUntilDeadline(watch, now);
-		runUntilDeadline(watch, now);
-		runUntilDeadline(watch, now);
+		SingleHostRollout.runUntilDeadline(watch, now);
+		SingleHostRollout.runUntilDeadline(watch, now);
+		SingleHostRollout.runUntilDeadline(watch, now);
 		assertThat(states).contains(RolloutState.COMPLETED);
 	}
 
-	private static void runUntilDeadline(RolloutCoordinator watch, long[] now) {
-		runFor(watch, now, DURATION);
-	}
-
-	private static void runFor(RolloutCoordinator watch, long[] now, long millis) {
-		long until = now[0] + millis * 1_000_000L;
-		while (now[0] < until) {
-			now[0] += RolloutFleet.STEP;
-			watch.onRead(9);
-			watch.tick();
-		}
-	}
-
 	// Guards against incident EXPOSURE on the deployment hasty: when all requests move
 	// to a slow version, its fast streams end first and make it look good.
 	@Test
@@ -370,8 +256,8 @@
 		List<HostRolloutReport> published = new ArrayList<>();
 		long[] now = { 10_000_000_000L };
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(published, new ArrayList<>()), () -> now[0], new Random(1));
-		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
+				SingleHostRollout.recordsInto(published, new ArrayList<>()), () -> now[0], new Random(1));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", SingleHostRollout.DURATION), 7));
 		watch.onRead(9);
 		watch.recordAnswer("s", "v2", "r", false, true);
 		now[0] += FleetAnswerCounts.GOOD_STREAM_DELAY_NANOS;
@@ -387,8 +273,8 @@
 		List<HostRolloutReport> published = new ArrayList<>();
 		long[] now = { 10_000_000_000L };
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(published, new ArrayList<>()), () -> now[0], new Random(1));
-		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
+				SingleHostRollout.recordsInto(published, new ArrayList<>()), () -> now[0], new Random(1));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", SingleHostRollout.DURATION), 7));
 		RouteAnswerCounts ofOthers = new RouteAnswerCounts(new AnswerCounts(60, 6), new AnswerCounts(600, 60));
 		watch.onReport(new HostRolloutReport("s", "h2", "v2", 7, Map.of("r", ofOthers), Set.of()));
 		watch.onRead(9);
@@ -406,17 +292,17 @@
 		List<RolloutState> states = new ArrayList<>();
 		long[] now = { 1 };
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(new ArrayList<>(), states), () -> now[0], new Random(1));
-		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
+				SingleHostRollout.recordsInto(new ArrayList<>(), states), () -> now[0], new Random(1));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", SingleHostRollout.DURATION), 7));
 		for (int i = 0; i < 100; i++) {
 			watch.recordAnswer("s", "v2", "r", false, true);
 			watch.recordAnswer("s", "v1", "r", false, true);
 		}
-		runFor(watch, now, 18_000);
+		SingleHostRollout.runFor(watch, now, 18_000);
 		now[0] += 5_500_000_000L;
-		runFor(watch, now, 1_400);
+		SingleHostRollout.runFor(watch, now, 1_400);
 		assertThat(states).doesNotContain(RolloutState.COMPLETED);
-		runFor(watch, now, 2_000);
+		SingleHostRollout.runFor(watch, now, 2_000);
 		assertThat(states).contains(RolloutState.COMPLETED);
 	}
 
@@ -427,8 +313,8 @@
 	void restartedHostKeepsTheAnswersThatItPublished() {
 		List<HostRolloutReport> published = new ArrayList<>();
 		RolloutCoordinator watch = new RolloutCoordinator("h1", new RolloutCoordinator.Options(0.15, 0),
-				recordsInto(published, new ArrayList<>()), () -> 10_000_000_000L, new Random(1));
-		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", DURATION), 7));
+				SingleHostRollout.recordsInto(published, new ArrayList<>()), () -> 10_000_000_000L, new Random(1));
+		watch.onOrder(new PositionedValue<>(new RolloutOrder("s", "v2", SingleHostRollout.DURATION), 7));
 		watch.recordAnswer("s", "v2", "r", true, true);
 		watch.tick();
 		assertThat(published).isEmpty();
@@ -462,47 +348,4 @@
 		}
 	}
 
-	// The state that is written is read back at once.
-	private static RolloutStore recordsInto(List<HostRolloutReport> published, List<RolloutState> states,
-			Supplier<RolloutCoordinator> reader) {
-		RolloutStore writing = recordsInto(published, states);
-		return new RolloutStore() {
-			@Override
-			public void writeStatus(RolloutStatus status, OptionalLong at, Consumer<StoreReply<Long>> reply) {
-				writing.writeStatus(status, at, reply);
-				reader.get().onStatus(new PositionedValue<>(status, new StorePosition(2, 9)));
-			}
-
-			@Override
-			public void writeReport(HostRolloutReport report, Consumer<StoreReply<Long>> reply) {
-				writing.writeReport(report, reply);
-			}
-
-			@Override
-			public void readNow() {
-				writing.readNow();
-			}
-		};
-	}
-
-	private static RolloutStore recordsInto(List<HostRolloutReport> published, List<RolloutState> states) {
-		return new RolloutStore() {
-			@Override
-			public void writeStatus(RolloutStatus status, OptionalLong at, Consumer<StoreReply<Long>> reply) {
-				states.add(status.state());
-				reply.accept(StoreReply.of(9L));
-			}
-
-			@Override
-			public void writeReport(HostRolloutReport report, Consumer<StoreReply<Long>> reply) {
-				published.add(report);
-			}
-
-			@Override
-			public void readNow() {
-				// this test has no store to read from
-			}
-		};
-	}
-
 }
