Reuse no connection to a server on which a byte follows a complete response

Cause: a server writes the beginning of a second answer behind a complete one. The decoder keeps these bytes without a message, so the connection counted as idle; the next answer on it was read as the rest of that head. With 'HTTP/1.1 200 ' kept, a following 500 became a 200 with its own id, seal and body. Class: state of one message that lives on in what is reused for the next; idle was concluded from messages, not from bytes. Change: a connection is reused only if no byte follows the complete answer (ResponseDecoder.hasMoreBytes), and any byte while no request awaits an answer closes it. Bytes that arrive after the next request was sent can't be told by their time: a head with a status line inside was read from two and is no answer (ResponseDecoder.joined), so the attempt ends and may be repeated. Why it works: a head is read either from bytes that all arrived after its request, or, if not, holds the status line of the second head. An unused import of AnswerAttributionTests is out.

--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -66,8 +66,8 @@
 	/** The servers of a service no longer say that they are brittle. */
 	public static final String SERVICE_NOT_BRITTLE = "SL-3117 servers of {} are no longer brittle, according to {}";
 
-	/** The head of a response was not taken as that of the request that awaits one. */
-	public static final String HEAD_NOT_TAKEN = "SL-3118 server {}: head with status {} and id '{}' not taken, {}, awaited by request {}: {}";
+	/** Bytes or the head of a response were not taken by the request that awaits one. */
+	public static final String HEAD_NOT_TAKEN = "SL-3118 server {}: {} not taken, {}, awaited by request {}: {}";
 
 	/** A new configuration was read and applied. */
 	public static final String CONFIGURATION_APPLIED = "SL-3201 configuration {} is in force, read at offset {} of era {}, by {}; before: {}";
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -16,17 +16,17 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.sequoialink.gateway.path.ResponseDecoder;
 import io.sequoialink.gateway.path.TunnelLostException;
 
 /**
  * A connection to a backend server. Confined to the event loop. A response is accepted
  * only if it carries the id of the request that was sent, and no request is sent twice on
  * one connection. A response to an earlier request is discarded, and after any unexpected
- * data the connection is not reused.
+ * data, if only a byte behind a complete response, the connection is not reused.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -42,7 +42,10 @@
 
 	private final HeaderMapping dialect;
 
-	private final UnexpectedByteLimit unexpectedBytes = new UnexpectedByteLimit(this::close);
+	private final UnexpectedByteLimit unexpectedBytes = new UnexpectedByteLimit(this::awaitsResponse,
+			this::closeAfterUnexpectedBytes);
+
+	private final Decoder decoder = new Decoder();
 
 	private Channel channel;
 
@@ -80,8 +83,8 @@
 			@Override
 			protected void initChannel(Channel opened) {
 				opened.pipeline()
-					.addLast(new HttpRequestEncoder(), BackendConnection.this.unexpectedBytes, new Decoder(),
-							BackendConnection.this);
+					.addLast(new HttpRequestEncoder(), BackendConnection.this.unexpectedBytes,
+							BackendConnection.this.decoder, BackendConnection.this);
 			}
 		};
 	}
@@ -151,6 +154,18 @@
 		outbound.listener().written();
 	}
 
+	private boolean awaitsResponse() {
+		return this.request != null;
+	}
+
+	private void closeAfterUnexpectedBytes() {
+		boolean headLogged = !this.channel.isActive();
+		if (this.request == null && !headLogged) {
+			notTaken(UnexpectedHead.UNAWAITED, "bytes");
+		}
+		close();
+	}
+
 	private int localPort() {
 		return (this.channel.localAddress() instanceof InetSocketAddress address) ? address.getPort() : 0;
 	}
@@ -166,7 +181,7 @@
 	}
 
 	private void read(HttpObject message) {
-		if (this.request == null && message instanceof HttpResponse response) {
+		if (this.request == null && message instanceof HttpResponse response && this.channel.isActive()) {
 			notTaken(UnexpectedHead.UNAWAITED, response);
 		}
 		if (this.request == null || this.request.done() || message.decoderResult().isFailure()) {
@@ -182,6 +197,11 @@
 	}
 
 	private void head(HttpResponse response) {
+		if (ResponseDecoder.joined(response)) {
+			notTaken(UnexpectedHead.JOINED, response);
+			close();
+			return;
+		}
 		if (response.status().code() / 100 == INFORMATIONAL) {
 			notTaken(UnexpectedHead.INTERIM, response);
 			this.discarding = true;
@@ -210,9 +230,12 @@
 	}
 
 	private void notTaken(UnexpectedHead reason, HttpResponse response) {
-		this.owner.headNotTaken(reason, this.use, response.status().code(),
-				this.dialect.readResponse(response.headers()).requestId().orElse(""),
-				(this.request != null) ? this.request.requestId() : "none");
+		notTaken(reason, UnexpectedHeads.describe(response.status().code(),
+				this.dialect.readResponse(response.headers()).requestId().orElse("")));
+	}
+
+	private void notTaken(UnexpectedHead reason, String received) {
+		this.owner.notTaken(reason, this.use, received, (this.request != null) ? this.request.requestId() : "none");
 	}
 
 	private void readKeepAlive(HttpResponse response) {
@@ -252,8 +275,12 @@
 		OutboundRequest finished = this.request;
 		this.request = null;
 		this.answeredRequests.add(finished.requestId());
-		boolean keep = this.reusable && this.answeredRequests.size() < MAX_REQUESTS && this.writing.isDone()
-				&& this.channel.isActive();
+		boolean followed = this.decoder.hasMoreBytes();
+		if (followed) {
+			notTaken(UnexpectedHead.FOLLOWING, "bytes");
+		}
+		boolean keep = this.reusable && !followed && this.answeredRequests.size() < MAX_REQUESTS
+				&& this.writing.isDone() && this.channel.isActive();
 		if (keep) {
 			this.idleSince = System.nanoTime();
 			this.owner.release(this);
@@ -300,7 +327,7 @@
 	/**
 	 * Decoder that expects no body in responses to HEAD requests.
 	 */
-	private final class Decoder extends HttpResponseDecoder {
+	private final class Decoder extends ResponseDecoder {
 
 		@Override
 		protected boolean isContentAlwaysEmpty(HttpMessage message) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
@@ -51,15 +51,14 @@
 	}
 
 	/**
-	 * Records a head that no request took.
+	 * Records a head, or bytes of which none was read, that no request took.
 	 * @param reason why it was not taken
 	 * @param use the connection and the number of its last request
-	 * @param status status code of the response
-	 * @param id id in the head, empty without one
+	 * @param received what was received
 	 * @param awaiting id of the request that awaits a response, "none" without one
 	 */
-	void headNotTaken(UnexpectedHead reason, ConnectionUse use, int status, String id, String awaiting) {
-		this.unexpectedHeads.record(reason, this.server, use, status, id, awaiting);
+	void notTaken(UnexpectedHead reason, ConnectionUse use, String received, String awaiting) {
+		this.unexpectedHeads.record(reason, this.server, use, received, awaiting);
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/UnexpectedHead.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/UnexpectedHead.java
@@ -17,6 +17,12 @@
 	/** It carries no id, and its connection has answered others before. */
 	UNNAMED("has no id, after other responses"),
 
+	/** It was read from the beginning of one response and the head of another. */
+	JOINED("a status line stands inside it"),
+
+	/** Bytes follow a complete response. */
+	FOLLOWING("follows a complete response"),
+
 	/** No request awaits a response. */
 	UNAWAITED("no request awaits a response");
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/UnexpectedHeads.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/UnexpectedHeads.java
@@ -30,18 +30,26 @@
 	}
 
 	/**
-	 * Logs and counts a head.
+	 * Describes a head for the log.
+	 * @param status status code of the response
+	 * @param id id in the head, empty without one
+	 * @return text of bounded length
+	 */
+	static String describe(int status, String id) {
+		return "head with status " + status + " and id '" + id.substring(0, Math.min(id.length(), MAX_LOGGED_ID)) + "'";
+	}
+
+	/**
+	 * Logs and counts a head, or bytes of which none was read.
 	 * @param reason why it was not taken
 	 * @param server server of the connection
 	 * @param use the connection and the number of its last request
-	 * @param status status code of the response
-	 * @param id id in the head, empty without one
+	 * @param received what was received
 	 * @param awaiting id of the request that awaits a response, "none" without one
 	 */
-	void record(UnexpectedHead reason, ServerEntry server, ConnectionUse use, int status, String id, String awaiting) {
+	void record(UnexpectedHead reason, ServerEntry server, ConnectionUse use, String received, String awaiting) {
 		this.counts.increment(reason.name().toLowerCase(Locale.ROOT));
-		logger.info(GatewayEvents.HEAD_NOT_TAKEN, server.id(), status,
-				id.substring(0, Math.min(id.length(), MAX_LOGGED_ID)), use, awaiting, reason.reason());
+		logger.info(GatewayEvents.HEAD_NOT_TAKEN, server.id(), received, use, awaiting, reason.reason());
 	}
 
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/http/AnswerAttributionTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/AnswerAttributionTests.java
@@ -1,6 +1,5 @@
 package io.sequoialink.gateway.http;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
