--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -32,6 +32,12 @@
 
 	private static final int INFORMATIONAL = 1;
 
+	/**
+	 * Number of heads that are logged while one request is in progress; a server may send
+	 * them without end.
+	 */
+	private static final int MAX_LOGGED_HEADS = 4;
+
 	/**
 	 * Number of requests after which a connection is closed, so that it can remember all
 	 * of them.
@@ -73,6 +79,8 @@
 
 	private ConnectionUse use;
 
+	private int loggedHeads;
+
 	BackendConnection(ServerConnections owner) {
 		this.owner = owner;
 		this.dialect = owner.dialect();
@@ -145,6 +153,7 @@
 		this.unexpectedBytes.reset();
 		this.headReceived = false;
 		this.discarding = false;
+		this.loggedHeads = 0;
 		this.use = new ConnectionUse(localPort(), this.answeredRequests.size() + 1, this.direct);
 		var request = outbound.handOver(this.channel, this.use);
 		this.headRequest = outbound.head();
@@ -237,6 +246,10 @@
 	}
 
 	private void notTaken(UnexpectedHead reason, HttpResponse response) {
+		this.loggedHeads++;
+		if (this.loggedHeads > MAX_LOGGED_HEADS) {
+			return;
+		}
 		notTaken(reason, UnexpectedHeads.describe(response.status().code(),
 				this.dialect.readResponse(response.headers()).requestId().orElse("")));
 	}
