Play the client's side and the end of a server's connection

Nothing played answers that are queued behind others on kept client connections together with second answers, and no test noted what a server sees when its connection ends.

--- a/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
@@ -11,6 +11,7 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -133,6 +134,16 @@
 
 	}
 
+	/**
+	 * How a connection ended for the server. Immutable.
+	 *
+	 * @param how "FIN" regularly, "RST" by a reset, "bytes" if something arrived instead
+	 * @param nanos monotonic time
+	 */
+	record End(String how, long nanos) {
+
+	}
+
 	/**
 	 * One request, and methods to respond to it.
 	 */
@@ -174,6 +185,17 @@
 			return RawHttp.header(this.request, name);
 		}
 
+		String body() {
+			return RawHttp.body(this.request);
+		}
+
+		/**
+		 * Returns whether this server has closed the connection.
+		 */
+		boolean ended() {
+			return this.closed;
+		}
+
 		void write(String text) throws IOException {
 			OutputStream out = this.socket.getOutputStream();
 			out.write(text.getBytes(StandardCharsets.US_ASCII));
@@ -198,6 +220,23 @@
 			write("0\r\n\r\n");
 		}
 
+		/**
+		 * Reads in another thread until the connection ends; no further request is
+		 * answered.
+		 * @return how and when it ended
+		 */
+		CompletableFuture<End> watchEnd() {
+			this.closed = true;
+			return CompletableFuture.supplyAsync(() -> {
+				try {
+					return new End((this.in.read() < 0) ? "FIN" : "bytes", System.nanoTime());
+				}
+				catch (IOException ex) {
+					return new End("RST", System.nanoTime());
+				}
+			}, (work) -> new Thread(work, "scripted-watch").start());
+		}
+
 		void close() throws IOException {
 			this.closed = true;
 			this.socket.close();
