Play the mix of answers also through another host

The mix of queued, late and second answers was played over direct connections only. Change, tests only: ClientAnswerMixTests also breaks and mends the host's own path to the servers every 700 ms, so that connections go through another host and are left again.

--- a/gateway/src/test/java/io/sequoialink/gateway/http/ClientAnswerMixTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ClientAnswerMixTests.java
@@ -15,6 +15,9 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Timeout;
@@ -38,6 +41,9 @@
 
 	private static final int BATCHES = Integer.getInteger("sequoialink.test.batches", 40);
 
+	/** Longer than it takes until a path that returned is found. */
+	private static final int CUT_MILLIS = 700;
+
 	private static final int[] PIPELINED = { 1, 1, 2, 6 };
 
 	private static final String[] ROUTES = { "/safe/", "/safe/", "/once/", "/brief/" };
@@ -49,9 +55,37 @@
 	@Timeout(180)
 	void everyAnswerIsWhatAServerWroteForItsRequest(long seed) throws Exception {
 		AnsweringServers servers = new AnsweringServers(seed);
+		try (GatewayFixture fixture = GatewayFixture.withServers(servers, servers, servers)) {
+			play(fixture, servers, seed);
+		}
+	}
+
+	// The same while the host's own path to the servers breaks and returns, so that
+	// connections go through another host and are left again.
+	@ParameterizedTest
+	@ValueSource(longs = 60604)
+	@Timeout(180)
+	void everyAnswerIsTheServersAlsoThroughAnotherHost(long seed) throws Exception {
+		AnsweringServers servers = new AnsweringServers(seed);
+		ScheduledExecutorService breaks = Executors.newSingleThreadScheduledExecutor();
+		AtomicBoolean cut = new AtomicBoolean();
+		try (GatewayFixture fixture = GatewayFixture.withServers(servers, servers, servers)) {
+			fixture.startHelpingHost();
+			breaks.scheduleAtFixedRate(() -> {
+				cut.set(!cut.get());
+				fixture.setCutOff(cut.get());
+			}, 0, CUT_MILLIS, TimeUnit.MILLISECONDS);
+			play(fixture, servers, seed);
+		}
+		finally {
+			breaks.shutdownNow();
+		}
+	}
+
+	private static void play(GatewayFixture fixture, AnsweringServers servers, long seed) throws Exception {
 		Tally tally = new Tally(servers);
 		ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
-		try (GatewayFixture fixture = GatewayFixture.withServers(servers, servers, servers)) {
+		try {
 			List<Future<?>> running = new ArrayList<>();
 			for (int i = 0; i < CLIENTS; i++) {
 				MixClient client = new MixClient(fixture.frontend().port(), "c" + i, seed + i, tally);
@@ -60,17 +94,17 @@
 			for (Future<?> client : running) {
 				client.get();
 			}
-			logger.info("seed {}: {}, {} runs, {} second answers", seed, tally, servers.runs(),
-					servers.secondAnswers());
-			assertThat(tally.wrong).isEmpty();
-			assertThat(servers.changedRequests()).isEmpty();
-			assertThat(tally.successes.get()).isGreaterThan(3 * CLIENTS * BATCHES / 4);
-			assertThat(tally.failures.get()).isGreaterThan(CLIENTS * BATCHES / 40);
-			assertThat(servers.secondAnswers()).isGreaterThan(CLIENTS * BATCHES / 10);
 		}
 		finally {
 			clients.shutdownNow();
 		}
+		logger.info("seed {}: {}, {} runs, {} second answers, connections through another host {}", seed, tally,
+				servers.runs(), servers.secondAnswers(), fixture.counts().tunnels().counts());
+		assertThat(tally.wrong).isEmpty();
+		assertThat(servers.changedRequests()).isEmpty();
+		assertThat(tally.successes.get()).isGreaterThan(3 * CLIENTS * BATCHES / 4);
+		assertThat(tally.failures.get()).isGreaterThan(CLIENTS * BATCHES / 40);
+		assertThat(servers.secondAnswers()).isGreaterThan(CLIENTS * BATCHES / 10);
 	}
 
 	/**
