--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -283,6 +283,19 @@
 		this.loops.submit(() -> this.view.remove("s" + number)).syncUninterruptibly();
 	}
 
+	/**
+	 * Replaces a server by one with the same id that has been started later, at another
+	 * address.
+	 * @param number number of the server, from 1
+	 * @param script script of the new server, which gets the next number
+	 */
+	void restartServer(int number, ScriptedServer.Script script) throws Exception {
+		ScriptedServer started = new ScriptedServer(script);
+		this.servers.add(started);
+		onLoop(() -> this.view.put(new ServerEntry("s" + number, "svc",
+				new InetSocketAddress(InetAddress.getLoopbackAddress(), started.port()), "z", "v1", 8, false, 0, 1)));
+	}
+
 	static GatewayFixture withServers(ScriptedServer.Script... scripts) throws Exception {
 		GatewayFixture fixture = withoutConfiguration(scripts);
 		fixture.publishConfiguration();
