--- a/gateway/src/test/java/io/sequoialink/gateway/http/AnswerAttributionTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/AnswerAttributionTests.java
@@ -106,6 +106,30 @@
 		}
 	}
 
+	// Guards against an extra answer without an id, as the users' servers write them,
+	// that is taken for that of the repeat or of the next request.
+	@ParameterizedTest(name = "{0}, {1}, {2} ms after the first answer")
+	@CsvSource({ "NEW, 500, 0", "NEW, 500, 30", "KEPT, 500, 0", "KEPT, 500, 30", "KEPT, 200, 0", "KEPT, 200, 30",
+			"NEW_HELPED, 500, 0", "KEPT_HELPED, 500, 30", "KEPT, 500, -1", "KEPT, 200, -1", "KEPT_HELPED, 500, -1" })
+	@Timeout(20)
+	void extraAnswerWithoutAnIdIsNotTaken(Way way, int status, int pause) throws Exception {
+		try (GatewayFixture fixture = fixture(way, (call) -> {
+			String late = answer(opposite(status), "seal: s\r\n", EXTRA);
+			String own = own(status, "id: " + call.header("id") + "\r\n");
+			if (pause < 0) {
+				call.write((call.number() == 2) ? late + own : own);
+				return;
+			}
+			call.write(own);
+			ScriptedServer.pause(pause);
+			call.write(late);
+		})) {
+			for (int i = 0; i < 5; i++) {
+				assertThat(outcome(fixture.exchange("/safe/x", ""))).doesNotContain(EXTRA);
+			}
+		}
+	}
+
 	static Stream<Arguments> framings() {
 		List<Arguments> all = new ArrayList<>();
 		for (Way way : Way.values()) {
