UnknownIdAnswerTests (red): an extra answer without an id after one whose id is unknown

On a new connection the run's failure is dropped for its id, and the extra success without an id is taken as the first answer.

--- a/gateway/src/test/java/io/sequoialink/gateway/http/UnknownIdAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/UnknownIdAnswerTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Locale;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -56,6 +57,19 @@
 		}
 	}
 
+	// On a new connection an answer without an id is taken as the first one, although it
+	// is the second.
+	@Test
+	@Timeout(20)
+	void extraAnswerWithoutAnIdIsNotTaken() throws Exception {
+		ScriptedServer.Script script = (call) -> call
+			.write(answer(500, IdForm.SPOILT.headers(call.header("id")) + "seal: s\r\n", "own")
+					+ answer(200, "seal: s\r\n", EXTRA));
+		try (GatewayFixture fixture = GatewayFixture.withServers(script)) {
+			assertThat(RawHttp.body(fixture.exchange("/safe/x", ""))).doesNotContain(EXTRA);
+		}
+	}
+
 	// The same through another host, and where a stream goes on elsewhere.
 	@ParameterizedTest
 	@CsvSource({ "/safe/500, true", "/stream/x, false" })
