Soak: servers answer twice and hang; each answer is held against the run it names

The soak could not see it: a seal named request and status only, so a second answer of the same request with success would have passed, and its servers wrote only refusals twice.

Each run has a seal of its own now. ServerRuns keeps the status and body that the server answered it with first; MIXED is reported for an answer with another status or body, with the seal of another request's run or of none, and for a success without a seal. Repeats at the same server, and successes that follow a failed run there, are counted and printed.

The checks of seal and body in PromiseCheckerTests that named the old form of the seal are replaced by parameterised ones that are stricter (bodies of failures count, too).

--- a/entry/src/test/java/io/sequoialink/soak/BackendServerPool.java
+++ b/entry/src/test/java/io/sequoialink/soak/BackendServerPool.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,6 +26,9 @@
 	 */
 	private static final int RESTART_DELAY_MILLIS = 1500;
 
+	/** Services whose servers have faults of their own only. */
+	private static final Set<String> NEVER_PICKED = Set.of("small", SecondAnswers.SERVICE);
+
 	private final SimulatedStore store;
 
 	private final PromiseChecker checker;
@@ -107,7 +111,7 @@
 	 */
 	synchronized Optional<SimulatedBackendServer> pick(Random random) {
 		List<SimulatedBackendServer> available = this.running.stream()
-			.filter((server) -> !server.isClosed() && !server.service().equals("small"))
+			.filter((server) -> !server.isClosed() && !NEVER_PICKED.contains(server.service()))
 			.toList();
 		return available.isEmpty() ? Optional.empty() : Optional.of(available.get(random.nextInt(available.size())));
 	}
--- a/entry/src/test/java/io/sequoialink/soak/Client.java
+++ b/entry/src/test/java/io/sequoialink/soak/Client.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -33,6 +34,8 @@
 
 	private String crashingPart = "";
 
+	private int deadlineMillis = Bounds.REQUEST_TIMEOUT_MILLIS + EXTRA_WAIT_MILLIS;
+
 	private HostProcess host;
 
 	private Socket socket;
@@ -53,6 +56,14 @@
 		this.crashingPart = part;
 	}
 
+	/**
+	 * Sets the deadline that requests name from now on.
+	 * @param millis time in milliseconds
+	 */
+	void setDeadline(int millis) {
+		this.deadlineMillis = millis;
+	}
+
 	// Requests of an account share the first part, and some the second; the last part is
 	// the request's own.
 	private String prompt(TrackedRequest request) {
@@ -148,23 +159,27 @@
 	}
 
 	private Result exchange(TrackedRequest request, String body) throws IOException {
-		HttpMessages.write(this.socket.getOutputStream(), "POST " + request.path + " HTTP/1.1\r\nHost: soak.example\r\n"
-				+ HeaderNames.REQUEST_ID + ": " + request.id + "\r\n" + HeaderNames.CREDENTIAL + ": key-" + this.account
-				+ "\r\n" + HeaderNames.DEADLINE + ": " + (Bounds.REQUEST_TIMEOUT_MILLIS + EXTRA_WAIT_MILLIS) + "\r\n"
-				+ prompt(request) + HeaderNames.HOLD + ": h1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+		String method = body.isEmpty() ? "GET " : "POST ";
+		String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
+		HttpMessages.write(this.socket.getOutputStream(),
+				method + request.path + " HTTP/1.1\r\nHost: soak.example\r\n" + HeaderNames.REQUEST_ID + ": "
+						+ request.id + "\r\n" + HeaderNames.CREDENTIAL + ": key-" + this.account + "\r\n"
+						+ HeaderNames.DEADLINE + ": " + this.deadlineMillis + "\r\n" + prompt(request)
+						+ HeaderNames.HOLD + ": h1\r\n" + length + "\r\n" + body);
 		if (this.random.nextInt(100) < 3 && disconnectEarly(request)) {
 			return new Result(-1, true, 0);
 		}
 		this.socket.setSoTimeout(Bounds.REQUEST_TIMEOUT_MILLIS + EXTRA_WAIT_MILLIS);
 		HttpMessages.Head head = HttpMessages.readHead(this.in).orElseThrow(EOFException::new);
 		double seconds = Double.parseDouble(head.header("retry-after").orElse("0"));
-		this.checker.checkResponseHead(request, head.status(), head.header(HeaderNames.SERVER_SEAL), seconds,
+		Optional<String> seal = head.header(HeaderNames.SERVER_SEAL);
+		this.checker.checkResponseHead(request, head.status(), seal, seconds,
 				!body.startsWith("poison") && this.crashingPart.isEmpty());
 		if (head.chunked()) {
 			readStream(request);
 		}
 		else {
-			this.checker.checkResponseBody(request, head.status(), HttpMessages.readBody(this.in, head));
+			this.checker.checkResponseBody(request, seal, HttpMessages.readBody(this.in, head));
 		}
 		this.checker.recordResponse(request, head.status());
 		if (head.closesConnection()) {
--- a/entry/src/test/java/io/sequoialink/soak/Operator.java
+++ b/entry/src/test/java/io/sequoialink/soak/Operator.java
@@ -67,10 +67,11 @@
 		routes.add(route("/stream/", "streaming", "models"));
 		routes.add(route(probePath(this.probeNumber), "idempotent", "app"));
 		routes.add(route("/small/", "idempotent", "small"));
+		routes.add(route("/pair/", "idempotent", SecondAnswers.SERVICE));
 		String extra = this.extraKeyValid ? ",{\"name\":\"extra\",\"api_keys\":[\"key-extra\"]}" : "";
 		return "{\"version\":" + this.version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
-				+ service("app") + ',' + service("models") + ',' + service("small")
-				+ "],\"tenants\":[{\"name\":\"acme\",\"api_keys\":"
+				+ service("app") + ',' + service("models") + ',' + service("small") + ','
+				+ service(SecondAnswers.SERVICE) + "],\"tenants\":[{\"name\":\"acme\",\"api_keys\":"
 				+ "[\"key-acme\"]},{\"name\":\"bolt\",\"api_keys\":[\"key-bolt\"]}" + extra + "],\"limits\":"
 				+ "{\"max_header_bytes\":8192,\"max_body_bytes\":65536,\"header_timeout_ms\":2000,"
 				+ "\"idle_timeout_ms\":5000}}";
--- a/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
@@ -49,6 +49,11 @@
 	 */
 	private static final double MIN_SERVED_SHARE = 0.85;
 
+	/** Number of runs of a request at a server that has run it before. */
+	private static final String REPEATS = "repeated at the same server";
+
+	private static final String SUCCESSES_AFTER_FAILURE = "successes after a failed run at the same server";
+
 	private final DisturbanceTracker disturbances;
 
 	private final LongSupplier clock;
@@ -67,6 +72,8 @@
 
 	private final CrashingParts parts;
 
+	private final ServerRuns runs = new ServerRuns();
+
 	private final FirstTries firstTries = new FirstTries();
 
 	private int falls;
@@ -83,6 +90,8 @@
 		this.signals = new ServerSignals(clock);
 		this.limits = new NamedLimits(clock);
 		this.parts = new CrashingParts(clock);
+		this.counts.put(REPEATS, 0);
+		this.counts.put(SUCCESSES_AFTER_FAILURE, 0);
 	}
 
 	synchronized TrackedRequest recordSent(String id, TrackedRequest.Kind kind, String account, String host,
@@ -100,13 +109,31 @@
 	 * @param server name of the server
 	 * @param service service of the server
 	 * @param head the request as it arrived
+	 * @return the seal of this run, with which the server marks all answers of it
 	 */
-	synchronized void recordExecution(String id, String server, String service, HttpMessages.Head head) {
+	synchronized String recordExecution(String id, String server, String service, HttpMessages.Head head) {
 		TrackedRequest request = this.requests.get(id);
 		if (request == null) {
 			reportViolation("UNASKED", id, "no client sent this request");
-			return;
 		}
+		else {
+			checkExecution(request, server, service, head);
+		}
+		return this.runs.begin(id, server);
+	}
+
+	/**
+	 * Records what a server answers, before it does; the first answer of a run counts.
+	 * @param seal seal of the run
+	 * @param status status code
+	 * @param body body of the answer, empty if it is a stream of events
+	 */
+	synchronized void recordAnswer(String seal, int status, Optional<String> body) {
+		this.runs.answered(seal, status, body);
+	}
+
+	private void checkExecution(TrackedRequest request, String server, String service, HttpMessages.Head head) {
+		String id = request.id;
 		if (!request.kind.retryable && request.executions > 0) {
 			reportViolation("TWICE", id, "executed by " + server + " after " + request.servers);
 		}
@@ -114,7 +141,9 @@
 			reportViolation("REFUSED", id, "executed by " + server + " after status " + request.status);
 		}
 		request.executions++;
-		request.servers.add(server);
+		if (!request.servers.add(server)) {
+			increment(REPEATS);
+		}
 		if (!request.kind.service.equals(service) || !head.path().equals(request.path)) {
 			reportViolation("ROUTE", id, head.path() + " was executed by service " + service);
 		}
@@ -259,7 +288,8 @@
 	}
 
 	private void recordFirstTry(TrackedRequest request, boolean served) {
-		if (request.firstTry && request.kind != TrackedRequest.Kind.SMALL && inTouch(request.host, request.sentNanos)) {
+		boolean plain = request.kind != TrackedRequest.Kind.SMALL && request.kind != TrackedRequest.Kind.PAIR;
+		if (request.firstTry && plain && inTouch(request.host, request.sentNanos)) {
 			this.firstTries.ended(request.host, request.sentNanos, served);
 		}
 	}
@@ -389,17 +419,16 @@
 	 * Checks the status line and headers of a response at the client.
 	 * @param request the request
 	 * @param status status code
-	 * @param seal value of the header by which a server marks its responses with the
-	 * request and status; empty if the host created the response itself
+	 * @param seal value of the header by which a server marks all answers of one run;
+	 * empty if the host created the response itself
 	 * @param retryAfterSeconds Retry-After time in seconds, 0 if there is none
 	 * @param harmless whether the request does not crash servers
 	 */
 	synchronized void checkResponseHead(TrackedRequest request, int status, Optional<String> seal,
 			double retryAfterSeconds, boolean harmless) {
-		boolean wrong = seal.isPresent() && !seal.get().equals(request.id + '/' + status);
-		boolean missing = status / 100 == 2 && seal.isEmpty();
-		if (wrong || missing) {
-			reportViolation("MIXED", request.id, "status " + status + " with server seal " + seal.orElse("none"));
+		this.runs.wrongHead(request.id, status, seal).ifPresent((wrong) -> reportViolation("MIXED", request.id, wrong));
+		if (request.servers.size() < request.executions && seal.filter(this.runs::succeededAfterFailure).isPresent()) {
+			increment(SUCCESSES_AFTER_FAILURE);
 		}
 		if (harmless && retryAfterSeconds > MAX_RETRY_AFTER_SECONDS) {
 			reportViolation("INNOCENT", request.id,
@@ -410,13 +439,11 @@
 	/**
 	 * Checks the complete body of a response other than an event stream.
 	 * @param request the request
-	 * @param status status code
+	 * @param seal seal of the response, empty if the host created it itself
 	 * @param text the body
 	 */
-	synchronized void checkResponseBody(TrackedRequest request, int status, String text) {
-		if (status == 200 && !text.equals("answer to " + request.id)) {
-			reportViolation("MIXED", request.id, "got the response '" + text + "'");
-		}
+	synchronized void checkResponseBody(TrackedRequest request, Optional<String> seal, String text) {
+		this.runs.wrongBody(seal, text).ifPresent((wrong) -> reportViolation("MIXED", request.id, wrong));
 	}
 
 	/**
--- a/entry/src/test/java/io/sequoialink/soak/PromiseCheckerTests.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseCheckerTests.java
@@ -121,12 +121,6 @@
 				}),
 				violation("MIXED", TrackedRequest.Kind.SAFE,
 						(test) -> test.checkResponseHead(200, Optional.empty(), 0)),
-				violation("MIXED", TrackedRequest.Kind.SAFE,
-						(test) -> test.checkResponseHead(200, Optional.of("q2/200"), 0)),
-				violation("MIXED", TrackedRequest.Kind.SAFE,
-						(test) -> test.checkResponseHead(502, Optional.of("q1/500"), 0)),
-				violation("MIXED", TrackedRequest.Kind.SAFE,
-						(test) -> test.checker.checkResponseBody(test.request(), 200, "answer to q2")),
 				violation("INNOCENT", TrackedRequest.Kind.SAFE,
 						(test) -> test.checkResponseHead(503, Optional.empty(), 60)),
 				violation("CONFIG", TrackedRequest.Kind.SAFE,
@@ -175,10 +169,10 @@
 	@Test
 	void acceptsPermittedBehaviour() {
 		TrackedRequest retryable = sendRequest(TrackedRequest.Kind.SAFE);
-		recordExecution("i-1", "app", requestHead());
-		recordExecution("i-2", "app", requestHead());
-		checkResponseHead(200, Optional.of("q1/200"), 0);
-		this.checker.checkResponseBody(retryable, 200, "answer to q1");
+		run("q1", "i-1", 500);
+		String seal = run("q1", "i-2", 200);
+		checkResponseHead(200, Optional.of(seal), 0);
+		this.checker.checkResponseBody(retryable, Optional.of(seal), "answer to q1");
 		recordResponse(200);
 		TrackedRequest nonRetryable = this.checker.recordSent("q2", TrackedRequest.Kind.ONCE, "acme", "h1", "/x/1");
 		this.checker.checkResponseHead(nonRetryable, 503, Optional.empty(), 60, false);
@@ -191,6 +185,87 @@
 		assertThat(this.checker.violations()).isEmpty();
 	}
 
+	private String run(String id, String server, int... statuses) {
+		String seal = this.checker.recordExecution(id, server, "app", requestHead());
+		for (int status : statuses) {
+			this.checker.recordAnswer(seal, status, Optional.of("answer to " + id));
+		}
+		return seal;
+	}
+
+	// Guards against an answer whose status is not the one its run was answered with
+	// first, above all a success where the server answered with a failure (issue 50).
+	@ParameterizedTest
+	@CsvSource({ "200, 200, 0, true", "500, 500, 0, true", "504, 504, 200, true", "500, 200, 0, false",
+			"504, 200, 200, false", "200, 500, 500, false", "504, 500, 0, false", "200, 200, 500, true" })
+	void answerMustHaveTheFirstStatusOfItsRun(int first, int received, int second, boolean right) {
+		sendRequest(TrackedRequest.Kind.SAFE);
+		String seal = (second == 0) ? run("q1", "i-1", first) : run("q1", "i-1", first, second);
+		checkResponseHead(received, Optional.of(seal), 0);
+		assertThat(this.checker.violations()).extracting(Violation::rule)
+			.containsExactlyElementsOf(right ? List.of() : List.of("MIXED"));
+	}
+
+	// Guards against an answer that belongs to no run, to another request's, or to one
+	// that its server has not answered.
+	@ParameterizedTest
+	@CsvSource({ "200, i-9.9", "500, i-9.9", "200, i-1.1", "500, i-1.1", "200, i-1.2", "504, i-1.2" })
+	void answerMustBeThatOfARunOfItsRequest(int received, String seal) {
+		sendRequest(TrackedRequest.Kind.SAFE);
+		this.checker.recordSent("q2", TrackedRequest.Kind.SAFE, "acme", "h1", "/x/1");
+		assertThat(run("q2", "i-1", received)).isEqualTo("i-1.1");
+		assertThat(run("q1", "i-1")).isEqualTo("i-1.2");
+		checkResponseHead(received, Optional.of(seal), 0);
+		assertThat(this.checker.violations()).extracting(Violation::rule).containsExactly("MIXED");
+	}
+
+	// Guards against a late second answer to the first of two runs at one server that is
+	// taken for that of the second: only the seal tells them apart.
+	@ParameterizedTest
+	@CsvSource({ "0, 500, true", "1, 200, true", "0, 200, false", "1, 500, false" })
+	void twoRunsOfARequestAtOneServerAreToldApart(int run, int received, boolean right) {
+		sendRequest(TrackedRequest.Kind.SAFE);
+		List<String> seals = List.of(run("q1", "i-1", 500, 200), run("q1", "i-1", 200));
+		checkResponseHead(received, Optional.of(seals.get(run)), 0);
+		assertThat(this.checker.violations()).extracting(Violation::rule)
+			.containsExactlyElementsOf(right ? List.of() : List.of("MIXED"));
+		assertThat(this.checker.count("repeated at the same server")).isEqualTo(1);
+		assertThat(this.checker.count("successes after a failed run at the same server")).isEqualTo(run);
+	}
+
+	// Guards against a body that is not the whole body of the run, in failures too.
+	@ParameterizedTest
+	@CsvSource({ "200, answer to q1, true", "500, answer to q1, true", "200, second answer to q1, false",
+			"500, second answer to q1, false", "200, answer to q2, false", "500, answer to, false", "200, '', false" })
+	void bodyMustBeThatOfTheRun(int status, String body, boolean right) {
+		TrackedRequest request = sendRequest(TrackedRequest.Kind.SAFE);
+		this.checker.checkResponseBody(request, Optional.of(run("q1", "i-1", status, 200)), body);
+		assertThat(this.checker.violations()).extracting(Violation::rule)
+			.containsExactlyElementsOf(right ? List.of() : List.of("MIXED"));
+	}
+
+	// Guards against a stream of events that reaches its client as another body.
+	@Test
+	void streamMustNotArriveAsAnotherBody() {
+		TrackedRequest request = sendRequest(TrackedRequest.Kind.SAFE);
+		String seal = run("q1", "i-1");
+		this.checker.recordAnswer(seal, 200, Optional.empty());
+		checkResponseHead(200, Optional.of(seal), 0);
+		assertThat(this.checker.violations()).isEmpty();
+		this.checker.checkResponseBody(request, Optional.of(seal), "answer to q1");
+		assertThat(this.checker.violations()).extracting(Violation::rule).containsExactly("MIXED");
+	}
+
+	// Guards against calling a host's own failure wrong: it has no seal and any body.
+	@Test
+	void failureOfTheHostItselfNeedsNoRun() {
+		TrackedRequest request = sendRequest(TrackedRequest.Kind.SAFE);
+		run("q1", "i-1", 500);
+		checkResponseHead(504, Optional.empty(), 0);
+		this.checker.checkResponseBody(request, Optional.empty(), "no answer in time");
+		assertThat(this.checker.violations()).isEmpty();
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "404,404,401", "200,200,401", "200,404,200" })
 	void detectsEachResponseOfAnOlderConfiguration(int added, int removed, int key) {
--- a/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
@@ -34,6 +34,9 @@
 	/** The same of the service "small". */
 	private static final int SMALL_SLOTS = 3;
 
+	/** The same of the service of {@link SecondAnswers}. */
+	private static final int PAIR_SLOTS = 6;
+
 	private static final double NO_LIMIT = -1;
 
 	private static final Logger logger = LoggerFactory.getLogger(SimulatedBackendServer.class);
@@ -90,6 +93,8 @@
 
 	private final Random cutHeads;
 
+	private final SecondAnswers secondAnswers;
+
 	private volatile Runnable closing = () -> {
 	};
 
@@ -105,6 +110,7 @@
 		this.random = new Random(seed);
 		this.laterFaults = new Random(seed ^ LATER_FAULTS_SEED_MASK);
 		this.cutHeads = new Random(seed ^ CUT_HEADS_SEED_MASK);
+		this.secondAnswers = new SecondAnswers(service, seed, checker);
 		this.serverSocket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
 		this.link = new LinkProxy(
 				new InetSocketAddress(InetAddress.getLoopbackAddress(), this.serverSocket.getLocalPort()));
@@ -124,7 +130,11 @@
 	}
 
 	private int slots() {
-		return this.service.equals("small") ? SMALL_SLOTS : SLOTS;
+		return switch (this.service) {
+			case "small" -> SMALL_SLOTS;
+			case SecondAnswers.SERVICE -> PAIR_SLOTS;
+			default -> SLOTS;
+		};
 	}
 
 	LinkProxy link() {
@@ -210,6 +220,7 @@
 		}
 		finally {
 			this.sockets.remove(socket);
+			this.secondAnswers.connectionEnded(socket);
 		}
 	}
 
@@ -234,17 +245,17 @@
 			return;
 		}
 		try {
-			this.checker.recordExecution(id, this.name, this.service, head);
+			String seal = this.checker.recordExecution(id, this.name, this.service, head);
 			if (body.startsWith("poison")) {
 				this.checker.recordCrash(id, body);
 				crash();
 				return;
 			}
 			if (head.header(HeaderNames.PROMPT).orElse("").contains(CRASHING_PART_PREFIX)) {
-				crashAtBeginning(out, id);
+				crashAtBeginning(out, id, seal);
 				return;
 			}
-			execute(socket, in, id, head);
+			execute(socket, in, new Run(id, seal), head);
 		}
 		finally {
 			this.runningRequests.decrementAndGet();
@@ -252,7 +263,9 @@
 	}
 
 	private void turnAway(OutputStream out, String id) throws IOException {
-		this.checker.recordTurnedAway(id, this.name);
+		if (!this.service.equals(SecondAnswers.SERVICE)) {
+			this.checker.recordTurnedAway(id, this.name);
+		}
 		if (this.brittleness.turnAway(System.nanoTime())) {
 			this.checker.recordFall(this.name);
 			crash();
@@ -262,9 +275,9 @@
 	}
 
 	// The head of the response is sent, and the server ends before the first event.
-	private void crashAtBeginning(OutputStream out, String id) throws IOException {
+	private void crashAtBeginning(OutputStream out, String id, String seal) throws IOException {
 		DaemonThreads.sleep(5 + this.random.nextInt(60));
-		HttpMessages.write(out, responseHead(id, 200) + "Content-Type: text/event-stream\r\n\r\n");
+		HttpMessages.write(out, streamHead(new Run(id, seal)) + "Content-Type: text/event-stream\r\n\r\n");
 		DaemonThreads.sleep(this.random.nextInt(60));
 		this.checker.recordPartCrash(id);
 		crash();
@@ -290,38 +303,59 @@
 	// An answer that does not go on with the stream: an error, a page, or a run that
 	// begins
 	// anew.
-	private void answerWithSomethingElse(OutputStream out, String id) throws IOException {
-		this.checker.recordBrokenOff(id);
+	private void answerWithSomethingElse(OutputStream out, Run run) throws IOException {
+		this.checker.recordBrokenOff(run.id());
 		String page = "<html>\n\nerror\n\n</html>\n\n";
 		String event = "id: 1\ndata: more\n\n";
 		boolean isPage = this.laterFaults.nextBoolean();
 		int status = this.laterFaults.nextBoolean() ? 500 : 200;
 		String body = isPage ? page : event;
+		this.checker.recordAnswer(run.seal(), status, Optional.of(body));
 		HttpMessages.write(out,
-				responseHead(id, status) + "Content-Type: " + (isPage ? "text/html" : "text/event-stream")
+				responseHead(run, status) + "Content-Type: " + (isPage ? "text/html" : "text/event-stream")
 						+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
 	}
 
-	private void execute(Socket socket, InputStream in, String id, HttpMessages.Head head) throws IOException {
-		OutputStream out = socket.getOutputStream();
-		if (!workWhileConnected(socket, in, id, randomWorkMillis()) || hangUntilDisconnected(socket, in, id)) {
+	private void execute(Socket socket, InputStream in, Run run, HttpMessages.Head head) throws IOException {
+		int hangMillis = this.secondAnswers
+			.hangMillis(Integer.parseInt(head.header(HeaderNames.DEADLINE).orElse("" + Bounds.REQUEST_TIMEOUT_MILLIS)));
+		int workMillis = (hangMillis > 0) ? hangMillis : randomWorkMillis();
+		if (!workWhileConnected(socket, in, run.id(), workMillis) || hangUntilDisconnected(socket, in, run.id())) {
 			socket.close();
 			return;
 		}
 		if (this.service.equals("models")) {
-			sendStream(socket, in, id, head);
+			sendStream(socket, in, run, head);
 			return;
 		}
-		int status = (this.random.nextInt(100) < 2) ? 500 : 200;
-		String body = "answer to " + id;
-		String whole = responseHead(id, status) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+		int status = this.secondAnswers.status((this.random.nextInt(100) < 2) ? 500 : 200);
+		answer(socket, run, (hangMillis > 0) ? 504 : status);
+	}
+
+	private void answer(Socket socket, Run run, int status) throws IOException {
+		String body = "answer to " + run.id();
+		String whole = wholeAnswer(run, status, body);
+		this.checker.recordAnswer(run.seal(), status, Optional.of(body));
 		if (this.cutHeads.nextInt(CUT_HEADS) == 0) {
-			this.checker.recordBrokenOff(id);
-			HttpMessages.write(out, whole.substring(0, this.cutHeads.nextInt(whole.length())));
+			this.checker.recordBrokenOff(run.id());
+			HttpMessages.write(socket.getOutputStream(), whole.substring(0, this.cutHeads.nextInt(whole.length())));
 			socket.close();
 			return;
 		}
-		HttpMessages.write(out, whole);
+		if (this.service.equals("small")) {
+			HttpMessages.write(socket.getOutputStream(), whole);
+			return;
+		}
+		this.secondAnswers.write(socket, status, whole, wholeAnswer(run, 200, "second " + body));
+	}
+
+	private String wholeAnswer(Run run, int status, String body) {
+		return responseHead(run, status) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+	}
+
+	private String streamHead(Run run) {
+		this.checker.recordAnswer(run.seal(), 200, Optional.empty());
+		return responseHead(run, 200);
 	}
 
 	private int randomWorkMillis() {
@@ -332,14 +366,14 @@
 		return (draw < 10) ? 900 : 5 + draw / 2;
 	}
 
-	private String responseHead(String id, int status) {
-		String head = "HTTP/1.1 " + status + " X\r\n" + HeaderNames.REQUEST_ID + ": " + id + "\r\n"
-				+ HeaderNames.SERVER_SEAL + ": " + id + '/' + status + "\r\n" + limitHeader(id)
+	private String responseHead(Run run, int status) {
+		String head = "HTTP/1.1 " + status + " X\r\n" + HeaderNames.REQUEST_ID + ": " + run.id() + "\r\n"
+				+ HeaderNames.SERVER_SEAL + ": " + run.seal() + "\r\n" + limitHeader(run.id())
 				+ this.brittleness.header();
 		if (!this.shuttingDown) {
 			return head;
 		}
-		this.checker.recordShutdownNotice(id, this.name);
+		this.checker.recordShutdownNotice(run.id(), this.name);
 		return head + HeaderNames.SERVER_LEAVING + ": 1\r\n";
 	}
 
@@ -352,23 +386,23 @@
 		return HeaderNames.SERVER_LIMIT + ": " + perSecond + "\r\n";
 	}
 
-	private void sendStream(Socket socket, InputStream in, String id, HttpMessages.Head head) throws IOException {
+	private void sendStream(Socket socket, InputStream in, Run run, HttpMessages.Head head) throws IOException {
 		OutputStream out = socket.getOutputStream();
 		int last = Integer.parseInt(head.header(HeaderNames.LAST_EVENT_ID).orElse("0"));
 		if (last > 0 && this.laterFaults.nextInt(4) == 0) {
-			answerWithSomethingElse(out, id);
+			answerWithSomethingElse(out, run);
 			return;
 		}
 		if (this.random.nextInt(3) == 0) {
-			sendStreamUntilClose(socket, in, id, last);
+			sendStreamUntilClose(socket, in, run, last);
 			return;
 		}
 		HttpMessages.write(out,
-				responseHead(id, 200) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+				streamHead(run) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
 		for (int event = last + 1; event <= STREAM_EVENTS; event++) {
 			String text = "id: " + event + "\ndata: " + ((event == STREAM_EVENTS) ? "end" : "more") + "\n\n";
 			HttpMessages.write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-			if (!workWhileConnected(socket, in, id, EVENT_INTERVAL_MILLIS)) {
+			if (!workWhileConnected(socket, in, run.id(), EVENT_INTERVAL_MILLIS)) {
 				socket.close();
 				return;
 			}
@@ -378,17 +412,17 @@
 
 	// Sends events with neither a length nor chunks, so the stream ends with its
 	// connection; in 1 of 20 cases inside an event.
-	private void sendStreamUntilClose(Socket socket, InputStream in, String id, int last) throws IOException {
+	private void sendStreamUntilClose(Socket socket, InputStream in, Run run, int last) throws IOException {
 		OutputStream out = socket.getOutputStream();
-		HttpMessages.write(out, responseHead(id, 200) + "Content-Type: text/event-stream\r\n\r\n");
+		HttpMessages.write(out, streamHead(run) + "Content-Type: text/event-stream\r\n\r\n");
 		int breakAt = (this.random.nextInt(20) == 0) ? 1 + this.random.nextInt(STREAM_EVENTS) : STREAM_EVENTS + 1;
 		for (int event = last + 1; event <= STREAM_EVENTS; event++) {
 			String text = "id: " + event + "\ndata: " + ((event == STREAM_EVENTS) ? "end" : "more") + "\n\n";
 			if (event == breakAt) {
-				this.checker.recordBrokenOff(id);
+				this.checker.recordBrokenOff(run.id());
 			}
 			HttpMessages.write(out, (event == breakAt) ? text.substring(0, 8) : text);
-			if (event == breakAt || !workWhileConnected(socket, in, id, EVENT_INTERVAL_MILLIS)) {
+			if (event == breakAt || !workWhileConnected(socket, in, run.id(), EVENT_INTERVAL_MILLIS)) {
 				break;
 			}
 		}
@@ -465,4 +499,8 @@
 		return this.serverSocket.isClosed();
 	}
 
+	/** One run: the identifier of its request and its own seal. Immutable. */
+	private record Run(String id, String seal) {
+	}
+
 }
--- a/entry/src/test/java/io/sequoialink/soak/Soak.java
+++ b/entry/src/test/java/io/sequoialink/soak/Soak.java
@@ -22,6 +22,11 @@
 
 	private static final int CLIENTS_PER_HOST = 4;
 
+	private static final int PAIR_CLIENTS_PER_HOST = 3;
+
+	/** Deadline of requests to servers that answer twice and hang, in milliseconds. */
+	private static final int PAIR_DEADLINE_MILLIS = 1000;
+
 	private static final int START_TIMEOUT_MILLIS = 30_000;
 
 	/**
@@ -138,6 +143,9 @@
 			this.servers.startServer("app");
 			this.servers.startServer("models");
 		}
+		for (int i = 0; i < SecondAnswers.SERVERS; i++) {
+			this.servers.startServer(SecondAnswers.SERVICE);
+		}
 		this.operator.publishChange();
 		for (HostProcess host : this.hosts) {
 			host.start();
@@ -172,6 +180,19 @@
 				client.close();
 			}));
 		}
+		for (int i = 0; i < PAIR_CLIENTS_PER_HOST * this.options.hosts(); i++) {
+			Client client = new Client(this.checker, "acme", this.options.seed() + i);
+			client.setDeadline(PAIR_DEADLINE_MILLIS);
+			this.clientThreads.add(DaemonThreads.start("pair-client", () -> sendToPair(client)));
+		}
+	}
+
+	private void sendToPair(Client client) {
+		while (this.running) {
+			client.sendWithRetries(this.loadBalancer, TrackedRequest.Kind.PAIR, "/pair/x", "");
+			DaemonThreads.sleep(10);
+		}
+		client.close();
 	}
 
 	private void changeConfigurationOrSendPoison() {
--- a/entry/src/test/java/io/sequoialink/soak/TrackedRequest.java
+++ b/entry/src/test/java/io/sequoialink/soak/TrackedRequest.java
@@ -56,7 +56,9 @@
 	 */
 	enum Kind {
 
-		SAFE("app", true), ONCE("app", false), STREAM("models", true), SMALL("small", true);
+		SAFE("app", true), ONCE("app", false), STREAM("models", true), SMALL("small", true),
+
+		PAIR(SecondAnswers.SERVICE, true);
 
 		final String service;
 
--- a/entry/src/test/java/io/sequoialink/soak/Violation.java
+++ b/entry/src/test/java/io/sequoialink/soak/Violation.java
@@ -7,7 +7,8 @@
  * <li>REFUSED: a request that got a response with status 408, 421, 429 or 503 is not
  * executed if it must not be retried</li>
  * <li>UNASKED: servers get only what a client sent, with the headers of its account</li>
- * <li>MIXED: a client gets the unchanged response to its own request</li>
+ * <li>MIXED: a client gets the unchanged response to its own request: a run's first
+ * answer, with its status and body, or a failure of the host's own</li>
  * <li>ORDER: the events of a stream arrive completely, once and in order</li>
  * <li>ROUTE: a request goes to the service of its route with its path unchanged</li>
  * <li>DRAIN: a server that is shutting down gets no more requests after some time</li>
