Tests of late responses name a request that was sent; notices of unknown ones count

After two tests failed in the whole module: GatewayTests.lateSecondResponseIsNotMatchedToTheNextRequest and ServerNoticeTests.shutdownNoticeInALateResponseCounts wrote their 'late' response with an id that no request ever had, which is now no late response but one that can't be attributed. Both name the request before on the same connection now, as their names say, and ask as much as before (the first also for the number of attempts); the other case has tests of its own (UnknownIdAnswerTests, a new one in ServerNoticeTests). Found by the second: a server's notice that it leaves was lost with a response to an unknown request (DRAIN); it counts again, before the attempt ends.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -193,7 +193,12 @@
 		if (this.request == null && message instanceof HttpResponse response && this.channel.isActive()) {
 			notTaken(UnexpectedHead.UNAWAITED, response);
 		}
-		if (this.request == null || this.request.done() || message.decoderResult().isFailure()) {
+		if (this.request == null || this.request.done()) {
+			close();
+			return;
+		}
+		if (message.decoderResult().isFailure()) {
+			notTaken(UnexpectedHead.UNREADABLE, "bytes");
 			close();
 			return;
 		}
@@ -233,6 +238,9 @@
 	// Only a response to a request that was answered here may come once more. With any
 	// other id it may be that of this request, so that a later one is none.
 	private void headOfOther(HttpResponse response, ResponseMetadata metadata, String id) {
+		if (!id.isEmpty()) {
+			this.request.listener().lateHead(response.status().code(), metadata);
+		}
 		boolean earlier = this.answeredRequests.contains(id);
 		if (!earlier) {
 			notTaken(id.isEmpty() ? UnexpectedHead.UNNAMED : UnexpectedHead.FOREIGN, response);
@@ -242,7 +250,6 @@
 		notTaken(UnexpectedHead.EARLIER, response);
 		this.discarding = true;
 		this.reusable = false;
-		this.request.listener().lateHead(response.status().code(), metadata);
 	}
 
 	private void notTaken(UnexpectedHead reason, HttpResponse response) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ResponseListener.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ResponseListener.java
@@ -22,8 +22,8 @@
 	void written();
 
 	/**
-	 * The head of a response to an earlier request has arrived; the response is
-	 * discarded.
+	 * The head of a response to another request has arrived, or of one that can't be
+	 * attributed; the response is discarded.
 	 * @param status status code
 	 * @param metadata metadata of the response
 	 */
--- a/gateway/src/main/java/io/sequoialink/gateway/http/UnexpectedHead.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/UnexpectedHead.java
@@ -20,6 +20,9 @@
 	/** It was read from the beginning of one response and the head of another. */
 	JOINED("a status line stands inside it"),
 
+	/** It can't be read as a response. */
+	UNREADABLE("can't be read as a response"),
+
 	/** Bytes follow a complete response. */
 	FOLLOWING("follows a complete response"),
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.SocketException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
@@ -148,19 +149,25 @@
 		}
 	}
 
+	// The late response is that of the request before on the same connection, which is
+	// not
+	// kept after it.
 	@Test
 	void lateSecondResponseIsNotMatchedToTheNextRequest() throws Exception {
+		AtomicReference<String> previous = new AtomicReference<>();
 		ScriptedServer.Script extra = (call) -> {
-			String stale = "HTTP/1.1 200 OK\r\nid: r-stale\r\nseal: s\r\ncontent-length: 5\r\n\r\nstale";
-			if (call.number() > 1) {
-				call.write(stale);
+			if (call.number() % 2 == 0) {
+				call.write(
+						"HTTP/1.1 200 OK\r\nid: " + previous.get() + "\r\nseal: s\r\ncontent-length: 5\r\n\r\nstale");
 			}
+			previous.set(call.header("id"));
 			GOOD.respond(call);
 		};
 		try (GatewayFixture fixture = GatewayFixture.withServers(extra)) {
 			for (int i = 0; i < 4; i++) {
 				assertThat(RawHttp.body(fixture.exchange("/safe/x", ""))).isEqualTo(HELLO);
 			}
+			assertThat(fixture.attemptCount()).isEqualTo(4);
 		}
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/ServerNoticeTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ServerNoticeTests.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 
 import io.sequoialink.gateway.place.ResponseNotice;
@@ -52,15 +53,37 @@
 		}
 	}
 
+	private static String leavingResponse(String id) {
+		return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nseal: s\r\nleaving: 1\r\ncontent-length: 1\r\n\r\nx";
+	}
+
 	// A late response to an earlier request still comes from the same server.
 	@Test
 	void shutdownNoticeInALateResponseCounts() throws Exception {
+		AtomicReference<String> earlier = new AtomicReference<>();
 		ScriptedServer.Script late = (call) -> {
-			call.write("HTTP/1.1 200 OK\r\nid: other\r\nseal: s\r\nleaving: 1\r\ncontent-length: 1\r\n\r\nx");
+			if (!earlier.compareAndSet(null, call.header("id"))) {
+				call.write(leavingResponse(earlier.get()));
+			}
 			GOOD.respond(call);
 		};
 		try (GatewayFixture fixture = GatewayFixture.withServers(late)) {
 			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(200);
+			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(200);
+			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(503);
+			assertThat(fixture.attemptCount()).isEqualTo(2);
+		}
+	}
+
+	// A response that can't be attributed ends its attempt, but comes from that server.
+	@Test
+	void shutdownNoticeInAResponseToAnUnknownRequestCounts() throws Exception {
+		ScriptedServer.Script unknown = (call) -> {
+			call.write(leavingResponse("other"));
+			GOOD.respond(call);
+		};
+		try (GatewayFixture fixture = GatewayFixture.withServers(unknown)) {
+			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(502);
 			assertThat(RawHttp.status(fixture.exchange("/safe/x", ""))).isEqualTo(503);
 			assertThat(fixture.attemptCount()).isEqualTo(1);
 		}
