Soak: of some second answers only the beginning is written

The soak's servers wrote second answers whole only, so it could not show the cause. One in three is cut after 1 to 24 characters now, which covers the status line; the connection stays.

--- a/entry/src/test/java/io/sequoialink/soak/SecondAnswers.java
+++ b/entry/src/test/java/io/sequoialink/soak/SecondAnswers.java
@@ -10,7 +10,8 @@
 /**
  * Writes the answers of a simulated server, some of them twice: the second answer to a
  * request differs from the first and no client may get it. It follows at once, late, or
- * just before the next answer on the connection, which is kept. Thread-safe.
+ * just before the next answer on the connection, which is kept; of some only the
+ * beginning is ever written. Thread-safe.
  */
 final class SecondAnswers {
 
@@ -37,6 +38,12 @@
 	/** In other services one success in so many has a second answer. */
 	private static final int OTHER_SUCCESSES = 20;
 
+	/** Of one second answer in so many only the beginning is written. */
+	private static final int CUT_ANSWERS = 3;
+
+	/** Longest beginning, in characters: somewhat more than the status line. */
+	private static final int MAX_BEGINNING = 24;
+
 	private final Random random;
 
 	private final PromiseChecker checker;
@@ -75,9 +82,10 @@
 	 * @param socket the connection
 	 * @param status status of the first answer
 	 * @param first the first answer
-	 * @param second second answer, which must say something else
+	 * @param whole second answer, which must say something else
 	 */
-	void write(Socket socket, int status, String first, String second) throws IOException {
+	void write(Socket socket, int status, String first, String whole) throws IOException {
+		String second = perhapsCut(whole);
 		OutputStream out = socket.getOutputStream();
 		String earlier = this.held.getOrDefault(socket, "");
 		boolean twice = this.random.nextInt((this.often || status >= 500) ? 2 : OTHER_SUCCESSES) == 0;
@@ -101,6 +109,11 @@
 		this.checker.increment("second answers after " + status);
 	}
 
+	private String perhapsCut(String whole) {
+		boolean cut = this.random.nextInt(CUT_ANSWERS) == 0;
+		return cut ? whole.substring(0, 1 + this.random.nextInt(Math.min(MAX_BEGINNING, whole.length()))) : whole;
+	}
+
 	void connectionEnded(Socket socket) {
 		this.held.remove(socket);
 	}
