Find a joined head in each form that the decoder takes, and refuse no right one for good

(1) joined() knew 'HTTP/1.1 500' only; the decoder also takes other cases, blanks and versions, so 7 of 10 forms still made a 200 of a 500. (2) A right answer that quotes a status line in a header was refused, also on a new connection, where nothing can have come before. (3) The body of an earlier answer, cut to its head, could swallow the next answer, and a late one with the right id was taken. Change: the pattern follows the decoder; heads are searched only on connections that have answered before, and a request whose attempt broke goes on a new connection, so a right answer that quotes is handed on there; discarded bodies are searched too. A right answer that must run once is never refused for it: its connection is new.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -211,7 +211,7 @@
 	}
 
 	private void head(HttpResponse response) {
-		if (ResponseDecoder.joined(response)) {
+		if (!this.answeredRequests.isEmpty() && ResponseDecoder.joined(response)) {
 			notTaken(UnexpectedHead.JOINED, response);
 			close();
 			return;
@@ -276,6 +276,11 @@
 
 	private void content(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
+		if (this.discarding && ResponseDecoder.hasStatusLine(content.content())) {
+			notTaken(UnexpectedHead.JOINED, "body");
+			close();
+			return;
+		}
 		if (this.discarding) {
 			this.discarding = !last;
 			return;
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -60,6 +60,8 @@
 
 	private boolean started;
 
+	private boolean needsNewConnection;
+
 	private PermitAcquisition permits;
 
 	private AttemptLatencies latencies;
@@ -262,7 +264,7 @@
 		this.crashCheck.traits().attemptStarted(this::blockedInFlight);
 		OutboundRequest outbound = new OutboundRequest(this.metadata.id().orElseThrow(), message, this.attempt);
 		this.attempt.start(outbound);
-		boolean onlyNew = !route().retryable();
+		boolean onlyNew = !route().retryable() || this.needsNewConnection;
 		this.gateway.pool().send(server.entry(), outbound, onlyNew);
 	}
 
@@ -356,6 +358,8 @@
 	 */
 	void incomplete(String cause) {
 		this.reason = cause;
+		// an answer may have been refused for what came before it on its connection
+		this.needsNewConnection = true;
 		this.patience.brokenOff(now());
 		perform(this.flow.brokeOff(route().retryable() && !this.crashCheck.crashLimitReached()
 				&& !this.crashCheck.traits().permanentlyBlocked() && tryConsumeRetry()));
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ResponseDecoder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ResponseDecoder.java
@@ -1,8 +1,10 @@
 package io.sequoialink.gateway.path;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
@@ -16,7 +18,8 @@
  */
 public class ResponseDecoder extends HttpResponseDecoder {
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(\\D|$)");
+	/** The decoder takes any word for the name of the protocol, and any blanks. */
+	private static final Pattern STATUS_LINE = Pattern.compile("/\\d+\\.\\d+\\s+0*\\d{3}(?!\\d)");
 
 	/**
 	 * Returns whether bytes were received that no message contains. Valid while a message
@@ -28,8 +31,9 @@
 	}
 
 	/**
-	 * Returns whether a head was read from the beginning of one response and the head of
-	 * the next: a status line stands inside it.
+	 * Returns whether a head may have been read from the beginning of one response and
+	 * the head of the next: a status line stands inside it. A right response may quote
+	 * one, so this is asked only where something may have come before.
 	 * @param response the head
 	 * @return whether its status and its headers may be those of different responses
 	 */
@@ -45,9 +49,18 @@
 		return false;
 	}
 
-	// Most heads are searched for a plain text only.
+	/**
+	 * Returns whether a status line stands in bytes of a body.
+	 * @param body the bytes
+	 * @return whether they may hold the head of another response
+	 */
+	public static boolean hasStatusLine(ByteBuf body) {
+		return hasStatusLine(body.toString(StandardCharsets.ISO_8859_1));
+	}
+
+	// Most texts are searched for one character only.
 	private static boolean hasStatusLine(String text) {
-		return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+		return text.indexOf('/') >= 0 && STATUS_LINE.matcher(text).find();
 	}
 
 }
