Read a connection to a server while it is idle, also after a slow client

Cause: OutboundRequest.setReading does nothing once the request is done. Change: an idle connection is read.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -315,6 +315,8 @@
 				&& this.writing.isDone() && this.channel.isActive();
 		if (keep) {
 			this.idleSince = System.nanoTime();
+			// a slow client may have paused it; its end and extra bytes must be noticed
+			this.channel.config().setAutoRead(true);
 			this.owner.release(this);
 		}
 		else {
