Unexpected heads: count all, name the request before; a HEAD closes no idle connection

After four lines the counter stopped too; the line for bytes behind a response did not say behind which; a HEAD, which has a connection of its own, closed all idle ones to its server while it looked for one. No caller saw it. Evidence: UnexpectedHeadTests, EndlessResponseTests, LateSecondAnswerTests, GatewayTests pass.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -79,7 +79,7 @@
 
 	private ConnectionUse use;
 
-	private int loggedHeads;
+	private int unexpectedHeads;
 
 	BackendConnection(ServerConnections owner) {
 		this.owner = owner;
@@ -153,7 +153,7 @@
 		this.unexpectedBytes.reset();
 		this.headReceived = false;
 		this.discarding = false;
-		this.loggedHeads = 0;
+		this.unexpectedHeads = 0;
 		this.use = new ConnectionUse(localPort(), this.answeredRequests.size() + 1, this.direct);
 		var request = outbound.handOver(this.channel, this.use);
 		this.headRequest = outbound.head();
@@ -167,9 +167,9 @@
 		return this.request != null;
 	}
 
+	// A head among the bytes has been logged and has closed the connection.
 	private void closeAfterUnexpectedBytes() {
-		boolean headLogged = !this.channel.isActive();
-		if (this.request == null && !headLogged) {
+		if (this.request == null && this.channel.isActive()) {
 			notTaken(UnexpectedHead.UNAWAITED, "bytes");
 		}
 		close();
@@ -253,8 +253,9 @@
 	}
 
 	private void notTaken(UnexpectedHead reason, HttpResponse response) {
-		this.loggedHeads++;
-		if (this.loggedHeads > MAX_LOGGED_HEADS) {
+		this.unexpectedHeads++;
+		if (this.unexpectedHeads > MAX_LOGGED_HEADS) {
+			this.owner.countNotTaken(reason);
 			return;
 		}
 		notTaken(reason, UnexpectedHeads.describe(response.status().code(),
@@ -309,7 +310,7 @@
 		this.answeredRequests.add(finished.requestId());
 		boolean followed = this.decoder.hasMoreBytes();
 		if (followed) {
-			notTaken(UnexpectedHead.FOLLOWING, "bytes");
+			notTaken(UnexpectedHead.FOLLOWING, "bytes behind the response to " + finished.requestId());
 		}
 		boolean keep = this.reusable && !followed && this.answeredRequests.size() < MAX_REQUESTS
 				&& this.writing.isDone() && this.channel.isActive();
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerConnections.java
@@ -50,6 +50,14 @@
 		return this.dialect;
 	}
 
+	/**
+	 * Counts a head that no request took, without a line in the log.
+	 * @param reason why it was not taken
+	 */
+	void countNotTaken(UnexpectedHead reason) {
+		this.unexpectedHeads.count(reason);
+	}
+
 	/**
 	 * Records a head, or bytes of which none was read, that no request took.
 	 * @param reason why it was not taken
@@ -67,7 +75,7 @@
 	 * @param onlyNew whether the request must be sent on a new connection
 	 */
 	void send(OutboundRequest outbound, boolean onlyNew) {
-		BackendConnection connection = onlyNew ? null : takeIdle(outbound);
+		BackendConnection connection = (onlyNew || outbound.head()) ? null : takeIdle(outbound);
 		if (connection != null) {
 			connection.send(outbound);
 			return;
--- a/gateway/src/main/java/io/sequoialink/gateway/http/UnexpectedHeads.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/UnexpectedHeads.java
@@ -39,6 +39,14 @@
 		return "head with status " + status + " and id '" + id.substring(0, Math.min(id.length(), MAX_LOGGED_ID)) + "'";
 	}
 
+	/**
+	 * Counts a head.
+	 * @param reason why it was not taken
+	 */
+	void count(UnexpectedHead reason) {
+		this.counts.increment(reason.name().toLowerCase(Locale.ROOT));
+	}
+
 	/**
 	 * Logs and counts a head, or bytes of which none was read.
 	 * @param reason why it was not taken
@@ -48,7 +56,7 @@
 	 * @param awaiting id of the request that awaits a response, "none" without one
 	 */
 	void record(UnexpectedHead reason, ServerEntry server, ConnectionUse use, String received, String awaiting) {
-		this.counts.increment(reason.name().toLowerCase(Locale.ROOT));
+		count(reason);
 		logger.info(GatewayEvents.HEAD_NOT_TAKEN, server.id(), received, use, awaiting, reason.reason());
 	}
 
