Read load reports with three or four figures

The adapter dropped a report with a fourth figure, how long work takes on the server's machine, together with its other three, and read figures like 1e2 or 3.7 as whole numbers.

ServerState keeps the newest slowdown with its time, and ServerTable.reportsSlowdown(service) holds from the first such report of one of the service's servers on. A report in a response with status 421 comes from another server than the one addressed and no longer counts.

--- a/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
@@ -16,10 +16,11 @@
  * @param tunnels number of connections to servers that other hosts were asked for, by
  * outcome
  * @param unexpectedHeads number of heads of responses that no request took, by reason
+ * @param ignoredLoadReports number of malformed load reports of servers, by service
  */
 public record GatewayMetrics(LabelledCounters requests, LabelledCounters attempts, DurationHistograms firstPartTimes,
 		LabelledCounters storeCalls, LabelledCounters forwardedReads, LabelledCounters permits,
-		LabelledCounters tunnels, LabelledCounters unexpectedHeads) {
+		LabelledCounters tunnels, LabelledCounters unexpectedHeads, LabelledCounters ignoredLoadReports) {
 
 	/**
 	 * Creates metrics that are all 0.
@@ -29,7 +30,7 @@
 				new LabelledCounters("service", "version", "outcome"), new DurationHistograms(),
 				new LabelledCounters("topic", "outcome"), new LabelledCounters("topic", "outcome"),
 				new LabelledCounters("server", "outcome"), new LabelledCounters("outcome"),
-				new LabelledCounters("reason"));
+				new LabelledCounters("reason"), new LabelledCounters("service"));
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -199,7 +199,7 @@
 		this.server.bytesReceived(this.headAt);
 		markResponseStarted();
 		this.notices.record(responseStatus, metadata, this.startedAt);
-		metadata.load().ifPresent((load) -> this.server.report(load.running(), load.waiting(), this.exchange.now()));
+		this.notices.recordLoad(responseStatus, metadata, this.headAt);
 		this.verdict = ResponseVerdict.of(responseStatus, responseHeaders, metadata);
 		if (this.verdict == ResponseVerdict.NONE) {
 			abort("response without signature, status " + responseStatus);
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
@@ -15,6 +15,7 @@
  * be empty text
  * @param notExecuted whether the server states that it did not run the request
  * @param load current load of the server
+ * @param loadIgnored whether the response carries a load report that is malformed
  * @param confidence the model's confidence in its answer, from 0 to 100
  * @param notice the server's notice about future requests; its back-off time is only
  * valid with status 503
@@ -23,7 +24,7 @@
  * falling over; empty unless it says that it is brittle
  */
 public record ResponseMetadata(Optional<String> requestId, Optional<String> seal, boolean notExecuted,
-		Optional<ServerLoad> load, OptionalInt confidence, ResponseNotice notice, NamedLimit limit,
+		Optional<ServerLoad> load, boolean loadIgnored, OptionalInt confidence, ResponseNotice notice, NamedLimit limit,
 		OptionalDouble bearableRejections) {
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
@@ -8,7 +8,8 @@
 
 /**
  * Passes on what a server says of itself in the responses to one attempt: that it shuts
- * down, asks for a back-off, or names a limit. Confined to the event loop.
+ * down, asks for a back-off, names a limit, or reports its load. Confined to the event
+ * loop.
  */
 final class ServerNotices {
 
@@ -65,6 +66,25 @@
 		}
 	}
 
+	/**
+	 * Records the load report of a response, unless it comes from a different server than
+	 * the one addressed (status 421). Counts a malformed report.
+	 * @param status status code
+	 * @param metadata metadata of the response
+	 * @param nowNanos monotonic time at which the head of the response arrived, in
+	 * nanoseconds
+	 */
+	void recordLoad(int status, ResponseMetadata metadata, long nowNanos) {
+		if (metadata.loadIgnored()) {
+			this.gateway.metrics().ignoredLoadReports().increment(this.server.entry().service());
+		}
+		if (status != MISDIRECTED) {
+			metadata.load()
+				.ifPresent((load) -> this.gateway.servers()
+					.loadReported(this.server, load.running(), load.waiting(), load.slowdownPercent(), nowNanos));
+		}
+	}
+
 	private ServerNoticeTable table() {
 		return this.gateway.servers().notices();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.sequoialink.gateway.fleet.ServerEntry;
@@ -59,6 +60,10 @@
 
 	private boolean reported;
 
+	private OptionalInt slowdownPercent = OptionalInt.empty();
+
+	private long slowdownAt;
+
 	private int consecutiveFailures;
 
 	private long ejectedUntil;
@@ -216,6 +221,33 @@
 		this.reported = true;
 	}
 
+	/**
+	 * Records how long work takes on the server's machine.
+	 * @param percent time in percent of the usual one
+	 * @param nowNanos monotonic time of the report in nanoseconds
+	 */
+	public void reportSlowdown(int percent, long nowNanos) {
+		this.slowdownPercent = OptionalInt.of(percent);
+		this.slowdownAt = nowNanos;
+	}
+
+	/**
+	 * Returns how long work takes on the server's machine, according to its newest
+	 * report.
+	 * @return time in percent of the usual one, empty without a report
+	 */
+	public OptionalInt slowdownPercent() {
+		return this.slowdownPercent;
+	}
+
+	/**
+	 * Returns when the newest slowdown was reported.
+	 * @return monotonic time in nanoseconds; meaningless without such a report
+	 */
+	public long slowdownNanos() {
+		return this.slowdownAt;
+	}
+
 	/**
 	 * Estimates the number of requests in the server's slots and queue.
 	 * @param nowNanos monotonic time in nanoseconds
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.gateway.fleet.FleetView;
@@ -27,6 +30,8 @@
 
 	private final Map<String, ServerState> states = new HashMap<>();
 
+	private final Set<String> servicesWithSlowdown = new HashSet<>();
+
 	/**
 	 * Creates a table.
 	 * @param view contains the registrations of the servers
@@ -66,6 +71,34 @@
 		return this.limits;
 	}
 
+	/**
+	 * Records a load report of a server.
+	 * @param state the server
+	 * @param running requests in progress at the server
+	 * @param waiting requests in the server's queue
+	 * @param slowdownPercent how long work takes on its machine, in percent of the usual
+	 * time; empty if the report does not say
+	 * @param nowNanos monotonic time in nanoseconds
+	 */
+	public void loadReported(ServerState state, int running, int waiting, OptionalInt slowdownPercent, long nowNanos) {
+		state.report(running, waiting, nowNanos);
+		slowdownPercent.ifPresent((percent) -> {
+			state.reportSlowdown(percent, nowNanos);
+			this.servicesWithSlowdown.add(state.entry().service());
+		});
+	}
+
+	/**
+	 * Returns whether a service has slowdown reports, and therefore servers that share
+	 * their machines.
+	 * @param service name of the service
+	 * @return whether one of its servers has sent such a report to this host since the
+	 * host's start
+	 */
+	public boolean reportsSlowdown(String service) {
+		return this.servicesWithSlowdown.contains(service);
+	}
+
 	/**
 	 * Returns the usable servers of a service.
 	 * @param service name of the service
--- a/gateway/src/test/java/io/sequoialink/gateway/http/ServerNoticeTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ServerNoticeTests.java
@@ -53,6 +53,31 @@
 		}
 	}
 
+	// A report that is counted but breaks its response would fail every request to such a
+	// server.
+	@Test
+	void aMalformedLoadReportIsCountedAndTheResponseForwarded() throws Exception {
+		try (GatewayFixture fixture = GatewayFixture
+			.withServers((call) -> call.respond(200, "seal: s\r\nbad-load: 1\r\n", "hello"))) {
+			assertThat(fixture.exchange("/safe/x", "")).endsWith("hello");
+			assertThat(fixture.counts().ignoredLoadReports().counts().values()).containsExactly(1L);
+			assertThat(fixture.table().reportsSlowdown("svc")).isFalse();
+		}
+	}
+
+	// A response with status 421 comes from another server, which may be of another
+	// service.
+	@ParameterizedTest
+	@ValueSource(ints = { 200, 500, 421 })
+	void aServiceReportsSlowdownFromTheFirstReportOfItsServers(int status) throws Exception {
+		try (GatewayFixture fixture = GatewayFixture
+			.withServers((call) -> call.respond(status, "seal: s\r\nslowdown: 400\r\n", "hello"))) {
+			assertThat(fixture.table().reportsSlowdown("svc")).isFalse();
+			fixture.exchange("/once/x", "");
+			assertThat(fixture.table().reportsSlowdown("svc")).isEqualTo(status != 421);
+		}
+	}
+
 	private static String leavingResponse(String id) {
 		return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nseal: s\r\nleaving: 1\r\ncontent-length: 1\r\n\r\nx";
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
@@ -40,7 +40,7 @@
 	@Override
 	public ResponseMetadata readResponse(HttpHeaders headers) {
 		return new ResponseMetadata(text(headers, "id"), Optional.ofNullable(headers.get("seal")),
-				headers.contains("not-run"), Optional.empty(), number(headers, "confidence"),
+				headers.contains("not-run"), load(headers), headers.contains("bad-load"), number(headers, "confidence"),
 				new ResponseNotice("1".equals(headers.get("leaving")),
 						number(headers, "spare").stream().asLongStream().findFirst()),
 				headers.contains("limit") ? NamedLimit.of(Double.parseDouble(headers.get("limit"))) : NamedLimit.ABSENT,
@@ -58,6 +58,12 @@
 		return "/ready";
 	}
 
+	private static Optional<ServerLoad> load(HttpHeaders headers) {
+		return number(headers, "slowdown").stream()
+			.mapToObj((percent) -> new ServerLoad(1, 0, 8, OptionalInt.of(percent)))
+			.findFirst();
+	}
+
 	private static Optional<String> text(HttpHeaders headers, String name) {
 		return Optional.ofNullable(headers.get(name));
 	}
