Estimate the time to the first token with a fixed part, for the choice of the model

Callers of long prompts got answers of models too small for them, in calm: a host took the whole time of prompts of 400 tokens and more as time per token, so fixed delays counted for each token of a long prompt, long prompts seemed late with every larger model, and their answers were accepted at any confidence. Change: for services with slowdown reports, a least-squares fit of a fixed delay and a time per token for each model; other services are served as before.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/ModelChoice.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ModelChoice.java
@@ -143,13 +143,20 @@
 	private ConfidenceCascade.Timing timing() {
 		List<Double> millis = new ArrayList<>();
 		for (String name : route().models()) {
-			millis.add(this.gateway.prefillSpeed().estimateMillis(name, this.metadata.promptTokens()));
+			millis.add(firstPartMillis(name));
 		}
 		double left = (route().targetLatencyMillis() > 0) ? Math.max(1, route().targetLatencyMillis() - elapsedMillis())
 				: 0;
 		return new ConfidenceCascade.Timing(millis, left);
 	}
 
+	private double firstPartMillis(String modelName) {
+		int tokens = this.metadata.promptTokens();
+		return this.gateway.servers().reportsSlowdown(this.admission.service())
+				? this.gateway.prefillSpeed().firstTokenMillis(modelName, tokens)
+				: this.gateway.prefillSpeed().estimateMillis(modelName, tokens);
+	}
+
 	private double elapsedMillis() {
 		return (this.gateway.clock().getAsLong() - this.receivedNanos) / NANOS_PER_MILLI;
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/place/PrefillSpeed.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/PrefillSpeed.java
@@ -23,6 +23,8 @@
 
 	private final Map<String, Double> millisPerToken = new HashMap<>();
 
+	private final Map<String, PrefillFit> fits = new HashMap<>();
+
 	/**
 	 * Returns the estimated prefill time.
 	 * @param model name of the model
@@ -33,6 +35,21 @@
 		return this.millisPerToken.getOrDefault(model, DEFAULT_MILLIS_PER_TOKEN) * tokens;
 	}
 
+	/**
+	 * Returns the estimated time until the first token, of which a part does not depend
+	 * on the length of the prompt.
+	 * @param model name of the model
+	 * @param tokens tokens that are not in the engine's cache
+	 * @return estimate in milliseconds
+	 */
+	public double firstTokenMillis(String model, double tokens) {
+		return fit(model).estimateMillis(tokens);
+	}
+
+	private PrefillFit fit(String model) {
+		return this.fits.computeIfAbsent(model, (name) -> new PrefillFit());
+	}
+
 	/**
 	 * Updates a model's estimate with the measured time of one prompt, whose engine had
 	 * no other prompt to process.
@@ -41,6 +58,7 @@
 	 * @param millis time until the response began, in milliseconds
 	 */
 	public void observe(String model, double tokens, double millis) {
+		fit(model).observe(tokens, millis);
 		if (tokens < MIN_TOKENS) {
 			return;
 		}
