Zones that the operator evacuates get no further requests

Operators had no way to take the servers of an availability zone out of use. A record evacuate/ZONE of the operator's topic now evacuates the zone until it is deleted: EvacuatedZones holds what was read, and server selection, the check before the bytes are written and the connections that a host opens for others ask it. On a connection that is already open for another host, the next request is not passed on. Without a server left a request is rejected as not run, with a Retry-After that differs between clients.

After the store returned from an older copy, a record that the copy lacks stays in force until it is deleted again, and one whose deletion is known is ignored.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -51,6 +51,7 @@
 import io.sequoialink.gateway.permit.FleetPermits;
 import io.sequoialink.gateway.permit.FleetSlots;
 import io.sequoialink.gateway.permit.LimitGossip;
+import io.sequoialink.gateway.place.EvacuatedZones;
 import io.sequoialink.gateway.place.LatencyBaseline;
 import io.sequoialink.gateway.place.LowestLatencyBalancer;
 import io.sequoialink.gateway.place.PrefillSpeed;
@@ -131,6 +132,8 @@
 
 	private final FleetView fleetView = new FleetView();
 
+	private final EvacuatedZones evacuatedZones = new EvacuatedZones();
+
 	private final StoreConnectionPool store;
 
 	private final StoreEras eras = new StoreEras();
@@ -219,13 +222,13 @@
 		StartupGate gate = new StartupGate();
 		// when the operator orders a roll-out, reads of the status topic get a shorter
 		// wait time, so the pending read is cancelled and repeated
-		this.updates = new FleetViewUpdater(this.fleetView, this.rollouts, () -> readStatusesNow(statuses), gate::open,
-				System::nanoTime);
+		this.updates = new FleetViewUpdater(this.fleetView, this.evacuatedZones, this.rollouts,
+				() -> readStatusesNow(statuses), gate::open, System::nanoTime);
 		this.crashes = new CrashCoordinator(settings.host(), statuses, this::schedule, System::nanoTime,
 				() -> readStatusesNow(statuses));
 		this.servers = new ServerTable(this.fleetView,
 				new ServerNoticeTable(System::nanoTime, random, this::mayProbe, this::recordServerNotice),
-				this.sharedNotices, new ServerLimitTable(this.serverLimits));
+				this.sharedNotices, new ServerLimitTable(this.serverLimits), this.evacuatedZones);
 		this.readForwarder = settings.peers().map((address) -> createReadForwarder());
 		this.gossipBudget = new GossipBudget(settings.sightingBytesPerSecond(), System::nanoTime);
 		this.noticeGossip = this.readForwarder
@@ -258,8 +261,8 @@
 		this.connector = new ServerConnector(this.eventLoopGroup, this.serverAddresses, this.paths,
 				new HelpingHosts(self(), this::otherHosts, System::nanoTime, random),
 				new OtherServers(this.fleetView, random), this.counts.tunnels(), System::nanoTime);
-		this.tunnels = this.readForwarder
-			.map((forwarder) -> new TunnelServer(this.connector, this.fleetView, forwarder::isPeerAddress));
+		this.tunnels = this.readForwarder.map((forwarder) -> new TunnelServer(this.connector, this.fleetView,
+				this.evacuatedZones, forwarder::isPeerAddress));
 		this.frontendServer = new FrontendServer(gateway(gate, random));
 	}
 
--- a/entry/src/main/java/io/sequoialink/entry/StoreSubscriptions.java
+++ b/entry/src/main/java/io/sequoialink/entry/StoreSubscriptions.java
@@ -40,6 +40,12 @@
 	 */
 	private static final double OPERATOR_WAIT_FRACTION = 0.7;
 
+	/**
+	 * Time within which the evacuation of a zone must take effect, in milliseconds; the
+	 * operator's topic is read as often as the shorter of the two bounds demands.
+	 */
+	private static final long EVACUATION_MILLIS = 5000;
+
 	/**
 	 * Longest wait of a read of the servers' topic, in milliseconds. It is short compared
 	 * to the pause between reads, so that hosts which receive the results from another
@@ -134,9 +140,10 @@
 	 * @param bounds time limits within which changes must be noticed
 	 */
 	void start(EntrySettings.Bounds bounds) {
-		int wait = (int) (OPERATOR_WAIT_FRACTION * bounds.applyMillis());
+		long operatorBound = Math.min(bounds.applyMillis(), EVACUATION_MILLIS);
+		int wait = (int) (OPERATOR_WAIT_FRACTION * operatorBound);
 		PollingSettings operator = new PollingSettings(wait, wait, 0, FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS,
-				(int) (MAX_AGE_FRACTION * bounds.applyMillis()));
+				(int) (MAX_AGE_FRACTION * operatorBound));
 		follow(StoreTopic.operator(this.store, this.eras), new OperatorRecordHandler(this.updates), () -> operator);
 		int pause = (int) (SERVERS_PAUSE_FRACTION * bounds.leavingMillis());
 		PollingSettings servers = new PollingSettings(SERVERS_WAIT_MILLIS, SERVERS_WAIT_MILLIS, pause,
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -252,6 +252,21 @@
 	 */
 	public static final String PEER_REMOVED = "SL-3505 host {} has not renewed its address for datagrams for three hours and is removed from the hosts that this one sends datagrams to";
 
+	/** The servers of an availability zone get no further requests. */
+	public static final String ZONE_EVACUATED = "SL-3601 zone {} is evacuated, read at offset {} of era {}, by {}: its {} servers get no further requests";
+
+	/** The servers of an availability zone may get requests again. */
+	public static final String EVACUATION_ENDED = "SL-3602 the evacuation of zone {} has ended, read at offset {} of era {}, by {}: its {} servers may get requests again";
+
+	/**
+	 * The store's older copy lacks the record of an evacuation; only a later deletion
+	 * ends it.
+	 */
+	public static final String EVACUATION_KEPT = "SL-3603 zone {} stays evacuated although the store's older copy has no record of it";
+
+	/** The store's older copy has the record of an evacuation that has ended. */
+	public static final String EVACUATION_NOT_REVIVED = "SL-3604 zone {} is not evacuated again by its record at offset {} of era {}, which the store's older copy has: its evacuation has ended";
+
 	private GatewayEvents() {
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
@@ -14,6 +14,7 @@
 import io.sequoialink.gateway.fleet.RolloutStatus;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.fleet.StorePosition;
+import io.sequoialink.gateway.place.EvacuatedZones;
 import io.sequoialink.gateway.rollout.HostRolloutReport;
 import io.sequoialink.gateway.rollout.RolloutCoordinator;
 import org.slf4j.Logger;
@@ -38,6 +39,8 @@
 
 	private final FleetView view;
 
+	private final EvacuatedZones evacuated;
+
 	private final RolloutCoordinator rollouts;
 
 	private final Runnable orderListener;
@@ -76,6 +79,7 @@
 	/**
 	 * Creates an updater.
 	 * @param view the view to update
+	 * @param evacuated receives the zones that the operator evacuates
 	 * @param rollouts receives the roll-out orders, states and reports that are read
 	 * @param orderListener run when a roll-out order is read, so that what other hosts
 	 * publish is polled more often
@@ -83,9 +87,10 @@
 	 * store holds
 	 * @param clock monotonic time in nanoseconds
 	 */
-	public FleetViewUpdater(FleetView view, RolloutCoordinator rollouts, Runnable orderListener,
-			Runnable completionListener, LongSupplier clock) {
+	public FleetViewUpdater(FleetView view, EvacuatedZones evacuated, RolloutCoordinator rollouts,
+			Runnable orderListener, Runnable completionListener, LongSupplier clock) {
 		this.view = view;
+		this.evacuated = evacuated;
 		this.rollouts = rollouts;
 		this.orderListener = orderListener;
 		this.completionListener = completionListener;
@@ -178,6 +183,47 @@
 		this.orderListener.run();
 	}
 
+	/**
+	 * Evacuates a zone: its servers get no further requests. A record of an older copy of
+	 * the store does not undo the end of the evacuation that this host knows.
+	 * @param zone name of the zone
+	 * @param position position of the record
+	 * @param path the way by which it came to this host
+	 */
+	public void zoneEvacuated(String zone, StorePosition position, ReadPath path) {
+		if (path == ReadPath.RETURNED_COPY && this.evacuated.endedBeforeReturn(zone, position)) {
+			logger.info(GatewayEvents.EVACUATION_NOT_REVIVED, zone, position.offset(), position.era());
+			return;
+		}
+		if (this.evacuated.evacuate(zone, position)) {
+			logger.info(GatewayEvents.ZONE_EVACUATED, zone, position.offset(), position.era(), path, serversIn(zone));
+		}
+	}
+
+	/**
+	 * Ends the evacuation of a zone whose record was deleted. An older copy of the store
+	 * that lacks the record does not end it: the operator has to delete it again.
+	 * @param zone name of the zone
+	 * @param position position of the deletion, or of the deleted record if the deletion
+	 * itself was not read
+	 * @param path the way by which it came to this host
+	 */
+	public void evacuationEnded(String zone, StorePosition position, ReadPath path) {
+		if (!this.evacuated.contains(zone)) {
+			return;
+		}
+		if (path == ReadPath.RETURNED_COPY) {
+			logger.warn(GatewayEvents.EVACUATION_KEPT, zone);
+			return;
+		}
+		this.evacuated.end(zone);
+		logger.info(GatewayEvents.EVACUATION_ENDED, zone, position.offset(), position.era(), path, serversIn(zone));
+	}
+
+	private long serversIn(String zone) {
+		return this.view.servers().stream().filter((entry) -> entry.zone().equals(zone)).count();
+	}
+
 	/**
 	 * Passes a roll-out state that a host published to the roll-out coordinator.
 	 * @param status the state
--- a/gateway/src/main/java/io/sequoialink/gateway/http/AttemptFailure.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/AttemptFailure.java
@@ -9,8 +9,8 @@
 	NOT_CONNECTED,
 
 	/**
-	 * The server announced its shutdown or asked for a back-off before the request was
-	 * written; nothing was sent.
+	 * The server announced its shutdown, asked for a back-off, or its zone was evacuated
+	 * before the request was written; nothing was sent.
 	 */
 	NOT_SENT,
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -401,7 +401,8 @@
 			return;
 		}
 		if (failure == AttemptFailure.NOT_SENT) {
-			this.exchange.notConnected("server " + serverId() + " announced its shutdown or asked for a back-off");
+			this.exchange.notConnected(
+					"server " + serverId() + " announced its shutdown, asked for a back-off, or its zone is evacuated");
 			return;
 		}
 		if (failure == AttemptFailure.HOST_LOST) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -436,7 +436,7 @@
 	private void perform(NextStep next) {
 		switch (next) {
 			case SEND -> send();
-			case REJECT -> finishLocally(LocalResponse.notRun("not run", this.retryAfterMillis));
+			case REJECT -> reject();
 			case REPORT_UNKNOWN -> finishLocally(LocalResponse.of(502, "outcome unknown"));
 			case REPORT_TIMEOUT -> finishLocally(LocalResponse.of(504, "time over, outcome unknown"));
 			case FORWARD_FAILURE -> forwardFailure();
@@ -447,6 +447,20 @@
 		}
 	}
 
+	private void reject() {
+		noteEvacuation();
+		finishLocally(LocalResponse.notRun("not run", this.retryAfterMillis));
+	}
+
+	// How long an evacuation lasts is not known.
+	private void noteEvacuation() {
+		if (this.gateway.servers().allEvacuated(service())) {
+			this.reason += ", all its servers are in evacuated zones";
+			this.retryAfterMillis = Math.max(this.retryAfterMillis, LocalResponse
+				.withJitter(LocalResponse.DEFAULT_RETRY_MILLIS, ThreadLocalRandom.current().nextDouble()));
+		}
+	}
+
 	private void forwardFailure() {
 		BackendFailure response = this.failure;
 		this.failure = null;
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServer.java
@@ -18,6 +18,7 @@
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.place.EvacuatedZones;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,9 +29,10 @@
  *
  * <p>
  * Invariants: only known hosts are helped, and only to reach servers that are registered
- * with this host and not draining. Connections are opened directly only, never through a
- * third host. Their number is bounded, and a side that does not read stops the other, so
- * that the memory they take is bounded too.
+ * with this host, not draining and in no evacuated zone; once a zone is evacuated, no
+ * further request passes on a connection to one of its servers that is open. Connections
+ * are opened directly only, never through a third host. Their number is bounded, and a
+ * side that does not read stops the other, so that the memory they take is bounded too.
  */
 public final class TunnelServer {
 
@@ -50,6 +52,8 @@
 
 	private final FleetView view;
 
+	private final EvacuatedZones evacuated;
+
 	private final Predicate<InetAddress> knownHost;
 
 	private final Set<TunnelServerHandler> open = new HashSet<>();
@@ -60,11 +64,14 @@
 	 * Creates a server that is not listening yet.
 	 * @param connector opens the connections
 	 * @param view servers known to this host
+	 * @param evacuated zones whose servers get no requests
 	 * @param knownHost returns whether an address belongs to a known host
 	 */
-	public TunnelServer(ServerConnector connector, FleetView view, Predicate<InetAddress> knownHost) {
+	public TunnelServer(ServerConnector connector, FleetView view, EvacuatedZones evacuated,
+			Predicate<InetAddress> knownHost) {
 		this.connector = connector;
 		this.view = view;
+		this.evacuated = evacuated;
 		this.knownHost = knownHost;
 	}
 
@@ -163,7 +170,17 @@
 	 */
 	Optional<ServerEntry> find(TunnelFrames.Target target) {
 		return this.view.server(target.id())
-			.filter((entry) -> entry.startMillis() == target.startMillis() && !entry.draining());
+			.filter((entry) -> entry.startMillis() == target.startMillis() && !entry.draining() && !evacuated(entry));
+	}
+
+	/**
+	 * Returns whether a server must get no further requests although its connections stay
+	 * open, so that those in flight end.
+	 * @param server the server
+	 * @return whether its zone is evacuated
+	 */
+	boolean evacuated(ServerEntry server) {
+		return this.evacuated.contains(server.zone());
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
@@ -15,6 +15,12 @@
  * The helping host's end of a connection from another host, and the connection to the
  * server behind it. Confined to the event loop. Each side is read only while the other
  * takes bytes.
+ *
+ * <p>
+ * A connection carries one request at a time, so bytes for the server that follow bytes
+ * of the server begin another request. If the zone of the server is evacuated by then,
+ * none of them is passed on and the connection ends as if this host were lost, which
+ * blames neither the server nor the request.
  */
 final class TunnelServerHandler extends ChannelInboundHandlerAdapter {
 
@@ -24,10 +30,14 @@
 
 	private Channel server;
 
+	private ServerEntry entry;
+
 	private boolean asked;
 
 	private boolean connected;
 
+	private boolean betweenRequests = true;
+
 	TunnelServerHandler(TunnelServer owner) {
 		this.owner = owner;
 	}
@@ -45,7 +55,7 @@
 		ByteBuf frame = (ByteBuf) message;
 		TunnelFrames.Kind kind = TunnelFrames.readKind(frame);
 		if (this.connected && kind == TunnelFrames.Kind.DATA) {
-			this.server.writeAndFlush(frame);
+			forward(context, frame);
 			return;
 		}
 		try {
@@ -61,22 +71,39 @@
 		}
 	}
 
+	private void forward(ChannelHandlerContext context, ByteBuf data) {
+		if (this.betweenRequests && this.owner.evacuated(this.entry)) {
+			data.release();
+			this.connected = false;
+			this.server.close();
+			context.close();
+			return;
+		}
+		this.betweenRequests = false;
+		this.server.writeAndFlush(data);
+	}
+
 	private void open(TunnelFrames.Target target) {
 		Optional<TunnelAnswer> refusal = this.owner.refusal(target);
 		if (refusal.isPresent()) {
 			refuse(refusal.get());
 			return;
 		}
-		ServerEntry entry = this.owner.find(target).orElseThrow();
-		this.server = this.owner.connector().openForOtherHost(entry, new ServerSide(), (cause) -> {
+		this.entry = this.owner.find(target).orElseThrow();
+		this.server = this.owner.connector().openForOtherHost(this.entry, new ServerSide(), (cause) -> {
 			if (cause.isPresent()) {
-				this.owner.explainFailure(entry, cause.get(), this::refuse);
+				this.owner.explainFailure(this.entry, cause.get(), this::refuse);
 				return;
 			}
 			if (!this.client.isActive()) {
 				this.server.close();
 				return;
 			}
+			if (this.owner.evacuated(this.entry)) {
+				this.server.close();
+				refuse(TunnelAnswer.UNKNOWN_SERVER);
+				return;
+			}
 			this.connected = true;
 			this.server.config().setWriteBufferWaterMark(TunnelServer.WATER_MARK);
 			this.client.writeAndFlush(TunnelFrames.answer(TunnelAnswer.CONNECTED));
@@ -118,6 +145,7 @@
 				ReferenceCountUtil.release(data);
 				return;
 			}
+			TunnelServerHandler.this.betweenRequests = true;
 			to.write(TunnelFrames.header(context.alloc(), TunnelFrames.Kind.DATA, data.readableBytes()));
 			to.writeAndFlush(data);
 		}
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
@@ -25,6 +25,8 @@
 
 	private final ServerLimitTable limits;
 
+	private final EvacuatedZones evacuated;
+
 	private final Map<String, ServerState> states = new HashMap<>();
 
 	/**
@@ -33,13 +35,15 @@
 	 * @param notices notices that servers sent to this host
 	 * @param sharedNotices notices that all hosts exchange
 	 * @param limits limits that servers named in their responses
+	 * @param evacuated zones whose servers get no requests
 	 */
 	public ServerTable(FleetView view, ServerNoticeTable notices, SharedServerNotices sharedNotices,
-			ServerLimitTable limits) {
+			ServerLimitTable limits, EvacuatedZones evacuated) {
 		this.view = view;
 		this.notices = notices;
 		this.sharedNotices = sharedNotices;
 		this.limits = limits;
+		this.evacuated = evacuated;
 	}
 
 	/**
@@ -69,13 +73,13 @@
 	/**
 	 * Returns the usable servers of a service.
 	 * @param service name of the service
-	 * @return states of the servers that are not shutting down and whose back-off permits
-	 * a request
+	 * @return states of the servers that are not shutting down, whose zone is not
+	 * evacuated and whose back-off permits a request
 	 */
 	public List<ServerState> usableServers(String service) {
 		List<ServerState> usable = new ArrayList<>();
 		for (ServerEntry entry : this.view.servers(service)) {
-			ServerState state = entry.draining() ? null : state(entry);
+			ServerState state = excluded(entry) ? null : state(entry);
 			if (state != null && this.notices.admits(state)) {
 				usable.add(state);
 			}
@@ -83,17 +87,39 @@
 		return usable;
 	}
 
+	private boolean excluded(ServerEntry entry) {
+		return entry.draining() || this.evacuated.contains(entry.zone());
+	}
+
+	/**
+	 * Returns whether a service has servers, but all of them are in evacuated zones.
+	 * @param service name of the service
+	 * @return whether only the evacuation keeps its requests from being sent
+	 */
+	public boolean allEvacuated(String service) {
+		List<ServerEntry> running = this.view.servers(service).stream().filter((entry) -> !entry.draining()).toList();
+		return !running.isEmpty() && running.stream().allMatch(this::excluded);
+	}
+
+	/**
+	 * Returns the number of evacuated zones.
+	 * @return number of zones
+	 */
+	public int evacuatedZoneCount() {
+		return this.evacuated.count();
+	}
+
 	/**
 	 * Returns whether a request that was assigned to a server may still be sent to it.
 	 * @param state the server
 	 * @param chosenNanos monotonic time at which the server was chosen
-	 * @return whether the server is still registered and has neither announced its
-	 * shutdown nor, since it was chosen, asked for a back-off
+	 * @return whether the server is still registered, its zone is not evacuated, and it
+	 * has neither announced its shutdown nor, since it was chosen, asked for a back-off
 	 */
 	public boolean stillUsable(ServerState state, long chosenNanos) {
 		ServerEntry chosen = state.entry();
 		boolean registered = this.view.server(chosen.id())
-			.filter((entry) -> !entry.draining() && entry.startMillis() == chosen.startMillis())
+			.filter((entry) -> !excluded(entry) && entry.startMillis() == chosen.startMillis())
 			.isPresent();
 		return registered && this.notices.stillPermits(chosen, chosenNanos);
 	}
@@ -107,7 +133,7 @@
 	public OptionalLong backoffMillis(String service) {
 		return this.view.servers(service)
 			.stream()
-			.filter((entry) -> !entry.draining() && !this.notices.shuttingDown(entry))
+			.filter((entry) -> !excluded(entry) && !this.notices.shuttingDown(entry))
 			.mapToLong(this.notices::backoffMillis)
 			.filter((millis) -> millis > 0)
 			.min();
--- a/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/feed/FleetViewUpdaterTests.java
@@ -12,6 +12,7 @@
 import io.sequoialink.gateway.fleet.RolloutOrder;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.fleet.StorePosition;
+import io.sequoialink.gateway.place.EvacuatedZones;
 import io.sequoialink.gateway.rollout.RolloutCoordinator;
 import org.junit.jupiter.api.Test;
 
@@ -28,8 +29,9 @@
 	private final RolloutCoordinator rollouts = new RolloutCoordinator("h", new RolloutCoordinator.Options(0.1, 0),
 			null, () -> this.now, new SplittableRandom(1));
 
-	private final FleetViewUpdater updates = new FleetViewUpdater(this.view, this.rollouts, () -> {
-	}, () -> this.completions++, () -> this.now);
+	private final FleetViewUpdater updates = new FleetViewUpdater(this.view, new EvacuatedZones(), this.rollouts,
+			() -> {
+			}, () -> this.completions++, () -> this.now);
 
 	@Test
 	void aDeregisteredServerIsRemovedAtOnce() {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -46,6 +46,7 @@
 import io.sequoialink.gateway.fleet.RolloutStatus;
 import io.sequoialink.gateway.fleet.Route;
 import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.fleet.StorePosition;
 import io.sequoialink.gateway.fleet.WeightedService;
 import io.sequoialink.gateway.path.HelpingHosts;
 import io.sequoialink.gateway.path.OtherServers;
@@ -53,6 +54,7 @@
 import io.sequoialink.gateway.path.ServicePaths;
 import io.sequoialink.gateway.path.TunnelServer;
 import io.sequoialink.gateway.permit.FleetPermits;
+import io.sequoialink.gateway.place.EvacuatedZones;
 import io.sequoialink.gateway.place.LatencyBaseline;
 import io.sequoialink.gateway.place.LoadBalancer;
 import io.sequoialink.gateway.place.LowestLatencyBalancer;
@@ -146,6 +148,10 @@
 
 	private TunnelServer helping;
 
+	private final EvacuatedZones evacuated = new EvacuatedZones();
+
+	private final EvacuatedZones evacuatedAtHelpingHost = new EvacuatedZones();
+
 	private final FrontendServer frontend;
 
 	private final ServerTable table;
@@ -155,9 +161,10 @@
 
 	private GatewayFixture() {
 		TestHeaderMapping headerMapping = new TestHeaderMapping();
-		this.table = new ServerTable(this.view, new ServerNoticeTable(System::nanoTime, new SplittableRandom(3),
-				(server) -> true, ResponseNoticeListener.NONE), new SharedServerNotices(),
-				new ServerLimitTable(this.limits));
+		this.table = new ServerTable(this.view,
+				new ServerNoticeTable(System::nanoTime, new SplittableRandom(3), (server) -> true,
+						ResponseNoticeListener.NONE),
+				new SharedServerNotices(), new ServerLimitTable(this.limits), this.evacuated);
 		PrefillSpeed speed = new PrefillSpeed();
 		GatewayContext gateway = new GatewayContext(this.gate, this.view, this.table,
 				observed(new LowestLatencyBalancer(this.table, speed, "z", this.permits, System::nanoTime,
@@ -189,7 +196,7 @@
 				(address) -> this.helperCutOff ? UNREACHABLE : address, new ServicePaths(System::nanoTime),
 				new HelpingHosts(new Peer(name, "z", UNREACHABLE), List::of, System::nanoTime, new SplittableRandom(7)),
 				new OtherServers(this.view, new SplittableRandom(9)), this.counts.tunnels(), System::nanoTime);
-		this.helping = new TunnelServer(connector, this.view, knownHost);
+		this.helping = new TunnelServer(connector, this.view, this.evacuatedAtHelpingHost, knownHost);
 		InetSocketAddress address = freeAddress();
 		this.helping.start(this.loops, address);
 		awaitListening(address);
@@ -283,6 +290,39 @@
 		this.loops.submit(() -> this.view.remove("s" + number)).syncUninterruptibly();
 	}
 
+	/**
+	 * Moves each server to a zone of its own, which has the server's identifier as name.
+	 */
+	void separateZones() throws Exception {
+		onLoop(() -> List.copyOf(this.view.servers())
+			.forEach((entry) -> this.view.put(new ServerEntry(entry.id(), entry.service(), entry.address(), entry.id(),
+					entry.version(), entry.slots(), false, 0, entry.startMillis()))));
+	}
+
+	/**
+	 * Returns the zones that are evacuated as this host knows; used on the event loop.
+	 */
+	EvacuatedZones evacuated() {
+		return this.evacuated;
+	}
+
+	/**
+	 * Returns the zones that are evacuated as the helping host knows; used on the event
+	 * loop.
+	 */
+	EvacuatedZones evacuatedAtHelpingHost() {
+		return this.evacuatedAtHelpingHost;
+	}
+
+	void evacuateLater(String zone, int millis) {
+		this.loops.schedule(() -> this.evacuated.evacuate(zone, new StorePosition(1, 1)), millis,
+				TimeUnit.MILLISECONDS);
+	}
+
+	void evacuate(String zone) {
+		this.loops.submit(() -> this.evacuated.evacuate(zone, new StorePosition(1, 1))).syncUninterruptibly();
+	}
+
 	/**
 	 * Replaces a server by one with the same id that has been started later, at another
 	 * address.
--- a/gateway/src/test/java/io/sequoialink/gateway/path/CutOffHelperTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/path/CutOffHelperTests.java
@@ -13,6 +13,7 @@
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.http.SilentAddress;
+import io.sequoialink.gateway.place.EvacuatedZones;
 import io.sequoialink.gateway.relay.Peer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -72,7 +73,7 @@
 		try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
 		}
-		TunnelServer helping = new TunnelServer(cutOff(List::of), this.view, (from) -> true);
+		TunnelServer helping = new TunnelServer(cutOff(List::of), this.view, new EvacuatedZones(), (from) -> true);
 		helping.start(this.loop, address);
 		this.loop.submit(() -> {
 			// the host listens once the loop has run this
--- a/gateway/src/test/java/io/sequoialink/gateway/place/FleetBackoffProbesTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/FleetBackoffProbesTests.java
@@ -65,7 +65,7 @@
 		return new ServerTable(view,
 				new ServerNoticeTable(() -> this.now, new SplittableRandom(7), permits::ownsSlice,
 						ResponseNoticeListener.NONE),
-				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()));
+				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()), new EvacuatedZones());
 	}
 
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
@@ -35,7 +35,7 @@
 		return new ServerTable(this.view,
 				new ServerNoticeTable(() -> this.now, new SplittableRandom(7), (server) -> true,
 						ResponseNoticeListener.NONE),
-				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()));
+				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()), new EvacuatedZones());
 	}
 
 	private long now = 100 * SECOND;
--- a/gateway/src/test/java/io/sequoialink/gateway/place/ServerNoticeTableTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/ServerNoticeTableTests.java
@@ -37,7 +37,7 @@
 	private final SharedServerNotices sharedNotices = new SharedServerNotices();
 
 	private final ServerTable table = new ServerTable(this.view, this.notices, this.sharedNotices,
-			new ServerLimitTable(new ServerLimits()));
+			new ServerLimitTable(new ServerLimits()), new EvacuatedZones());
 
 	private final LowestLatencyBalancer balancer = new LowestLatencyBalancer(this.table, new PrefillSpeed(), "a",
 			RequestPermits.NONE, () -> this.now, new SplittableRandom(5));
--- a/gateway/src/test/java/io/sequoialink/gateway/relay/LastChangeTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/relay/LastChangeTests.java
@@ -17,6 +17,7 @@
 import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
+import io.sequoialink.gateway.place.EvacuatedZones;
 import io.sequoialink.gateway.rollout.RolloutCoordinator;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -100,7 +101,7 @@
 		private ViewSink(LongSupplier clock) {
 			RolloutCoordinator rollouts = new RolloutCoordinator("h", new RolloutCoordinator.Options(0.1, 0), null,
 					clock, new SplittableRandom(1));
-			this.updates = new FleetViewUpdater(this.view, rollouts, () -> {
+			this.updates = new FleetViewUpdater(this.view, new EvacuatedZones(), rollouts, () -> {
 			}, () -> {
 			}, clock);
 		}
