Soak: zones of servers are evacuated at random; rule EVAC

The soak's servers had one zone and none was ever evacuated, so nothing would have shown a request that reaches an evacuated zone beside other faults. None of the zones is that of the hosts, so that servers are used as before. The operator writes evacuations and their ends again after the store's return.

--- a/entry/src/test/java/io/sequoialink/soak/Bounds.java
+++ b/entry/src/test/java/io/sequoialink/soak/Bounds.java
@@ -15,6 +15,11 @@
 	 */
 	static final int DRAIN_MILLIS = 2000;
 
+	/**
+	 * Time within which the evacuation of a zone must take effect, in milliseconds.
+	 */
+	static final int EVACUATION_MILLIS = 5000;
+
 	/**
 	 * Time after the last disturbance from which a host must keep time limits again, in
 	 * milliseconds.
--- a/entry/src/test/java/io/sequoialink/soak/Operator.java
+++ b/entry/src/test/java/io/sequoialink/soak/Operator.java
@@ -1,11 +1,13 @@
 package io.sequoialink.soak;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
- * Publishes configurations in the store, as the operator of the platform does.
- * Thread-safe.
+ * Publishes configurations and evacuates zones in the store, as the operator of the
+ * platform does. Thread-safe.
  */
 final class Operator {
 
@@ -19,6 +21,9 @@
 
 	private Change lastChange;
 
+	/** Zones that were evacuated, and whether they still are. */
+	private final Map<String, Boolean> evacuations = new HashMap<>();
+
 	Operator(SimulatedStore store) {
 		this.store = store;
 	}
@@ -38,11 +43,26 @@
 		return this.lastChange;
 	}
 
+	synchronized void evacuate(String zone) {
+		this.evacuations.put(zone, true);
+		writeEvacuation(zone, true);
+	}
+
+	synchronized void endEvacuation(String zone) {
+		this.evacuations.put(zone, false);
+		writeEvacuation(zone, false);
+	}
+
+	private void writeEvacuation(String zone, boolean evacuated) {
+		this.store.put("op", "evacuate/" + zone, evacuated ? "{}" : "");
+	}
+
 	/**
-	 * Publishes the newest configuration again, unchanged, after the store has returned
-	 * from an older copy.
+	 * Publishes the newest configuration again, unchanged, and the evacuations with their
+	 * ends, after the store has returned from an older copy.
 	 */
 	synchronized void writeAgain() {
+		this.evacuations.forEach(this::writeEvacuation);
 		this.store.put("op", "config", configuration());
 		this.lastChange = new Change(System.nanoTime(), this.lastChange.addedPath(), this.lastChange.removedPath(),
 				this.lastChange.extraKeyValid());
--- a/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
@@ -76,6 +76,9 @@
 
 	private final FirstTries firstTries = new FirstTries();
 
+	/** Time at which the store accepted the evacuation of each evacuated zone. */
+	private final Map<String, Long> evacuated = new HashMap<>();
+
 	private int falls;
 
 	private int brittleServers;
@@ -469,6 +472,37 @@
 		}
 	}
 
+	/**
+	 * Records that the store has accepted the evacuation of a zone.
+	 * @param zone name of the zone
+	 */
+	synchronized void recordEvacuated(String zone) {
+		increment("zones evacuated");
+		this.evacuated.put(zone, this.clock.getAsLong());
+	}
+
+	synchronized void recordEvacuationEnded(String zone) {
+		this.evacuated.remove(zone);
+	}
+
+	/**
+	 * Checks that a request may still reach the servers of a zone.
+	 * @param id identifier of the request
+	 * @param server name of the server
+	 * @param zone zone of the server
+	 */
+	synchronized void checkZoneArrival(String id, String server, String zone) {
+		Long accepted = this.evacuated.get(zone);
+		if (accepted == null || this.clock.getAsLong() - accepted <= Bounds.millisToNanos(Bounds.EVACUATION_MILLIS)) {
+			return;
+		}
+		find(id)
+			.filter((request) -> hostUndisturbed(request.host, accepted) && hostUndisturbed("store", accepted)
+					&& hostUndisturbed(server, accepted))
+			.ifPresent((request) -> reportViolation("EVAC", id,
+					"reached " + server + " later than servers of evacuated zone " + zone + " may get requests"));
+	}
+
 	/**
 	 * Records that a server announced its shutdown to the host that forwarded a request.
 	 * @param id identifier of the request
--- a/entry/src/test/java/io/sequoialink/soak/PromiseCheckerTests.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseCheckerTests.java
@@ -118,6 +118,10 @@
 					long drainAccepted = test.now;
 					test.advanceClock(Bounds.DRAIN_MILLIS + 1);
 					test.checker.checkArrival("q1", "i-1", drainAccepted);
+				}), violation("EVAC", TrackedRequest.Kind.SAFE, (test) -> {
+					test.checker.recordEvacuated("b");
+					test.advanceClock(Bounds.EVACUATION_MILLIS + 1);
+					test.checker.checkZoneArrival("q1", "i-1", "b");
 				}),
 				violation("MIXED", TrackedRequest.Kind.SAFE,
 						(test) -> test.checkResponseHead(200, Optional.empty(), 0)),
@@ -287,6 +291,24 @@
 		assertThat(this.checker.violations()).isEmpty();
 	}
 
+	// Guards against reports of servers in other zones, of requests within the time
+	// limit, after the end of an evacuation, and from hosts that need not know of it.
+	@ParameterizedTest
+	@CsvSource({ "c, 1, false, none", "b, 0, false, none", "b, 1, true, none", "b, 1, false, h1", "b, 1, false, store",
+			"b, 1, false, i-1" })
+	void ignoresArrivalsThatAnEvacuationPermits(String zone, int late, boolean ended, String disturbed) {
+		this.disturbances.begin(disturbed);
+		this.disturbances.end(disturbed);
+		sendRequest(TrackedRequest.Kind.SAFE);
+		this.checker.recordEvacuated("b");
+		advanceClock(Bounds.EVACUATION_MILLIS + late);
+		if (ended) {
+			this.checker.recordEvacuationEnded("b");
+		}
+		this.checker.checkZoneArrival("q1", "i-1", zone);
+		assertThat(this.checker.violations()).isEmpty();
+	}
+
 	@Test
 	void ignoresConnectionBrokenByDisturbedHost() {
 		this.disturbances.begin("h1");
--- a/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -57,8 +58,16 @@
 
 	private final DisturbanceTracker disturbances;
 
+	/**
+	 * Zones of the servers. None is the zone of the hosts, which prefer servers of their
+	 * own, so that all servers are used alike.
+	 */
+	static final List<String> ZONES = List.of("b", "c", "d");
+
 	private final String service;
 
+	private final String zone;
+
 	private final String name;
 
 	private final Random random;
@@ -106,6 +115,7 @@
 		this.checker = checker;
 		this.disturbances = disturbances;
 		this.service = service;
+		this.zone = ZONES.get((int) (seed % ZONES.size()));
 		this.name = name;
 		this.random = new Random(seed);
 		this.laterFaults = new Random(seed ^ LATER_FAULTS_SEED_MASK);
@@ -183,8 +193,8 @@
 	}
 
 	String storeRecord(boolean draining) {
-		return "{\"service\":\"" + this.service + "\",\"address\":\"127.0.0.1:" + this.link.port()
-				+ "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":" + slots() + ",\"state\":\""
+		return "{\"service\":\"" + this.service + "\",\"address\":\"127.0.0.1:" + this.link.port() + "\",\"zone\":\""
+				+ this.zone + "\",\"version\":\"v1\",\"slots\":" + slots() + ",\"state\":\""
 				+ (draining ? "draining" : "ready") + "\"}";
 	}
 
@@ -232,6 +242,7 @@
 			return;
 		}
 		this.checker.checkArrival(id, this.name, this.drainAcceptedNanos);
+		this.checker.checkZoneArrival(id, this.name, this.zone);
 		long backoff = Math.max(0, this.backoffUntilNanos - System.nanoTime());
 		if (this.backoffUntilNanos != 0 && backoff > 0) {
 			long millis = 1 + backoff / 1_000_000;
--- a/entry/src/test/java/io/sequoialink/soak/Soak.java
+++ b/entry/src/test/java/io/sequoialink/soak/Soak.java
@@ -106,6 +106,7 @@
 		CutInjector cuts = new CutInjector(this.options.seed(), this.hosts, this.checker, this.disturbances);
 		BrittleInjector brittle = new BrittleInjector(this.options.seed(), this.servers, this.checker,
 				this.loadBalancer, this.disturbances);
+		EvacuationInjector evacuations = new EvacuationInjector(this.options.seed(), this.operator, this.checker);
 		long until = System.nanoTime() + Bounds.millisToNanos(this.options.millis());
 		while (System.nanoTime() - until < 0) {
 			parts.sendRandomPart();
@@ -116,11 +117,12 @@
 			odd.writeAtRandom();
 			cuts.cutAtRandom();
 			brittle.makeBrittleAtRandom();
+			evacuations.evacuateAtRandom();
 			changeConfigurationOrSendPoison();
 			DaemonThreads.sleep(300 + this.random.nextInt(1200));
 		}
-		while (!faults.idle() || !limits.idle() || !parts.idle() || !returns.idle() || !cuts.idle()
-				|| !brittle.idle()) {
+		while (!faults.idle() || !limits.idle() || !parts.idle() || !returns.idle() || !cuts.idle() || !brittle.idle()
+				|| !evacuations.idle()) {
 			DaemonThreads.sleep(100);
 		}
 		DaemonThreads.sleep(RECOVERY_MILLIS);
--- a/entry/src/test/java/io/sequoialink/soak/Violation.java
+++ b/entry/src/test/java/io/sequoialink/soak/Violation.java
@@ -12,6 +12,7 @@
  * <li>ORDER: the events of a stream arrive completely, once and in order</li>
  * <li>ROUTE: a request goes to the service of its route with its path unchanged</li>
  * <li>DRAIN: a server that is shutting down gets no more requests after some time</li>
+ * <li>EVAC: a server of an evacuated zone gets no more requests after some time</li>
  * <li>LOST: hosts do not break the connection of an executed request, and serve harmless
  * requests beside those that crash servers</li>
  * <li>GONE: work for a client that has disconnected is cancelled</li>
