--- a/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/crash/TraitCoordinator.java
@@ -440,8 +440,8 @@
 		}
 	}
 
-	// The hosts that judge a crash blame a part that got responses only after more crashes
-	// than one that never did, so they must hear of responses that only this host has got.
+	// The hosts that judge a crash blame a part that has got responses only after more
+	// crashes, so they must hear of responses that only this host has got.
 	private void tellResponses(Set<Long> involved) {
 		for (long trait : involved) {
 			this.evidence.responseNanos(trait).ifPresent((responded) -> clear(trait, responded));
--- a/gateway/src/test/java/io/sequoialink/gateway/crash/TraitCoordinatorTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/crash/TraitCoordinatorTests.java
@@ -88,8 +88,8 @@
 		assertThat(host(2).verdict(crashing).kind()).isEqualTo(TraitVerdict.Kind.BLOCKED);
 	}
 
-	// Guards against a host that blames a part of most prompts for the first crashes after
-	// its start, because it has not heard that the part got responses on another host
+	// Guards against a host that blames a part of most prompts for the first crashes
+	// after its start, because it has not heard of the part's responses on another host
 	// (soak seeds 1 and 427).
 	@ParameterizedTest
 	@ValueSource(ints = { 2, 3, 8 })
--- a/gateway/src/test/java/io/sequoialink/gateway/place/PrefillFitTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/PrefillFitTests.java
@@ -30,7 +30,8 @@
 		assertThat(fit.estimateMillis(40_000)).isCloseTo(expected, within(0.35 * expected + 60));
 	}
 
-	// Guards against an estimate that falls with the length of the prompt, or is negative.
+	// Guards against an estimate that falls with the length of the prompt, or is
+	// negative.
 	@Test
 	void aLongerPromptNeverCountsAsFaster() {
 		PrefillFit fit = new PrefillFit();
