Cold servers: a limit for all hosts together while a server warms up

A server that is cold crashes well above cold_per_s requests a second, and quotas by host would be a fraction of a request. ColdServers keeps the cold incarnations with the limit of their service, from registrations, X-Sequoialink-Cold-Ms and other hosts; the permits keep the stricter one of it and a named limit. A question about a cold server tells the owner rate and time left in a message kind that earlier builds drop, so an owner that has not heard adopts it where it granted at once. The balancer waits for no permit of a cold server while there is a warm one, and mayWrite and a delayed permit withhold what was chosen before the server turned cold.

--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -17,6 +17,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.sequoialink.decision.cascade.ConfidenceCascade;
+import io.sequoialink.decision.limits.ColdServers;
 import io.sequoialink.decision.limits.LatencyPressure;
 import io.sequoialink.decision.limits.RequestCostRatio;
 import io.sequoialink.decision.limits.ServerLimits;
@@ -51,6 +52,7 @@
 import io.sequoialink.gateway.permit.FleetPermits;
 import io.sequoialink.gateway.permit.FleetSlots;
 import io.sequoialink.gateway.permit.LimitGossip;
+import io.sequoialink.gateway.place.ColdServerTable;
 import io.sequoialink.gateway.place.LatencyBaseline;
 import io.sequoialink.gateway.place.LowestLatencyBalancer;
 import io.sequoialink.gateway.place.PrefillSpeed;
@@ -147,6 +149,8 @@
 
 	private final ServerLimits serverLimits = new ServerLimits();
 
+	private final ColdServers coldServers = new ColdServers();
+
 	private final GossipBudget gossipBudget;
 
 	private final Optional<ServerNoticeGossip> noticeGossip;
@@ -225,14 +229,16 @@
 				() -> readStatusesNow(statuses));
 		this.servers = new ServerTable(this.fleetView,
 				new ServerNoticeTable(System::nanoTime, random, this::mayProbe, this::recordServerNotice),
-				this.sharedNotices, new ServerLimitTable(this.serverLimits));
+				this.sharedNotices, new ServerLimitTable(this.serverLimits),
+				new ColdServerTable(this.coldServers, this.fleetView, System::nanoTime));
+		this.updates.onColdStarts(this.servers.cold());
 		this.readForwarder = settings.peers().map((address) -> createReadForwarder());
 		this.gossipBudget = new GossipBudget(settings.sightingBytesPerSecond(), System::nanoTime);
 		this.noticeGossip = this.readForwarder
 			.map((forwarder) -> new ServerNoticeGossip(this.sharedNotices, forwarder, this.peerSocket,
 					this.gossipBudget, this.servers::displayName, System::nanoTime, System::currentTimeMillis, random));
-		this.permits = new FleetPermits(self(), this::otherHosts, this.serverLimits, this.peerSocket, this::schedule,
-				this.counts.permits(), this.servers::displayName, System::nanoTime, random);
+		this.permits = new FleetPermits(self(), this::otherHosts, this.serverLimits, this.coldServers, this.peerSocket,
+				this::schedule, this.counts.permits(), this.servers::displayName, System::nanoTime, random);
 		this.slots = new FleetSlots(self(), this::otherHosts, this.permits, this.fleetView::servers,
 				ServerState::incarnation, this::requestsInFlight, this.peerSocket, this::schedule, System::nanoTime);
 		this.limitGossip = this.readForwarder.map((forwarder) -> new LimitGossip(settings.host(), this.serverLimits,
@@ -431,6 +437,7 @@
 	private void tick() {
 		logReadinessChange();
 		this.updates.removeExpired();
+		this.servers.cold().removeExpired(this.servers::displayName);
 		this.updates.releaseHeldBack();
 		updateRetryLimits();
 		this.rollouts.tick();
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -221,6 +221,14 @@
 	/** This host could not write blocked traits to the store. */
 	public static final String CULPRIT_NOT_WRITTEN = "SL-3414 could not write that {} is blocked to the store, will retry: kind of failure {}, detail: {}";
 
+	/**
+	 * A server is cold from now on, or its limit became known; names what says so.
+	 */
+	public static final String SERVER_COLD = "SL-3611 server {} is cold for {} ms and takes {} requests a second from all hosts together meanwhile, according to {}";
+
+	/** A server that was cold is warm. */
+	public static final String SERVER_WARM = "SL-3612 server {} is not cold any more, its limit has ended";
+
 	/**
 	 * A host's record in the store was overwritten by an older one, which arrived late.
 	 */
--- a/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/feed/FleetViewUpdater.java
@@ -67,6 +67,8 @@
 
 	private long configurationSince;
 
+	private ColdStartListener coldStarts = ColdStartListener.NONE;
+
 	private Optional<StartupHold> hold = Optional.empty();
 
 	private Runnable heldBack;
@@ -129,6 +131,14 @@
 		startup.onAnswer(this::releaseHeldBack);
 	}
 
+	/**
+	 * Sets what learns from registrations that servers are cold.
+	 * @param listener the listener
+	 */
+	public void onColdStarts(ColdStartListener listener) {
+		this.coldStarts = listener;
+	}
+
 	/**
 	 * Puts a configuration that was held back into force if it need not be any more.
 	 * Called regularly.
@@ -145,6 +155,7 @@
 		String before = this.view.configuration().map((known) -> String.valueOf(known.version())).orElse("none");
 		if (this.view.updateConfiguration(configuration)) {
 			this.configurationSince = this.clock.getAsLong();
+			this.coldStarts.configured();
 			logger.info(GatewayEvents.CONFIGURATION_APPLIED, configuration.version(), position.offset(), position.era(),
 					path, before);
 		}
@@ -216,6 +227,26 @@
 		reportIfComplete();
 	}
 
+	/**
+	 * Applies a server's registration as read from the store.
+	 * @param entry the registration
+	 * @param position position of its record
+	 * @param path the way by which it came to this host
+	 * @return whether it changes what this host knows
+	 */
+	public boolean registered(ServerEntry entry, StorePosition position, ReadPath path) {
+		boolean ofCopy = path == ReadPath.RETURNED_COPY;
+		boolean known = this.view.server(entry.id())
+			.filter((before) -> before.startMillis() == entry.startMillis())
+			.isPresent();
+		boolean changed = ofCopy ? registeredInCopy(entry) : registered(entry);
+		boolean current = !ofCopy || (changed && !known);
+		if (current) {
+			this.coldStarts.registered(entry, position);
+		}
+		return changed;
+	}
+
 	/**
 	 * Applies a server's registration from an older copy of the store. It brings back no
 	 * server that has left or drains: one that is alive registers again soon.
--- a/gateway/src/main/java/io/sequoialink/gateway/fleet/BackendService.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/fleet/BackendService.java
@@ -12,7 +12,9 @@
  * @param cacheTokens number of tokens that fit into the KV cache of one inference engine;
  * 0 for services without engines
  * @param models models that the engines run; empty for services without engines
+ * @param coldPerSecond requests per second that a cold server takes from all hosts
+ * together; 0 for any number
  */
 public record BackendService(String name, String healthPath, int maxConnections, long cacheTokens,
-		List<ModelCost> models) {
+		List<ModelCost> models, double coldPerSecond) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/fleet/ServerEntry.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/fleet/ServerEntry.java
@@ -12,7 +12,8 @@
  * @param version software version of the server
  * @param slots number of requests that the server processes in parallel
  * @param draining whether the server is shutting down
- * @param warmupMillis remaining time of its warm-up, in which responses are slower, in
+ * @param warmupMillis remaining time of its warm-up when the entry was written, in which
+ * the server is cold: responses are slower, and its service may limit its requests; in
  * milliseconds
  * @param startMillis start time as Unix time in milliseconds, 0 if unknown; it
  * distinguishes the incarnations of a server
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoialink.decision.crash.Involvement;
+import io.sequoialink.gateway.permit.RequestPermits;
 import io.sequoialink.gateway.place.PromptSize;
 import io.sequoialink.gateway.place.SelectedServer;
 import io.sequoialink.gateway.place.ServerState;
@@ -170,11 +171,13 @@
 		return this.exchange.gateway().servers().stillUsable(this.server, this.startedAt) && !needsPermit();
 	}
 
-	// The limit may have become known while the connection was opened, and a permit is
-	// outdated if this host was suspended meanwhile.
+	// The limit may have become known while the connection was opened; a permit is
+	// outdated if this host was suspended meanwhile or the server has turned cold.
 	private boolean needsPermit() {
-		boolean outdated = this.exchange.now() - this.startedAt > PERMIT_LIFETIME_NANOS;
-		return (!this.permitted || outdated) && this.exchange.gateway().permits().limited(this.server.incarnation());
+		RequestPermits permits = this.exchange.gateway().permits();
+		boolean outdated = this.exchange.now() - this.startedAt > PERMIT_LIFETIME_NANOS
+				|| permits.turnedColdSince(this.server.incarnation(), this.startedAt);
+		return (!this.permitted || outdated) && permits.limited(this.server.incarnation());
 	}
 
 	@Override
--- a/gateway/src/main/java/io/sequoialink/gateway/http/PermitAcquisition.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/PermitAcquisition.java
@@ -96,6 +96,8 @@
 	 */
 	void acquire(SelectedServer placed, Runnable send, Runnable chooseAgain) {
 		this.asked++;
+		long askedNanos = this.gateway.clock().getAsLong();
+		Runnable use = () -> use(placed, askedNanos, send, chooseAgain);
 		permits().acquire(placed.server().incarnation(), placed.permitWaitNanos(), (decision) -> {
 			long delayMillis = TimeUnit.NANOSECONDS.toMillis(decision.delayNanos() + NANOS_PER_MILLI - 1);
 			log(placed, decision, delayMillis);
@@ -103,14 +105,21 @@
 				chooseAgain.run();
 			}
 			else if (delayMillis == 0) {
-				send.run();
+				use.run();
 			}
 			else {
-				this.timer.schedule(send, delayMillis);
+				this.timer.schedule(use, delayMillis);
 			}
 		});
 	}
 
+	// A permit that was asked for before the server turned cold does not count, since its
+	// owner may have issued it at the higher rate.
+	private void use(SelectedServer placed, long askedNanos, Runnable send, Runnable chooseAgain) {
+		boolean valid = !permits().turnedColdSince(placed.server().incarnation(), askedNanos);
+		(valid ? send : chooseAgain).run();
+	}
+
 	private void log(SelectedServer placed, PermitDecision decision, long delayMillis) {
 		if (!decision.granted() || delayMillis > 0) {
 			logger.info(GatewayEvents.PERMIT_DECIDED, this.metadata.id().orElse("unnamed"),
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import io.sequoialink.decision.limits.NamedLimit;
 import io.sequoialink.gateway.place.ResponseNotice;
@@ -21,10 +22,12 @@
  * @param limit what it says of the requests that the server takes from all hosts together
  * @param bearableRejections requests that the server can turn away in a second without
  * falling over; empty unless it says that it is brittle
+ * @param coldMillis how long the server stays cold, in milliseconds, 0 if it is warm;
+ * empty if it does not say
  */
 public record ResponseMetadata(Optional<String> requestId, Optional<String> seal, boolean notExecuted,
 		Optional<ServerLoad> load, OptionalInt confidence, ResponseNotice notice, NamedLimit limit,
-		OptionalDouble bearableRejections) {
+		OptionalDouble bearableRejections, OptionalLong coldMillis) {
 
 	/**
 	 * Returns whether the response carries the server's signature.
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
@@ -8,7 +8,7 @@
 
 /**
  * Passes on what a server says of itself in the responses to one attempt: that it shuts
- * down, asks for a back-off, or names a limit. Confined to the event loop.
+ * down, asks for a back-off, names a limit, or is cold. Confined to the event loop.
  */
 final class ServerNotices {
 
@@ -48,6 +48,10 @@
 		if (status == MISDIRECTED) {
 			return;
 		}
+		metadata.coldMillis()
+			.ifPresent((millis) -> this.gateway.servers()
+				.cold()
+				.received(this.server, millis, this.requestId, sentNanos, this.gateway.clock().getAsLong()));
 		boolean backoffRequested = status == UNAVAILABLE;
 		table().received(this.server.entry(), new ResponseNotice(metadata.notice().shuttingDown(),
 				backoffRequested ? metadata.notice().backoffMillis() : OptionalLong.empty()));
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
@@ -5,7 +5,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
@@ -13,14 +15,19 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import io.sequoialink.decision.limits.ColdNotice;
+import io.sequoialink.decision.limits.ColdServers;
 import io.sequoialink.decision.limits.LimitObservation;
 import io.sequoialink.decision.limits.PermitDecision;
 import io.sequoialink.decision.limits.PermitIssuer;
 import io.sequoialink.decision.limits.ServerLimits;
+import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.count.LabelledCounters;
 import io.sequoialink.gateway.feed.EventLoopTimer;
 import io.sequoialink.gateway.relay.DatagramSender;
 import io.sequoialink.gateway.relay.Peer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Gets permits from the hosts that own the slices of a server's limit, and issues those
@@ -30,10 +37,13 @@
  * Invariants: a host issues permits for a slice to others only if it owns the slice in
  * its own view. A host that does not reach the owner keeps to a small share of the slice,
  * such that all hosts together add at most {@link #UNREACHED_SHARE} of the limit, however
- * they lose touch with one another.
+ * they lose touch with one another. The limit of a server is the stricter one of the
+ * limit that it names and that of {@link ColdServers}.
  */
 public final class FleetPermits implements RequestPermits {
 
+	private static final Logger logger = LoggerFactory.getLogger(FleetPermits.class);
+
 	/** Time after which a question is asked again, in milliseconds. */
 	static final long REPEAT_MILLIS = 60;
 
@@ -68,6 +78,8 @@
 
 	private final ServerLimits limits;
 
+	private final ColdServers cold;
+
 	private final PermitIssuer issuer;
 
 	private final PermitOwners owners;
@@ -98,7 +110,8 @@
 	 * Creates permits of a host that has just started.
 	 * @param self this host
 	 * @param others returns the other hosts that are known
-	 * @param limits limits of the servers
+	 * @param limits limits that servers name
+	 * @param cold limits of cold servers
 	 * @param sender sends datagrams
 	 * @param timer runs a task on the event loop after a delay
 	 * @param counts counts decisions, with labels for the server and the outcome
@@ -106,11 +119,12 @@
 	 * @param clock monotonic time in nanoseconds
 	 * @param random source of randomness
 	 */
-	public FleetPermits(Peer self, Supplier<List<Peer>> others, ServerLimits limits, DatagramSender sender,
-			EventLoopTimer timer, LabelledCounters counts, LongFunction<String> serverNames, LongSupplier clock,
-			RandomGenerator random) {
+	public FleetPermits(Peer self, Supplier<List<Peer>> others, ServerLimits limits, ColdServers cold,
+			DatagramSender sender, EventLoopTimer timer, LabelledCounters counts, LongFunction<String> serverNames,
+			LongSupplier clock, RandomGenerator random) {
 		this.self = self;
 		this.limits = limits;
+		this.cold = cold;
 		this.issuer = new PermitIssuer(random, clock.getAsLong());
 		this.owners = new PermitOwners(self, others);
 		this.sender = sender;
@@ -133,12 +147,42 @@
 
 	@Override
 	public boolean anyLimited() {
-		return this.limits.anyInForce();
+		return this.limits.anyInForce() || this.cold.anyInForce(this.clock.getAsLong());
 	}
 
 	@Override
 	public OptionalDouble limitPerSecond(long server) {
-		return this.limits.perSecond(server);
+		return limitPerSecond(server, this.clock.getAsLong());
+	}
+
+	// The stricter one of the limit that the server names and that of a cold server.
+	private OptionalDouble limitPerSecond(long server, long now) {
+		OptionalDouble named = this.limits.perSecond(server);
+		OptionalDouble ofCold = this.cold.perSecond(server, now);
+		boolean namedHolds = ofCold.isEmpty() || (named.isPresent() && named.getAsDouble() <= ofCold.getAsDouble());
+		return namedHolds ? named : ofCold;
+	}
+
+	// The limit with the time since when the server has been limited at all.
+	private Optional<PermitIssuer.Limit> limit(long server, long now) {
+		OptionalDouble perSecond = limitPerSecond(server, now);
+		if (perSecond.isEmpty()) {
+			return Optional.empty();
+		}
+		long coldFor = now - this.cold.sinceNanos(server, now).orElse(now);
+		long namedFor = now - this.limits.limitedSinceNanos(server).orElse(now);
+		return Optional.of(new PermitIssuer.Limit(perSecond.getAsDouble(), now - Math.max(coldFor, namedFor)));
+	}
+
+	@Override
+	public long coldNanos(long server) {
+		return this.cold.find(server, this.clock.getAsLong()).map(ColdNotice::leftNanos).orElse(0L);
+	}
+
+	@Override
+	public boolean turnedColdSince(long server, long nanos) {
+		OptionalLong since = this.cold.sinceNanos(server, this.clock.getAsLong());
+		return since.isPresent() && since.getAsLong() - nanos > 0;
 	}
 
 	@Override
@@ -148,7 +192,7 @@
 
 	@Override
 	public long earliestNanos(long server) {
-		OptionalDouble limit = this.limits.perSecond(server);
+		OptionalDouble limit = limitPerSecond(server);
 		if (limit.isEmpty()) {
 			return 0;
 		}
@@ -167,13 +211,14 @@
 
 	@Override
 	public void acquire(long server, long maxWaitNanos, Consumer<PermitDecision> receiver) {
-		OptionalDouble limit = this.limits.perSecond(server);
-		if (limit.isEmpty()) {
+		long now = this.clock.getAsLong();
+		Optional<PermitIssuer.Limit> inForce = limit(server, now);
+		if (inForce.isEmpty()) {
 			receiver.accept(new PermitDecision(true, 0, 0));
 			return;
 		}
-		long now = this.clock.getAsLong();
-		SliceTimes known = times(server, limit.getAsDouble());
+		PermitIssuer.Limit limit = inForce.get();
+		SliceTimes known = times(server, limit.perSecond());
 		int slice = known.earliest(this.random);
 		long earliest = Math.max(0, known.nextNanos[slice] - now);
 		if (earliest > maxWaitNanos) {
@@ -184,11 +229,12 @@
 		Peer owner = this.owners.owner(key, now);
 		Question question = new Question(key, known, maxWaitNanos, receiver, owner);
 		if (owner.equals(this.self)) {
-			finish(question, issue(key, OWNER_SHARE, now, maxWaitNanos));
+			finish(question, this.issuer.issue(key, limit, OWNER_SHARE, now, maxWaitNanos));
 		}
 		else if (silentNanos(owner, now) > 0) {
 			double share = OWNER_SHARE * UNREACHED_SHARE / this.owners.hostCount(now);
-			PermitDecision own = issue(new PermitIssuer.Key(server, -1 - slice), share, now, maxWaitNanos);
+			PermitDecision own = this.issuer.issue(new PermitIssuer.Key(server, -1 - slice), limit, share, now,
+					maxWaitNanos);
 			finish(question, new PermitDecision(own.granted(), own.delayNanos(),
 					Math.min(own.nextNanos(), silentNanos(owner, now))));
 		}
@@ -202,20 +248,12 @@
 		return Math.max(0, this.silentUntil.getOrDefault(owner.host(), now) - now);
 	}
 
-	private PermitDecision issue(PermitIssuer.Key key, double share, long now, long maxWaitNanos) {
-		return this.issuer.issue(key, limit(key.server()), share, now, maxWaitNanos);
-	}
-
-	private PermitIssuer.Limit limit(long server) {
-		return new PermitIssuer.Limit(this.limits.perSecond(server).orElseThrow(),
-				this.limits.limitedSinceNanos(server).orElseThrow());
-	}
-
 	private void ask(Question question, long now) {
 		int number = ++this.lastNumber;
-		LimitObservation limit = this.limits.find(question.key.server()).orElseThrow();
+		LimitObservation limit = this.limits.find(question.key.server())
+			.orElse(new LimitObservation(LimitObservation.UNLIMITED, now));
 		byte[] datagram = PermitFormat.write(new PermitMessage.Ask(this.self.host(), number, question.key.server(),
-				question.key.slice(), limit, question.maxWaitNanos), now);
+				question.key.slice(), limit, question.maxWaitNanos, this.cold.find(question.key.server(), now)), now);
 		this.questions.put(number, question);
 		this.sender.send(question.owner.address(), datagram);
 		this.timer.schedule(() -> repeat(number, datagram), REPEAT_MILLIS);
@@ -257,20 +295,31 @@
 	void answer(Peer from, PermitMessage.Ask ask) {
 		long now = this.clock.getAsLong();
 		PermitDecision decision = this.remembered.computeIfAbsent(from.host() + ' ' + ask.number(),
-				(question) -> decide(ask, now));
+				(question) -> decide(from, ask, now));
 		this.sender.send(from.address(),
 				PermitFormat.write(new PermitMessage.Answer(this.self.host(), ask.number(), decision), now));
 	}
 
-	private PermitDecision decide(PermitMessage.Ask ask, long now) {
-		if (this.limits.perSecond(ask.server()).isEmpty()) {
+	// A host that asks about a cold server knows a limit that this one may not know yet.
+	// Without it the permit would be granted at once, to each host that asks.
+	private PermitDecision decide(Peer from, PermitMessage.Ask ask, long now) {
+		ask.cold().ifPresent((told) -> adopt(from, ask.server(), told, now));
+		Optional<PermitIssuer.Limit> limit = limit(ask.server(), now);
+		if (limit.isEmpty()) {
 			return new PermitDecision(true, 0, 0);
 		}
 		PermitIssuer.Key key = new PermitIssuer.Key(ask.server(), ask.slice());
 		if (!this.owners.owner(key, now).equals(this.self)) {
 			return new PermitDecision(false, 0, NOT_OWNER_NANOS);
 		}
-		return issue(key, OWNER_SHARE, now, Math.min(MAX_WAIT_NANOS, ask.maxWaitNanos()));
+		return this.issuer.issue(key, limit.get(), OWNER_SHARE, now, Math.min(MAX_WAIT_NANOS, ask.maxWaitNanos()));
+	}
+
+	private void adopt(Peer from, long server, ColdNotice told, long now) {
+		if (this.cold.told(server, told, now)) {
+			logger.info(GatewayEvents.SERVER_COLD, this.serverNames.apply(server),
+					TimeUnit.NANOSECONDS.toMillis(told.leftNanos()), told.perSecond(), "host " + from.host());
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetSlots.java
@@ -133,6 +133,16 @@
 		return this.rates.limited(server) || this.brittle.rejections(server).isPresent();
 	}
 
+	@Override
+	public long coldNanos(long server) {
+		return this.rates.coldNanos(server);
+	}
+
+	@Override
+	public boolean turnedColdSince(long server, long nanos) {
+		return this.rates.turnedColdSince(server, nanos);
+	}
+
 	@Override
 	public int hosts() {
 		return this.rates.hosts();
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/LimitGossip.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/LimitGossip.java
@@ -140,7 +140,9 @@
 
 	private void process(Peer peer, PermitMessage message) {
 		if (message instanceof PermitMessage.Ask ask) {
-			merge(peer, ask.server(), ask.limit());
+			if (ask.limit().limited() || ask.cold().isEmpty()) {
+				merge(peer, ask.server(), ask.limit());
+			}
 			this.permits.answer(peer, ask);
 		}
 		else if (message instanceof PermitMessage.Answer answer) {
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/PermitFormat.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/PermitFormat.java
@@ -6,8 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.sequoialink.decision.limits.ColdNotice;
 import io.sequoialink.decision.limits.LimitObservation;
 import io.sequoialink.decision.limits.PermitDecision;
 import io.sequoialink.decision.limits.PermitIssuer;
@@ -23,6 +25,7 @@
  *   answer: number(4) granted(1) delay(4) next(4)
  *   limits: for each server: server(8) rate(8) age(4); an infinite rate is no limit
  *   query:  nothing
+ *   ask about a cold server: as ask, then rate(8) time left(4)
  * </pre>
  */
 final class PermitFormat {
@@ -48,6 +51,15 @@
 
 	private static final byte QUERY = 4;
 
+	/**
+	 * A kind of its own, since builds before it would read only the first part as a
+	 * question for a warm server; they drop unknown kinds.
+	 */
+	private static final byte ASK_COLD = 5;
+
+	/** Longest cold time that another host is believed: an hour. */
+	private static final long MAX_COLD_NANOS = TimeUnit.HOURS.toNanos(1);
+
 	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
 	private PermitFormat() {
@@ -67,6 +79,7 @@
 			buffer.putInt(ask.number()).putLong(ask.server()).put((byte) ask.slice());
 			write(buffer, ask.limit(), nowNanos);
 			buffer.putInt(millis(ask.maxWaitNanos()));
+			ask.cold().ifPresent((cold) -> buffer.putDouble(cold.perSecond()).putInt(millis(cold.leftNanos())));
 		}
 		else if (message instanceof PermitMessage.Answer answer) {
 			PermitDecision decision = answer.decision();
@@ -85,8 +98,8 @@
 	}
 
 	private static byte kind(PermitMessage message) {
-		if (message instanceof PermitMessage.Ask) {
-			return ASK;
+		if (message instanceof PermitMessage.Ask ask) {
+			return ask.cold().isPresent() ? ASK_COLD : ASK;
 		}
 		if (message instanceof PermitMessage.Answer) {
 			return ANSWER;
@@ -128,7 +141,7 @@
 
 	private static PermitMessage read(byte kind, String sender, ByteBuffer buffer, long nowNanos) throws IOException {
 		return switch (kind) {
-			case ASK -> readAsk(sender, buffer, nowNanos);
+			case ASK, ASK_COLD -> readAsk(sender, kind, buffer, nowNanos);
 			case ANSWER -> new PermitMessage.Answer(sender, buffer.getInt(),
 					new PermitDecision(buffer.get() == 1, readNanos(buffer), readNanos(buffer)));
 			case LIMITS -> readLimits(sender, buffer, nowNanos);
@@ -137,14 +150,26 @@
 		};
 	}
 
-	private static PermitMessage readAsk(String sender, ByteBuffer buffer, long nowNanos) throws IOException {
+	private static PermitMessage readAsk(String sender, byte kind, ByteBuffer buffer, long nowNanos)
+			throws IOException {
 		int number = buffer.getInt();
 		long server = buffer.getLong();
 		int slice = buffer.get();
 		if (slice < 0 || slice >= PermitIssuer.SLICES) {
 			throw new IOException("unsupported slice " + slice);
 		}
-		return new PermitMessage.Ask(sender, number, server, slice, readLimit(buffer, nowNanos), readNanos(buffer));
+		LimitObservation limit = readLimit(buffer, nowNanos);
+		long maxWaitNanos = readNanos(buffer);
+		return new PermitMessage.Ask(sender, number, server, slice, limit, maxWaitNanos,
+				(kind == ASK_COLD) ? Optional.of(readCold(buffer)) : Optional.empty());
+	}
+
+	private static ColdNotice readCold(ByteBuffer buffer) throws IOException {
+		double perSecond = buffer.getDouble();
+		if (!(perSecond > 0)) {
+			throw new IOException("unsupported rate of a cold server " + perSecond);
+		}
+		return new ColdNotice(perSecond, Math.min(MAX_COLD_NANOS, readNanos(buffer)));
 	}
 
 	private static PermitMessage readLimits(String sender, ByteBuffer buffer, long nowNanos) throws IOException {
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/PermitMessage.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/PermitMessage.java
@@ -1,7 +1,9 @@
 package io.sequoialink.gateway.permit;
 
 import java.util.Map;
+import java.util.Optional;
 
+import io.sequoialink.decision.limits.ColdNotice;
 import io.sequoialink.decision.limits.LimitObservation;
 import io.sequoialink.decision.limits.PermitDecision;
 
@@ -24,11 +26,18 @@
 	 * @param number number of the question, unique for the asking process
 	 * @param server hash of the server's incarnation
 	 * @param slice slice of the limit
-	 * @param limit what the asking host knows of the server
+	 * @param limit what the asking host knows of the limit that the server names;
+	 * {@link LimitObservation#UNLIMITED} if it names none
 	 * @param maxWaitNanos longest time until the permit, in nanoseconds
+	 * @param cold what the asking host knows of a cold server; empty if it is warm
 	 */
-	record Ask(String sender, int number, long server, int slice, LimitObservation limit,
-			long maxWaitNanos) implements PermitMessage {
+	record Ask(String sender, int number, long server, int slice, LimitObservation limit, long maxWaitNanos,
+			Optional<ColdNotice> cold) implements PermitMessage {
+
+		Ask(String sender, int number, long server, int slice, LimitObservation limit, long maxWaitNanos) {
+			this(sender, number, server, slice, limit, maxWaitNanos, Optional.empty());
+		}
+
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/RequestPermits.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/RequestPermits.java
@@ -70,6 +70,26 @@
 	 */
 	long earliestNanos(long server);
 
+	/**
+	 * Returns how long a server stays cold and limited for that.
+	 * @param server hash of the server's incarnation
+	 * @return time from now in nanoseconds, 0 unless it is cold
+	 */
+	default long coldNanos(long server) {
+		return 0;
+	}
+
+	/**
+	 * Returns whether this host has learnt that a server is cold after a given time, so
+	 * that a permit from before is no longer valid.
+	 * @param server hash of the server's incarnation
+	 * @param nanos monotonic time in nanoseconds
+	 * @return whether it is cold and was not known to be so at that time
+	 */
+	default boolean turnedColdSince(long server, long nanos) {
+		return false;
+	}
+
 	/**
 	 * Asks for a permit for one request.
 	 * @param server hash of the server's incarnation
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
@@ -75,6 +75,8 @@
 	 */
 	private static final double OWNER_PREFILL_CREDIT = 0.5;
 
+	private static final double NANOS_PER_MILLI = 1e6;
+
 	private final ServerTable servers;
 
 	private final PrefillSpeed prefill;
@@ -134,12 +136,16 @@
 
 	private Optional<SelectedServer> withPermitSoon(List<ServerState> candidates, LoadBalancingRequest request,
 			long now) {
-		return candidates.stream()
-			.filter((state) -> opensWithin(state, request, request.permitWaitNanos()))
+		List<ServerState> open = filter(candidates, (state) -> opensWithin(state, request, request.permitWaitNanos()));
+		return firstNonEmpty(filter(open, (state) -> !cold(state)), open).stream()
 			.min(Comparator.comparingLong((state) -> this.permits.earliestNanos(state.incarnation())))
 			.map((state) -> select(state, request, false, now));
 	}
 
+	private boolean cold(ServerState state) {
+		return this.permits.coldNanos(state.incarnation()) > 0;
+	}
+
 	private SelectedServer select(ServerState state, LoadBalancingRequest request, boolean owner, long now) {
 		return new SelectedServer(state, prefillMillis(state, request.prompt(), owner, now),
 				Math.max(0, request.permitWaitNanos()));
@@ -158,9 +164,14 @@
 			}
 		}
 		SelectedServer selected = select(best, request, best == owner, now);
-		boolean othersNeedNoPermit = this.permits.anyLimited()
-				&& candidates.stream().anyMatch((state) -> !this.permits.limited(state.incarnation()));
-		return othersNeedNoPermit ? new SelectedServer(best, selected.prefillMillis(), 0) : selected;
+		boolean mayNotWait = this.permits.anyLimited() && othersNeedNoWait(candidates, cold(best));
+		return mayNotWait ? new SelectedServer(best, selected.prefillMillis(), 0) : selected;
+	}
+
+	// A permit of a cold server is not waited for while there is a warm one.
+	private boolean othersNeedNoWait(List<ServerState> candidates, boolean cold) {
+		return candidates.stream()
+			.anyMatch((state) -> !this.permits.limited(state.incarnation()) || (cold && !cold(state)));
 	}
 
 	// Applies one filter after the other (version, not tried before, not ejected, not
@@ -259,7 +270,7 @@
 		int slots = Math.max(1, state.entry().slots());
 		double queueingMillis = Math.max(0, load + 1 - slots) / slots * FULL_SERVER_MILLIS;
 		double zoneMillis = inLocalZone(state) ? 0 : CROSS_ZONE_MILLIS;
-		double cost = queueingMillis + zoneMillis + state.entry().warmupMillis() / 10.0;
+		double cost = queueingMillis + zoneMillis + warmupMillis(state) / 10.0;
 		if (!work.inference()) {
 			return cost + load / slots * FULL_SERVER_MILLIS / 4;
 		}
@@ -268,6 +279,12 @@
 				+ prefillMillis(state, work, owner, now);
 	}
 
+	private double warmupMillis(ServerState state) {
+		double coldMillis = this.permits.anyLimited() ? this.permits.coldNanos(state.incarnation()) / NANOS_PER_MILLI
+				: 0;
+		return Math.max(state.entry().warmupMillis(), coldMillis);
+	}
+
 	private double prefillMillis(ServerState state, PromptSize work, boolean owner, long now) {
 		if (!work.inference()) {
 			return 0;
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
@@ -25,6 +25,8 @@
 
 	private final ServerLimitTable limits;
 
+	private final ColdServerTable cold;
+
 	private final Map<String, ServerState> states = new HashMap<>();
 
 	/**
@@ -33,13 +35,15 @@
 	 * @param notices notices that servers sent to this host
 	 * @param sharedNotices notices that all hosts exchange
 	 * @param limits limits that servers named in their responses
+	 * @param cold servers that are cold
 	 */
 	public ServerTable(FleetView view, ServerNoticeTable notices, SharedServerNotices sharedNotices,
-			ServerLimitTable limits) {
+			ServerLimitTable limits, ColdServerTable cold) {
 		this.view = view;
 		this.notices = notices;
 		this.sharedNotices = sharedNotices;
 		this.limits = limits;
+		this.cold = cold;
 	}
 
 	/**
@@ -66,6 +70,14 @@
 		return this.limits;
 	}
 
+	/**
+	 * Returns the servers that are cold.
+	 * @return table of cold servers
+	 */
+	public ColdServerTable cold() {
+		return this.cold;
+	}
+
 	/**
 	 * Returns the usable servers of a service.
 	 * @param service name of the service
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -23,6 +23,7 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.sequoialink.decision.cascade.ConfidenceCascade;
+import io.sequoialink.decision.limits.ColdServers;
 import io.sequoialink.decision.limits.LatencyPressure;
 import io.sequoialink.decision.limits.RequestCostRatio;
 import io.sequoialink.decision.limits.ServerLimits;
@@ -53,6 +54,7 @@
 import io.sequoialink.gateway.path.ServicePaths;
 import io.sequoialink.gateway.path.TunnelServer;
 import io.sequoialink.gateway.permit.FleetPermits;
+import io.sequoialink.gateway.place.ColdServerTable;
 import io.sequoialink.gateway.place.LatencyBaseline;
 import io.sequoialink.gateway.place.LoadBalancer;
 import io.sequoialink.gateway.place.LowestLatencyBalancer;
@@ -118,9 +120,11 @@
 
 	private final ServerLimits limits = new ServerLimits();
 
+	private final ColdServers cold = new ColdServers();
+
 	private final FleetPermits permits = new FleetPermits(
 			new Peer("h", "z", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1)), List::of, this.limits,
-			(to, datagram) -> {
+			this.cold, (to, datagram) -> {
 			}, (work, millis) -> this.loops.schedule(work, millis, TimeUnit.MILLISECONDS), this.counts.permits(),
 			Long::toHexString, System::nanoTime, new SplittableRandom(4));
 
@@ -155,9 +159,11 @@
 
 	private GatewayFixture() {
 		TestHeaderMapping headerMapping = new TestHeaderMapping();
-		this.table = new ServerTable(this.view, new ServerNoticeTable(System::nanoTime, new SplittableRandom(3),
-				(server) -> true, ResponseNoticeListener.NONE), new SharedServerNotices(),
-				new ServerLimitTable(this.limits));
+		this.table = new ServerTable(this.view,
+				new ServerNoticeTable(System::nanoTime, new SplittableRandom(3), (server) -> true,
+						ResponseNoticeListener.NONE),
+				new SharedServerNotices(), new ServerLimitTable(this.limits),
+				new ColdServerTable(this.cold, this.view, System::nanoTime));
 		PrefillSpeed speed = new PrefillSpeed();
 		GatewayContext gateway = new GatewayContext(this.gate, this.view, this.table,
 				observed(new LowestLatencyBalancer(this.table, speed, "z", this.permits, System::nanoTime,
@@ -339,7 +345,7 @@
 				route("/sized/", RequestKind.STREAMING, 5000, 3, true, List.of("small", "large")),
 				route("/firm-sized/", RequestKind.STREAMING, 5000, 3, false, List.of("small", "large")));
 		BackendService service = new BackendService("svc", "/health", 100, 1000,
-				List.of(new ModelCost("small", 0.1), new ModelCost("large", 1)));
+				List.of(new ModelCost("small", 0.1), new ModelCost("large", 1)), 1);
 		return new Configuration(1, routes, List.of(service),
 				List.of(new ClientAccount("acme", List.of("k", "k2"), OptionalInt.empty())), LIMITS);
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
@@ -45,7 +45,8 @@
 						number(headers, "spare").stream().asLongStream().findFirst()),
 				headers.contains("limit") ? NamedLimit.of(Double.parseDouble(headers.get("limit"))) : NamedLimit.ABSENT,
 				headers.contains("brittle") ? OptionalDouble.of(Double.parseDouble(headers.get("brittle")))
-						: OptionalDouble.empty());
+						: OptionalDouble.empty(),
+				number(headers, "cold").stream().asLongStream().findFirst());
 	}
 
 	@Override
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/FleetPermitsTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/FleetPermitsTests.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
+import io.sequoialink.decision.limits.ColdServers;
 import io.sequoialink.decision.limits.NamedLimit;
 import io.sequoialink.decision.limits.PermitDecision;
 import io.sequoialink.decision.limits.ServerLimits;
@@ -34,11 +35,13 @@
 
 	private final ServerLimits limits = new ServerLimits();
 
+	private final ColdServers cold = new ColdServers();
+
 	private final LabelledCounters counts = new LabelledCounters("server", "outcome");
 
 	private long now = TimeUnit.SECONDS.toNanos(1000);
 
-	private final FleetPermits permits = new FleetPermits(SELF, () -> this.others, this.limits,
+	private final FleetPermits permits = new FleetPermits(SELF, () -> this.others, this.limits, this.cold,
 			(to, datagram) -> this.sent.add(datagram),
 			(work, millis) -> this.tasks.add(new Task(work, this.now + millis * MILLI)), this.counts, Long::toHexString,
 			() -> this.now, new SplittableRandom(1));
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/LimitedServer.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/LimitedServer.java
@@ -124,6 +124,21 @@
 		return (int) (FACTOR * this.highestPerSecond * WINDOW_MILLIS / 1000 + SLACK);
 	}
 
+	/**
+	 * Returns the most requests of all hosts that arrived in any one second.
+	 */
+	int mostInSecond(long fromMillis, long toMillis) {
+		List<Long> counted = this.arrivals.stream().filter((at) -> at >= fromMillis && at < toMillis).toList();
+		int most = 0;
+		for (int first = 0, last = 0; last < counted.size(); last++) {
+			while (counted.get(last) - counted.get(first) >= 1000) {
+				first++;
+			}
+			most = Math.max(most, last - first + 1);
+		}
+		return most;
+	}
+
 	double arrivalsPerSecond(long fromMillis, long toMillis) {
 		long in = this.arrivals.stream().filter((at) -> at >= fromMillis && at < toMillis).count();
 		return in * 1000.0 / (toMillis - fromMillis);
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleet.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 
+import io.sequoialink.decision.limits.ColdServers;
 import io.sequoialink.decision.limits.PermitDecision;
 import io.sequoialink.decision.limits.PermitIssuer;
 import io.sequoialink.decision.limits.PermitSchedule;
@@ -85,6 +86,21 @@
 		}
 	}
 
+	/** Runs a task later in simulated time. */
+	void after(long millis, Runnable task) {
+		schedule(millis, task);
+	}
+
+	/**
+	 * Tells a host that a server is cold, and possibly that it has restarted.
+	 * @param incarnation hash that the host uses for the server from now on
+	 */
+	void tellCold(int host, LimitedServer server, long incarnation, double perSecond, long leftMillis) {
+		Host told = this.hosts.get(host);
+		told.incarnations.put(server, incarnation);
+		told.cold.registered(incarnation, perSecond, leftMillis * MILLI, this.nowNanos);
+	}
+
 	LimitedServer server(int number) {
 		return this.servers.get(number);
 	}
@@ -197,6 +213,10 @@
 
 		private final ServerLimits limits = new ServerLimits();
 
+		private final ColdServers cold = new ColdServers();
+
+		private final Map<LimitedServer, Long> incarnations = new HashMap<>();
+
 		private final FleetPermits permits;
 
 		private final LimitGossip gossip;
@@ -219,13 +239,21 @@
 			this.view = new ReadForwarder(this.self, this::transmit, (read) -> {
 			}, TimeUnit.SECONDS.toNanos(4), this::clock);
 			SplittableRandom own = new SplittableRandom(PermitFleet.this.random.nextLong());
-			this.permits = new FleetPermits(this.self, this.view::otherPeers, this.limits, this::transmit, this::later,
-					new LabelledCounters("server", "outcome"), Long::toHexString, this::clock, own);
+			this.permits = new FleetPermits(this.self, this.view::otherPeers, this.limits, this.cold, this::transmit,
+					this::later, new LabelledCounters("server", "outcome"), Long::toHexString, this::clock, own);
 			this.gossip = new LimitGossip(this.self.host(), this.limits, this.permits,
 					new GossipTargets(this.view, own), new GossipBudget(GOSSIP_BYTES_PER_SECOND, this::clock),
 					this::transmit, Long::toHexString, this::clock, PermitFleet.this::nowMillis);
 		}
 
+		private long hash(LimitedServer server) {
+			return this.incarnations.getOrDefault(server, server.hash());
+		}
+
+		private boolean limited(LimitedServer server) {
+			return this.permits.limited(hash(server));
+		}
+
 		private long clock() {
 			return PermitFleet.this.nowNanos;
 		}
@@ -281,8 +309,7 @@
 			List<LimitedServer> open = PermitFleet.this.servers.stream()
 				.filter((server) -> opensWithin(server, 0))
 				.toList();
-			boolean unlimitedLeft = open.stream()
-				.anyMatch((server) -> !this.limits.perSecond(server.hash()).isPresent());
+			boolean unlimitedLeft = open.stream().anyMatch((server) -> !limited(server));
 			List<LimitedServer> candidates = open.isEmpty()
 					? PermitFleet.this.servers.stream().filter((server) -> opensWithin(server, WAIT_NANOS)).toList()
 					: open;
@@ -297,7 +324,7 @@
 				send(chosen);
 				return;
 			}
-			this.permits.acquire(chosen.hash(), unlimitedLeft ? 0 : WAIT_NANOS,
+			this.permits.acquire(hash(chosen), unlimitedLeft ? 0 : WAIT_NANOS,
 					(decision) -> decided(chosen, decision, asked + 1));
 		}
 
@@ -310,11 +337,11 @@
 		}
 
 		private boolean opensWithin(LimitedServer server, long nanos) {
-			if (PermitFleet.this.way == AdmissionWay.IGNORE || !this.limits.perSecond(server.hash()).isPresent()) {
+			if (PermitFleet.this.way == AdmissionWay.IGNORE || !limited(server)) {
 				return true;
 			}
 			if (PermitFleet.this.way == AdmissionWay.PERMITS) {
-				return this.permits.earliestNanos(server.hash()) <= nanos;
+				return this.permits.earliestNanos(hash(server)) <= nanos;
 			}
 			double share = ownShare(server);
 			return share > 0 && nextOwn(server, share) <= nanos;
@@ -356,7 +383,7 @@
 		}
 
 		private void responseArrived(LimitedServer server, long sentNanos) {
-			this.limits.observe(server.hash(), server.named(), sentNanos, clock());
+			this.limits.observe(hash(server), server.named(), sentNanos, clock());
 			server.told(this.number, nowMillis());
 		}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/place/FleetBackoffProbesTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/FleetBackoffProbesTests.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
+import io.sequoialink.decision.limits.ColdServers;
 import io.sequoialink.decision.limits.PermitIssuer;
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
@@ -59,13 +60,16 @@
 	private ServerTable table(Peer self, List<Peer> peers) {
 		FleetView view = new FleetView();
 		view.put(SERVER);
-		FleetPermits permits = new FleetPermits(self, () -> peers, new ServerLimits(), (to, datagram) -> {
-		}, (task, millis) -> {
-		}, new LabelledCounters("server", "outcome"), Long::toHexString, () -> this.now, new SplittableRandom(1));
+		FleetPermits permits = new FleetPermits(self, () -> peers, new ServerLimits(), new ColdServers(),
+				(to, datagram) -> {
+				}, (task, millis) -> {
+				}, new LabelledCounters("server", "outcome"), Long::toHexString, () -> this.now,
+				new SplittableRandom(1));
 		return new ServerTable(view,
 				new ServerNoticeTable(() -> this.now, new SplittableRandom(7), permits::ownsSlice,
 						ResponseNoticeListener.NONE),
-				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()));
+				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()),
+				new ColdServerTable(new ColdServers(), view, () -> 0));
 	}
 
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
+import io.sequoialink.decision.limits.ColdServers;
 import io.sequoialink.decision.limits.PermitDecision;
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
@@ -35,7 +36,8 @@
 		return new ServerTable(this.view,
 				new ServerNoticeTable(() -> this.now, new SplittableRandom(7), (server) -> true,
 						ResponseNoticeListener.NONE),
-				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()));
+				new SharedServerNotices(), new ServerLimitTable(new ServerLimits()),
+				new ColdServerTable(new ColdServers(), this.view, () -> this.now));
 	}
 
 	private long now = 100 * SECOND;
--- a/gateway/src/test/java/io/sequoialink/gateway/place/ServerNoticeTableTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/ServerNoticeTableTests.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
+import io.sequoialink.decision.limits.ColdServers;
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.gateway.fleet.FleetView;
@@ -37,7 +38,8 @@
 	private final SharedServerNotices sharedNotices = new SharedServerNotices();
 
 	private final ServerTable table = new ServerTable(this.view, this.notices, this.sharedNotices,
-			new ServerLimitTable(new ServerLimits()));
+			new ServerLimitTable(new ServerLimits()),
+			new ColdServerTable(new ColdServers(), new FleetView(), () -> this.now));
 
 	private final LowestLatencyBalancer balancer = new LowestLatencyBalancer(this.table, new PrefillSpeed(), "a",
 			RequestPermits.NONE, () -> this.now, new SplittableRandom(5));
