--- a/entry/src/test/java/io/sequoialink/soak/Bounds.java
+++ b/entry/src/test/java/io/sequoialink/soak/Bounds.java
@@ -63,6 +63,15 @@
 	/** Number of requests that a window may have beyond that. */
 	static final int LIMIT_SLACK = 5;
 
+	/** Requests a second that a cold server takes from all hosts together. */
+	static final int COLD_PER_SECOND = 6;
+
+	/** Time for which a server that starts cold stays so, in milliseconds. */
+	static final int COLD_MILLIS = 4500;
+
+	/** Requests of all hosts that a cold server may get in any one second. */
+	static final int MAX_COLD_ARRIVALS = (int) (COLD_PER_SECOND * 1.5 + 5);
+
 	/** Number of crashes by a prompt part after which hosts must keep it from servers. */
 	static final int CRASHES_BEFORE_PART_BOUND = 5;
 
--- a/entry/src/test/java/io/sequoialink/soak/Operator.java
+++ b/entry/src/test/java/io/sequoialink/soak/Operator.java
@@ -85,7 +85,8 @@
 	}
 
 	private static String service(String name) {
-		return "{\"name\":\"" + name + "\",\"health_path\":\"/health\",\"max_connections\":200}";
+		String cold = name.equals("app") ? ",\"cold_per_s\":" + Bounds.COLD_PER_SECOND : "";
+		return "{\"name\":\"" + name + "\",\"health_path\":\"/health\",\"max_connections\":200" + cold + "}";
 	}
 
 	/**
--- a/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
@@ -490,6 +490,10 @@
 				this.clock.getAsLong() + Bounds.millisToNanos(millis)));
 	}
 
+	synchronized void recordColdArrival() {
+		increment("requests to cold servers");
+	}
+
 	/**
 	 * Records that a server names a limit from now on.
 	 * @param server name of the server
--- a/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
@@ -95,6 +95,8 @@
 
 	private final SecondAnswers secondAnswers;
 
+	private final ColdStart coldStart;
+
 	private volatile Runnable closing = () -> {
 	};
 
@@ -111,6 +113,7 @@
 		this.laterFaults = new Random(seed ^ LATER_FAULTS_SEED_MASK);
 		this.cutHeads = new Random(seed ^ CUT_HEADS_SEED_MASK);
 		this.secondAnswers = new SecondAnswers(service, seed, checker);
+		this.coldStart = new ColdStart(service, name, seed, checker);
 		this.serverSocket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
 		this.link = new LinkProxy(
 				new InetSocketAddress(InetAddress.getLoopbackAddress(), this.serverSocket.getLocalPort()));
@@ -185,7 +188,7 @@
 	String storeRecord(boolean draining) {
 		return "{\"service\":\"" + this.service + "\",\"address\":\"127.0.0.1:" + this.link.port()
 				+ "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":" + slots() + ",\"state\":\""
-				+ (draining ? "draining" : "ready") + "\"}";
+				+ (draining ? "draining" : "ready") + "\",\"cold_left_ms\":" + this.coldStart.leftMillis() + "}";
 	}
 
 	private void acceptConnections() {
@@ -232,6 +235,7 @@
 			return;
 		}
 		this.checker.checkArrival(id, this.name, this.drainAcceptedNanos);
+		this.coldStart.arrived(id);
 		long backoff = Math.max(0, this.backoffUntilNanos - System.nanoTime());
 		if (this.backoffUntilNanos != 0 && backoff > 0) {
 			long millis = 1 + backoff / 1_000_000;
--- a/entry/src/test/java/io/sequoialink/soak/Violation.java
+++ b/entry/src/test/java/io/sequoialink/soak/Violation.java
@@ -21,6 +21,7 @@
  * their prompts</li>
  * <li>INNOCENT: a request that does not crash servers gets no long Retry-After</li>
  * <li>LIMIT: hosts that a server told of its limit keep to it together</li>
+ * <li>COLD: all hosts together keep to the limit of a cold server, in any one second</li>
  * <li>RECOVER: most requests succeed again after the last fault</li>
  * </ul>
  *
--- a/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/permit/FleetPermits.java
@@ -227,16 +227,17 @@
 		}
 		PermitIssuer.Key key = new PermitIssuer.Key(server, slice);
 		Peer owner = this.owners.owner(key, now);
-		Question question = new Question(key, known, maxWaitNanos, receiver, owner);
+		boolean isCold = this.cold.sinceNanos(server, now).isPresent();
+		Question question = new Question(key, known, maxWaitNanos, receiver, owner, isCold);
 		if (owner.equals(this.self)) {
 			finish(question, this.issuer.issue(key, limit, OWNER_SHARE, now, maxWaitNanos));
 		}
-		else if (silentNanos(owner, now) > 0) {
+		else if (silentNanos(owner, isCold, now) > 0) {
 			double share = OWNER_SHARE * UNREACHED_SHARE / this.owners.hostCount(now);
 			PermitDecision own = this.issuer.issue(new PermitIssuer.Key(server, -1 - slice), limit, share, now,
 					maxWaitNanos);
 			finish(question, new PermitDecision(own.granted(), own.delayNanos(),
-					Math.min(own.nextNanos(), silentNanos(owner, now))));
+					Math.min(own.nextNanos(), silentNanos(owner, isCold, now))));
 		}
 		else {
 			ask(question, now);
@@ -244,10 +245,20 @@
 	}
 
 	// Returns how long an owner that did not answer is not asked again.
-	private long silentNanos(Peer owner, long now) {
-		return Math.max(0, this.silentUntil.getOrDefault(owner.host(), now) - now);
+	private long silentNanos(Peer owner, boolean isCold, long now) {
+		long silent = this.silentUntil.getOrDefault(owner.host(), now) - now;
+		long silentIfCold = isCold ? this.silentUntil.getOrDefault(silenceKey(owner, true), now) - now : 0;
+		return Math.max(0, Math.max(silent, silentIfCold));
 	}
 
+	// A host of an earlier build answers no question about a cold server, but other ones,
+	// so only another such question tells whether it still does not.
+	private static String silenceKey(Peer owner, boolean isCold) {
+		return isCold ? owner.host() + " cold" : owner.host();
+	}
+
+	// A request does not wait longer for a cold server than one way and back takes while
+	// there is a warm one.
 	private void ask(Question question, long now) {
 		int number = ++this.lastNumber;
 		LimitObservation limit = this.limits.find(question.key.server())
@@ -256,6 +267,10 @@
 				question.key.slice(), limit, question.maxWaitNanos, this.cold.find(question.key.server(), now)), now);
 		this.questions.put(number, question);
 		this.sender.send(question.owner.address(), datagram);
+		if (question.cold && question.maxWaitNanos == 0) {
+			this.timer.schedule(() -> giveUp(number), REPEAT_MILLIS);
+			return;
+		}
 		this.timer.schedule(() -> repeat(number, datagram), REPEAT_MILLIS);
 		this.timer.schedule(() -> giveUp(number), ANSWER_MILLIS);
 	}
@@ -272,7 +287,7 @@
 		if (question == null) {
 			return;
 		}
-		this.silentUntil.put(question.owner.host(), this.clock.getAsLong() + SILENT_NANOS);
+		this.silentUntil.put(silenceKey(question.owner, question.cold), this.clock.getAsLong() + SILENT_NANOS);
 		count(question, "unanswered");
 		question.receiver.accept(new PermitDecision(false, 0, 0));
 	}
@@ -409,9 +424,10 @@
 	 * @param maxWaitNanos longest time until the permit, in nanoseconds
 	 * @param receiver receives the decision
 	 * @param owner the host that owns the slice
+	 * @param cold whether the server is cold
 	 */
 	private record Question(PermitIssuer.Key key, SliceTimes times, long maxWaitNanos,
-			Consumer<PermitDecision> receiver, Peer owner) {
+			Consumer<PermitDecision> receiver, Peer owner, boolean cold) {
 	}
 
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -442,6 +442,13 @@
 		return this.frontend;
 	}
 
+	/**
+	 * Runs work on the event loop after its present task.
+	 */
+	void afterTask(Runnable work) {
+		this.loops.execute(work);
+	}
+
 	void onLoop(Runnable work) throws Exception {
 		this.loops.submit(work).get();
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/ColdFleetTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/ColdFleetTests.java
@@ -57,21 +57,39 @@
 			"79, 42, REACH_NO_HOST_AND_NEVER_HEAR" })
 	void zoneThatReturnsColdGetsNoMoreThanItBears(int hosts, int cold, OutOfTouch outOfTouch) {
 		for (long seed = 1; seed <= SEEDS; seed++) {
-			PermitFleet fleet = new PermitFleet(AdmissionWay.PERMITS, hosts, SERVERS,
-					TRAFFIC * USUAL_PER_SECOND * SERVERS / hosts, seed);
-			fleet.run(3000);
-			fleet.cutDatagrams(outOfTouch::cut);
-			long from = fleet.nowMillis();
-			turnCold(fleet, cold, outOfTouch, new SplittableRandom(seed));
-			fleet.run(COLD_MILLIS);
-			double served = 0;
-			for (LimitedServer server : fleet.servers().subList(0, cold)) {
-				assertThat(server.mostInSecond(from, fleet.nowMillis())).as("requests in a second, seed %s", seed)
-					.isLessThanOrEqualTo(ALLOWED_IN_SECOND);
-				served += server.arrivalsPerSecond(from, fleet.nowMillis());
-			}
-			assertThat(served / cold).as("requests a second of each server, seed %s", seed).isGreaterThan(1);
+			run(hosts, cold, outOfTouch, false, seed);
+		}
+	}
+
+	// Without a limit each server would get 27 requests a second here: servers that have
+	// nothing to do yet attract the requests of all hosts.
+	@ParameterizedTest
+	@CsvSource({ "8, NONE", "79, NONE", "330, NONE", "8, REACH_NO_HOST", "79, REACH_NO_HOST", "330, REACH_NO_HOST" })
+	void hostsThatPreferTheReturningZoneKeepTheLimit(int hosts, OutOfTouch outOfTouch) {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			run(hosts, 14, outOfTouch, true, seed);
+		}
+	}
+
+	private static void run(int hosts, int cold, OutOfTouch outOfTouch, boolean preferred, long seed) {
+		PermitFleet fleet = new PermitFleet(AdmissionWay.PERMITS, hosts, SERVERS,
+				TRAFFIC * USUAL_PER_SECOND * SERVERS / hosts, seed);
+		fleet.run(3000);
+		fleet.cutDatagrams(outOfTouch::cut);
+		long from = fleet.nowMillis();
+		turnCold(fleet, cold, outOfTouch, new SplittableRandom(seed));
+		if (preferred) {
+			fleet.run(REGISTRATION_LAG_MILLIS);
+			fleet.prefer(fleet.servers().subList(0, cold));
+		}
+		fleet.run(from + COLD_MILLIS - fleet.nowMillis());
+		double served = 0;
+		for (LimitedServer server : fleet.servers().subList(0, cold)) {
+			assertThat(server.mostInSecond(from, fleet.nowMillis())).as("requests in a second, seed %s", seed)
+				.isLessThanOrEqualTo(ALLOWED_IN_SECOND);
+			served += server.arrivalsPerSecond(from, fleet.nowMillis());
 		}
+		assertThat(served / cold).as("requests a second of each server, seed %s", seed).isGreaterThan(1);
 	}
 
 	private static void turnCold(PermitFleet fleet, int cold, OutOfTouch outOfTouch, SplittableRandom random) {
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/FleetPermitsTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/FleetPermitsTests.java
@@ -1,18 +1,25 @@
 package io.sequoialink.gateway.permit;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
+import io.sequoialink.decision.limits.ColdNotice;
 import io.sequoialink.decision.limits.ColdServers;
+import io.sequoialink.decision.limits.LimitObservation;
 import io.sequoialink.decision.limits.NamedLimit;
 import io.sequoialink.decision.limits.PermitDecision;
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.gateway.count.LabelledCounters;
 import io.sequoialink.gateway.relay.Peer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -153,6 +160,94 @@
 		}
 	}
 
+	private long ownedServer() {
+		serverOfOthers();
+		long owned = 1;
+		while (!this.permits.ownsSlice(owned)) {
+			owned++;
+		}
+		return owned;
+	}
+
+	private int slice(long server) {
+		int slice = 0;
+		while (ask(server, slice, 0).nextNanos() == TimeUnit.SECONDS.toNanos(2)) {
+			slice++;
+		}
+		return slice;
+	}
+
+	private PermitDecision ask(long server, int slice, int number) {
+		this.sent.clear();
+		this.permits.answer(this.others.get(0),
+				new PermitMessage.Ask("h1", number * 4 + slice, server, slice,
+						new LimitObservation(LimitObservation.UNLIMITED, this.now), 0,
+						Optional.of(new ColdNotice(12, 4500 * MILLI))));
+		try {
+			return ((PermitMessage.Answer) PermitFormat.read(this.sent.get(0), this.now)).decision();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	// Guards against an owner that has not heard that a server is cold and grants a
+	// permit
+	// to each host that asks.
+	@Test
+	void anOwnerThatKnowsNoLimitAdoptsTheOneOfAQuestion() {
+		long server = ownedServer();
+		advance(10_000);
+		int slice = slice(server);
+		int granted = 0;
+		for (int number = 1; number <= 100; number++) {
+			granted += ask(server, slice, number).granted() ? 1 : 0;
+			advance(10);
+		}
+		assertThat(granted).isBetween(2, 4);
+		assertThat(this.permits.limitPerSecond(server)).hasValue(12);
+		advance(4500);
+		assertThat(this.permits.limited(server)).isFalse();
+	}
+
+	// An earlier build drops the question, as any owner that is silent does.
+	@Test
+	void aQuestionAboutAColdServerTellsRateAndTimeLeft() throws Exception {
+		long server = serverOfOthers();
+		this.limits.observe(server, NamedLimit.ABSENT, this.now + 1000 * MILLI, this.now + 1000 * MILLI);
+		assertThat(this.permits.anyLimited()).isFalse();
+		acquire(server);
+		assertThat(this.sent).as("no question without a limit").isEmpty();
+		this.cold.registered(server, 12, 4500 * MILLI, this.now);
+		acquire(server);
+		PermitMessage.Ask ask = (PermitMessage.Ask) PermitFormat.read(this.sent.get(0), this.now);
+		assertThat(ask.cold()).contains(new ColdNotice(12, 4500 * MILLI));
+		advance(1500);
+		int granted = 0;
+		for (int i = 0; i < 300; i++) {
+			this.decisions.clear();
+			acquire(server);
+			granted += this.decisions.stream().anyMatch(PermitDecision::granted) ? 1 : 0;
+			advance(10);
+		}
+		assertThat(granted).as("a quarter of the limit divided by 8 hosts").isLessThanOrEqualTo(4);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "3, 12, 3", "20, 12, 12" })
+	void theStricterOneOfNamedAndColdLimitHolds(double named, double coldRate, double expected) {
+		this.limits.observe(5, NamedLimit.of(named), this.now, this.now);
+		this.cold.registered(5, coldRate, 100 * MILLI, this.now);
+		assertThat(this.permits.limitPerSecond(5)).hasValue(expected);
+		assertThat(this.permits.turnedColdSince(5, this.now - 1)).isTrue();
+		assertThat(this.permits.turnedColdSince(5, this.now)).isFalse();
+		advance(100);
+		assertThat(this.permits.limitPerSecond(5)).hasValue(named);
+		this.cold.registered(5, coldRate, 100 * MILLI, this.now);
+		this.limits.observe(5, NamedLimit.ABSENT, this.now + 500 * MILLI, this.now + 500 * MILLI);
+		assertThat(this.permits.limitPerSecond(5)).as("no named limit ends no cold time").hasValue(coldRate);
+	}
+
 	private record Task(Runnable work, long atNanos) {
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFleet.java
@@ -56,6 +56,8 @@
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>();
 
+	private List<LimitedServer> preferred = List.of();
+
 	private double lossRate;
 
 	private BiPredicate<Integer, Integer> cut = (from, to) -> false;
@@ -86,6 +88,11 @@
 		}
 	}
 
+	/** Lets hosts choose among some servers while one of them is open. */
+	void prefer(List<LimitedServer> some) {
+		this.preferred = some;
+	}
+
 	/** Runs a task later in simulated time. */
 	void after(long millis, Runnable task) {
 		schedule(millis, task);
@@ -316,7 +323,7 @@
 			if (candidates.isEmpty() || (asked >= MAX_ASKED && !unlimitedLeft)) {
 				return;
 			}
-			LimitedServer chosen = candidates.get(PermitFleet.this.random.nextInt(candidates.size()));
+			LimitedServer chosen = choose(candidates, asked);
 			if (PermitFleet.this.way != AdmissionWay.PERMITS) {
 				if (PermitFleet.this.way != AdmissionWay.IGNORE) {
 					takeOwn(chosen);
@@ -328,6 +335,14 @@
 					(decision) -> decided(chosen, decision, asked + 1));
 		}
 
+		private LimitedServer choose(List<LimitedServer> candidates, int asked) {
+			List<LimitedServer> preferred = candidates.stream()
+				.filter((server) -> asked < MAX_ASKED && PermitFleet.this.preferred.contains(server))
+				.toList();
+			List<LimitedServer> from = preferred.isEmpty() ? candidates : preferred;
+			return from.get(PermitFleet.this.random.nextInt(from.size()));
+		}
+
 		private void decided(LimitedServer chosen, PermitDecision decision, int asked) {
 			if (!decision.granted()) {
 				forward(asked);
--- a/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFormatTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/permit/PermitFormatTests.java
@@ -4,9 +4,11 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.stream.Stream;
 
+import io.sequoialink.decision.limits.ColdNotice;
 import io.sequoialink.decision.limits.LimitObservation;
 import io.sequoialink.decision.limits.PermitDecision;
 import org.junit.jupiter.api.Test;
@@ -26,6 +28,8 @@
 
 	static Stream<PermitMessage> messages() {
 		return Stream.of(new PermitMessage.Ask("edge-a", -7, Long.MIN_VALUE, 3, LIMIT, 330 * MILLI),
+				new PermitMessage.Ask("edge-a", 7, 5, 0, new LimitObservation(LimitObservation.UNLIMITED, NOW), 0,
+						Optional.of(new ColdNotice(12, 4500 * MILLI))),
 				new PermitMessage.Answer("edge-b", 7, new PermitDecision(true, 20 * MILLI, 900 * MILLI)),
 				new PermitMessage.Limits("",
 						Map.of(5L, LIMIT, 6L, new LimitObservation(LimitObservation.UNLIMITED, NOW))),
--- a/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
@@ -186,6 +186,25 @@
 		assertThat(soonest.permitWaitNanos()).isEqualTo(5 * SECOND);
 	}
 
+	// A cold server has to be spared; requests wait for a permit of a warm one instead.
+	@Test
+	void noRequestWaitsForAColdServerWhileThereIsAWarmOne() {
+		put("cold", "v1");
+		put("warm", "v1");
+		LimitedServers permits = new LimitedServers(this.servers, Map.of("cold", SECOND, "warm", 2 * SECOND));
+		permits.cold = "cold";
+		LowestLatencyBalancer limiting = new LowestLatencyBalancer(this.servers, new PrefillSpeed(), "a", permits,
+				() -> this.now, new SplittableRandom(5));
+		LoadBalancingRequest request = new LoadBalancingRequest("s", VersionGroup.ANY, "", 1, PromptSize.NONE, Set.of(),
+				5 * SECOND);
+		assertThat(limiting.choose(request).orElseThrow().server().entry().id()).isEqualTo("warm");
+		permits.limit("cold", 0);
+		SelectedServer atOnce = limiting.choose(request).orElseThrow();
+		assertThat(atOnce.server().entry().id()).isEqualTo("cold");
+		permits.limit("warm", 0);
+		assertThat(limiting.choose(request).orElseThrow().server().entry().id()).isEqualTo("warm");
+	}
+
 	/** Limited servers with the times from now of their next permits. */
 	private static final class LimitedServers implements RequestPermits {
 
@@ -198,6 +217,13 @@
 			this.earliest = new HashMap<>(earliest);
 		}
 
+		private String cold = "";
+
+		@Override
+		public long coldNanos(long server) {
+			return this.table.displayName(server).equals(this.cold) ? SECOND : 0;
+		}
+
 		private void limit(String server, long earliestNanos) {
 			this.earliest.put(server, earliestNanos);
 		}
