Choose servers by their speed where they report a slowdown

Servers that share their machines take up to several times as long as others, and the choice took no notice: load reports say nothing of speed and are mostly old, since one of many hosts uses a server every few seconds. ServerSpeed estimates for each server the factor by which work takes longer than usual, from the fourth figure of its load reports and, with a fifth of the weight, from times measured against those of the same work at the same version. It fades to 1 as it ages, so that a slow server is tried again.

For services with slowdown reports the balancer multiplies what waits and runs at a server and the request's prompt by that factor; plain services are compared by (load + 1) / slots times the usual duration, with the mean of the reports in place of an old one. Other services keep the former cost, which a test compares. The random sample stays.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -205,6 +205,10 @@
 			abort("response without signature, status " + responseStatus);
 			return;
 		}
+		if (this.verdict == ResponseVerdict.SUCCESS) {
+			this.exchange.latencies()
+				.headReceived(this.server, this.work, this.serverWasIdle, metadata.load(), millisSince(this.startedAt));
+		}
 		if (this.verdict == ResponseVerdict.SUCCESS && this.exchange.streaming()) {
 			startStream(metadata);
 		}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
 import io.sequoialink.gateway.fleet.ClientAccount;
+import io.sequoialink.gateway.place.ExpectedWork;
 import io.sequoialink.gateway.place.LoadBalancingRequest;
 import io.sequoialink.gateway.place.PromptSize;
 import io.sequoialink.gateway.place.ServerState;
@@ -73,7 +74,16 @@
 				: this.gateway.rollouts().targetShare(service());
 		PromptSize work = this.prompt.work(this.models.modelName().orElse(""));
 		return new LoadBalancingRequest(service(), versions, this.gateway.rollouts().targetVersion(service()), servers,
-				work, excluded, permitWaitNanos);
+				work, excluded, permitWaitNanos, expectedWork(work));
+	}
+
+	// Without a known duration the load balancing assumes one that is the same for all
+	// servers.
+	private ExpectedWork expectedWork(PromptSize work) {
+		if (work.inference()) {
+			return ExpectedWork.UNKNOWN;
+		}
+		return new ExpectedWork(this.gateway.latencyBaseline().typicalMillis(this.admission.route().name()).orElse(0));
 	}
 
 	private VersionGroup versions() {
@@ -96,10 +106,9 @@
 	 */
 	Optional<LoadBalancingRequest> withOldVersions(LoadBalancingRequest placement) {
 		boolean mayChange = placement.versionGroup() == VersionGroup.PREFER_TARGET && this.metadata.session().isEmpty();
-		return mayChange
-				? Optional.of(new LoadBalancingRequest(placement.service(), VersionGroup.PREFER_OLD, placement.target(),
-						placement.serverShare(), placement.prompt(), placement.tried(), placement.permitWaitNanos()))
-				: Optional.empty();
+		return mayChange ? Optional.of(new LoadBalancingRequest(placement.service(), VersionGroup.PREFER_OLD,
+				placement.target(), placement.serverShare(), placement.prompt(), placement.tried(),
+				placement.permitWaitNanos(), placement.expected())) : Optional.empty();
 	}
 
 	private String service() {
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
@@ -151,7 +151,7 @@
 		ServerState best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (ServerState state : sample(candidates, owner)) {
-			double cost = cost(state, request.prompt(), state == owner, now);
+			double cost = cost(state, request, state == owner, now);
 			if (cost < bestCost) {
 				bestCost = cost;
 				best = state;
@@ -254,7 +254,11 @@
 		return state.entry().zone().equals(this.zone);
 	}
 
-	private double cost(ServerState state, PromptSize work, boolean owner, long now) {
+	private double cost(ServerState state, LoadBalancingRequest request, boolean owner, long now) {
+		if (this.servers.reportsSlowdown(request.service())) {
+			return costBySpeed(state, request, owner, now);
+		}
+		PromptSize work = request.prompt();
 		double load = state.load(now, REPORT_MAX_AGE_NANOS);
 		int slots = Math.max(1, state.entry().slots());
 		double queueingMillis = Math.max(0, load + 1 - slots) / slots * FULL_SERVER_MILLIS;
@@ -268,6 +272,29 @@
 				+ prefillMillis(state, work, owner, now);
 	}
 
+	// What runs and waits at the server and the request itself take longer by the factor
+	// of the server's speed; the way to another zone does not.
+	private double costBySpeed(ServerState state, LoadBalancingRequest request, boolean owner, long now) {
+		double expectedMillis = request.prompt().inference() ? inferenceMillis(state, request.prompt(), owner, now)
+				: plainMillis(state, request.expected(), now);
+		double zoneMillis = inLocalZone(state) ? 0 : CROSS_ZONE_MILLIS;
+		return zoneMillis + state.entry().warmupMillis() / 10.0 + state.speed().factor(now) * expectedMillis;
+	}
+
+	private double inferenceMillis(ServerState state, PromptSize work, boolean owner, long now) {
+		double load = state.load(now, REPORT_MAX_AGE_NANOS);
+		int slots = Math.max(1, state.entry().slots());
+		return Math.max(0, load + 1 - slots) / slots * FULL_SERVER_MILLIS + load * RUNNING_REQUEST_MILLIS
+				+ state.pendingMillis() + state.queued(now, REPORT_MAX_AGE_NANOS) * QUEUED_REQUEST_MILLIS
+				+ prefillMillis(state, work, owner, now);
+	}
+
+	private static double plainMillis(ServerState state, ExpectedWork expected, long now) {
+		double usualMillis = (expected.usualMillis() > 0) ? expected.usualMillis() : FULL_SERVER_MILLIS;
+		int slots = Math.max(1, state.entry().slots());
+		return (state.expectedLoad(now, REPORT_MAX_AGE_NANOS) + 1) / slots * usualMillis;
+	}
+
 	private double prefillMillis(ServerState state, PromptSize work, boolean owner, long now) {
 		if (!work.inference()) {
 			return 0;
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
@@ -26,6 +26,9 @@
 
 	private static final int MAX_DOUBLINGS = 4;
 
+	/** Weight of a load report in the mean of the server's reports. */
+	private static final double REPORT_SMOOTHING = 0.2;
+
 	private static final int FAILURES_BEFORE_EJECTION = 2;
 
 	/**
@@ -60,10 +63,14 @@
 
 	private boolean reported;
 
+	private double meanLoad;
+
 	private OptionalInt slowdownPercent = OptionalInt.empty();
 
 	private long slowdownAt;
 
+	private final ServerSpeed speed = new ServerSpeed();
+
 	private int consecutiveFailures;
 
 	private long ejectedUntil;
@@ -217,6 +224,8 @@
 	public void report(int running, int waiting, long nowNanos) {
 		this.reportedRunning = running;
 		this.reportedQueued = waiting;
+		double smoothing = this.reported ? REPORT_SMOOTHING : 1;
+		this.meanLoad += smoothing * (running + waiting - this.meanLoad);
 		this.reportedAt = nowNanos;
 		this.reported = true;
 	}
@@ -229,6 +238,15 @@
 	public void reportSlowdown(int percent, long nowNanos) {
 		this.slowdownPercent = OptionalInt.of(percent);
 		this.slowdownAt = nowNanos;
+		this.speed.reported(percent, nowNanos);
+	}
+
+	/**
+	 * Returns how long work takes at the server.
+	 * @return the estimate, which is used for services with slowdown reports only
+	 */
+	public ServerSpeed speed() {
+		return this.speed;
 	}
 
 	/**
@@ -263,6 +281,24 @@
 		return Math.max(this.inFlight, weight * (this.reportedRunning + this.reportedQueued));
 	}
 
+	/**
+	 * Estimates the number of requests in the server's slots and queue, also long after
+	 * its last report.
+	 * @param nowNanos monotonic time in nanoseconds
+	 * @param maxAgeNanos age from which the mean of the reports counts instead of the
+	 * newest one
+	 * @return the number, at least that of this host's own attempts
+	 */
+	public double expectedLoad(long nowNanos, long maxAgeNanos) {
+		double newestWeight = reportWeight(nowNanos, maxAgeNanos);
+		int newest = this.reportedRunning + this.reportedQueued;
+		return Math.max(this.inFlight, newestWeight * newest + (1 - newestWeight) * this.meanLoad);
+	}
+
+	private double reportWeight(long nowNanos, long maxAgeNanos) {
+		return this.reported ? Math.max(0, 1 - (double) (nowNanos - this.reportedAt) / maxAgeNanos) : 0;
+	}
+
 	/**
 	 * Records a successful response, which ends the ejection and the series of
 	 * consecutive failures.
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
@@ -20,6 +20,9 @@
  */
 public final class ServerTable {
 
+	/** Factor of the usual time from which a server counts as slow. */
+	private static final double SLOW_FACTOR = 2;
+
 	private final FleetView view;
 
 	private final ServerNoticeTable notices;
@@ -180,6 +183,20 @@
 			.orElseGet(() -> Long.toHexString(incarnation));
 	}
 
+	/**
+	 * Returns the number of servers that this host avoids because they are slow.
+	 * @param nowNanos monotonic time in nanoseconds
+	 * @return number of servers of services with slowdown reports at which work takes at
+	 * least twice the usual time
+	 */
+	public int slowCount(long nowNanos) {
+		return (int) this.states.values()
+			.stream()
+			.filter((state) -> reportsSlowdown(state.entry().service()))
+			.filter((state) -> state.speed().factor(nowNanos) >= SLOW_FACTOR)
+			.count();
+	}
+
 	/**
 	 * Returns the number of registered servers that announced a shutdown.
 	 * @return number of servers
--- a/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
@@ -3,9 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -153,6 +155,25 @@
 			.map(SelectedServer::server);
 	}
 
+	// The state of a service without slowdown reports may hold measured times only, which
+	// must not change its choices.
+	@ParameterizedTest
+	@CsvSource({ "true", "false" })
+	void aSlowServerIsAvoidedOnlyIfItsServiceHasSlowdownReports(boolean reports) {
+		put("slow", "v1");
+		put("usual", "v1");
+		choose(VersionGroup.ANY, PromptSize.NONE, Set.of());
+		ServerState slow = this.servers.find("slow").orElseThrow();
+		slow.speed().measured(800, 100, this.now);
+		OptionalInt percent = reports ? OptionalInt.of(800) : OptionalInt.empty();
+		this.servers.loadReported(slow, 0, 0, percent, this.now);
+		this.servers.find("usual").orElseThrow().report(2, 0, this.now);
+		for (PromptSize work : List.of(PromptSize.NONE, new PromptSize("m", 0, 0, 500))) {
+			assertThat(choose(VersionGroup.ANY, work, Set.of()).orElseThrow().entry().id())
+				.isEqualTo(reports ? "usual" : "slow");
+		}
+	}
+
 	// A limit must not move requests, or sessions that are pinned, to another version.
 	@ParameterizedTest
 	@CsvSource({ "PREFER_TARGET, new", "PREFER_OLD, old", "OLD_ONLY, old" })
