Prefer model servers whose memory has room for the request

A request holds its prompt and its output in the memory of one engine, and when that runs out the server preempts requests and reads them in again. The choice looked at slots only. ServerMemory estimates what is held: running requests of the newest report, times the mean holding of this host's requests of the service, plus what this host has sent since; own requests only where a server reports no load. In services with slowdown reports and kv_tokens, a server without room costs more by the expected time until running requests have freed enough.

The need of a request is its uncached prompt and its expected output: the client's X-Sequoialink-Length-Hint, which is read from now on, or the mean of the route's complete streams, at most the stated maximum. It is limited to kv_tokens, because clients state the numbers.

The effect on preemptions in a fleet was not measured.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -66,6 +66,8 @@
 
 	private final AttemptLog log;
 
+	private final AttemptMemory memory;
+
 	private long headAt;
 
 	private OutboundRequest outbound;
@@ -97,6 +99,7 @@
 		this.startedAt = exchange.now();
 		this.notices = new ServerNotices(exchange.gateway(), this.server, exchange.id());
 		this.log = new AttemptLog(exchange, this.server, this.startedAt);
+		this.memory = new AttemptMemory(exchange.gateway(), placed, this.startedAt);
 		this.latency = exchange.latencies().check(this.server, work);
 		this.watch = new AttemptWatch(exchange, this.server, this.latency, this.startedAt, this);
 	}
@@ -106,6 +109,7 @@
 		this.serverWasIdle = this.server.pendingMillis() == 0;
 		double expectedMillis = this.server.pendingMillis() + this.workMillis;
 		this.server.attemptStarted(this.workMillis);
+		this.memory.started();
 		this.notices.sent();
 		this.watch.attemptStarted(expectedMillis, this.work);
 	}
@@ -388,6 +392,7 @@
 		}
 		else {
 			this.latency.streamEnded(this.events.events(), millisSince(this.headAt));
+			this.memory.completed(this.exchange.routeName(), this.events.events(), millisSince(this.startedAt));
 		}
 	}
 
@@ -509,6 +514,7 @@
 		this.partialEventBytes = 0;
 		markResponseStarted();
 		this.server.attemptEnded();
+		this.memory.ended();
 		this.exchange.gateway().permits().ended(this.server.incarnation());
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -80,10 +81,19 @@
 	// Without a known duration the load balancing assumes one that is the same for all
 	// servers.
 	private ExpectedWork expectedWork(PromptSize work) {
-		if (work.inference()) {
-			return ExpectedWork.UNKNOWN;
-		}
-		return new ExpectedWork(this.gateway.latencyBaseline().typicalMillis(this.admission.route().name()).orElse(0));
+		String route = this.admission.route().name();
+		return work.inference() ? new ExpectedWork(0, expectedOutputTokens(route))
+				: new ExpectedWork(this.gateway.latencyBaseline().typicalMillis(route).orElse(0), 0);
+	}
+
+	// The client's estimate, or else what the route's responses have on average; at most
+	// the stated maximum.
+	private double expectedOutputTokens(String route) {
+		double maximum = (this.metadata.outputTokens() > 0) ? this.metadata.outputTokens() : Double.MAX_VALUE;
+		OptionalDouble usual = this.gateway.servers().memoryUse().outputTokens(route);
+		double expected = this.metadata.lengthHint().isPresent() ? this.metadata.lengthHint().getAsInt()
+				: usual.orElse(this.metadata.outputTokens());
+		return Math.min(maximum, Math.max(0, expected));
 	}
 
 	private VersionGroup versions() {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestMetadata.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestMetadata.java
@@ -14,11 +14,12 @@
  * @param model model that the client asks for
  * @param promptTokens number of tokens of the prompt, 0 if not stated
  * @param outputTokens maximum number of tokens of the response, 0 if not stated
+ * @param lengthHint the client's estimate of the number of tokens of the response
  * @param prompt parts of the prompt, in the order in which they stand there
  * @param session session that the request belongs to
  * @param lastEvent id of the last event that the client received of an earlier response
  */
 public record RequestMetadata(Optional<String> id, Optional<String> key, OptionalInt deadlineMillis,
-		Optional<String> model, int promptTokens, int outputTokens, List<PromptPart> prompt, Optional<String> session,
-		Optional<String> lastEvent) {
+		Optional<String> model, int promptTokens, int outputTokens, OptionalInt lengthHint, List<PromptPart> prompt,
+		Optional<String> session, Optional<String> lastEvent) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/LowestLatencyBalancer.java
@@ -75,6 +75,12 @@
 	 */
 	private static final double OWNER_PREFILL_CREDIT = 0.5;
 
+	/**
+	 * Time for which a request is assumed to hold its memory before one is known, in
+	 * milliseconds.
+	 */
+	private static final double DEFAULT_HELD_MILLIS = 2000;
+
 	private final ServerTable servers;
 
 	private final PrefillSpeed prefill;
@@ -142,7 +148,7 @@
 
 	private SelectedServer select(ServerState state, LoadBalancingRequest request, boolean owner, long now) {
 		return new SelectedServer(state, prefillMillis(state, request.prompt(), owner, now),
-				Math.max(0, request.permitWaitNanos()));
+				Math.max(0, request.permitWaitNanos()), heldTokens(state, request, owner, now));
 	}
 
 	private SelectedServer chooseFastest(List<ServerState> candidates, LoadBalancingRequest request, long now) {
@@ -160,7 +166,8 @@
 		SelectedServer selected = select(best, request, best == owner, now);
 		boolean othersNeedNoPermit = this.permits.anyLimited()
 				&& candidates.stream().anyMatch((state) -> !this.permits.limited(state.incarnation()));
-		return othersNeedNoPermit ? new SelectedServer(best, selected.prefillMillis(), 0) : selected;
+		return othersNeedNoPermit ? new SelectedServer(best, selected.prefillMillis(), 0, selected.heldTokens())
+				: selected;
 	}
 
 	// Applies one filter after the other (version, not tried before, not ejected, not
@@ -275,18 +282,41 @@
 	// What runs and waits at the server and the request itself take longer by the factor
 	// of the server's speed; the way to another zone does not.
 	private double costBySpeed(ServerState state, LoadBalancingRequest request, boolean owner, long now) {
-		double expectedMillis = request.prompt().inference() ? inferenceMillis(state, request.prompt(), owner, now)
+		double expectedMillis = request.prompt().inference() ? inferenceMillis(state, request, owner, now)
 				: plainMillis(state, request.expected(), now);
 		double zoneMillis = inLocalZone(state) ? 0 : CROSS_ZONE_MILLIS;
 		return zoneMillis + state.entry().warmupMillis() / 10.0 + state.speed().factor(now) * expectedMillis;
 	}
 
-	private double inferenceMillis(ServerState state, PromptSize work, boolean owner, long now) {
+	private double inferenceMillis(ServerState state, LoadBalancingRequest request, boolean owner, long now) {
 		double load = state.load(now, REPORT_MAX_AGE_NANOS);
 		int slots = Math.max(1, state.entry().slots());
 		return Math.max(0, load + 1 - slots) / slots * FULL_SERVER_MILLIS + load * RUNNING_REQUEST_MILLIS
 				+ state.pendingMillis() + state.queued(now, REPORT_MAX_AGE_NANOS) * QUEUED_REQUEST_MILLIS
-				+ prefillMillis(state, work, owner, now);
+				+ prefillMillis(state, request.prompt(), owner, now) + memoryMillis(state, request, owner, now);
+	}
+
+	// A request that does not fit makes the server preempt others, so it is as if it had
+	// to wait until there is room.
+	private double memoryMillis(ServerState state, LoadBalancingRequest request, boolean owner, long now) {
+		long capacity = this.servers.cacheTokens(request.service());
+		if (capacity == 0) {
+			return 0;
+		}
+		MemoryUse use = this.servers.memoryUse();
+		double occupied = state.memory().occupiedTokens(use.heldTokens(request.service()), now);
+		return ServerMemory.millisUntilRoom(heldTokens(state, request, owner, now), capacity, occupied,
+				use.heldMillis(request.service()).orElse(DEFAULT_HELD_MILLIS));
+	}
+
+	// Both numbers of tokens are stated by the client, so they are limited to what a
+	// server can hold.
+	private double heldTokens(ServerState state, LoadBalancingRequest request, boolean owner, long now) {
+		if (!request.prompt().inference() || !this.servers.reportsSlowdown(request.service())) {
+			return 0;
+		}
+		double tokens = uncachedTokens(state, request.prompt(), owner, now) + request.expected().outputTokens();
+		return Math.min(this.servers.cacheTokens(request.service()), tokens);
 	}
 
 	private static double plainMillis(ServerState state, ExpectedWork expected, long now) {
@@ -296,9 +326,11 @@
 	}
 
 	private double prefillMillis(ServerState state, PromptSize work, boolean owner, long now) {
-		if (!work.inference()) {
-			return 0;
-		}
+		return work.inference() ? this.prefill.estimateMillis(work.model(), uncachedTokens(state, work, owner, now))
+				: 0;
+	}
+
+	private static double uncachedTokens(ServerState state, PromptSize work, boolean owner, long now) {
 		double shared = work.prefixTokens();
 		if (work.prefixHash() != 0 && state.likelyCached(work.prefixHash(), now - PREFIX_CACHE_NANOS)) {
 			shared = 0;
@@ -306,7 +338,7 @@
 		else if (owner) {
 			shared *= 1 - OWNER_PREFILL_CREDIT;
 		}
-		return this.prefill.estimateMillis(work.model(), shared + work.remainingTokens());
+		return shared + work.remainingTokens();
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerState.java
@@ -71,6 +71,8 @@
 
 	private final ServerSpeed speed = new ServerSpeed();
 
+	private final ServerMemory memory = new ServerMemory();
+
 	private int consecutiveFailures;
 
 	private long ejectedUntil;
@@ -228,6 +230,7 @@
 		this.meanLoad += smoothing * (running + waiting - this.meanLoad);
 		this.reportedAt = nowNanos;
 		this.reported = true;
+		this.memory.reported(running, nowNanos);
 	}
 
 	/**
@@ -241,6 +244,14 @@
 		this.speed.reported(percent, nowNanos);
 	}
 
+	/**
+	 * Returns what requests hold in the server's memory.
+	 * @return the estimate, which is used for services with slowdown reports only
+	 */
+	public ServerMemory memory() {
+		return this.memory;
+	}
+
 	/**
 	 * Returns how long work takes at the server.
 	 * @return the estimate, which is used for services with slowdown reports only
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import io.sequoialink.decision.observation.SharedServerNotices;
+import io.sequoialink.gateway.fleet.BackendService;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
 
@@ -33,6 +34,8 @@
 
 	private final Map<String, ServerState> states = new HashMap<>();
 
+	private final MemoryUse memoryUse = new MemoryUse();
+
 	private final Set<String> servicesWithSlowdown = new HashSet<>();
 
 	/**
@@ -102,6 +105,47 @@
 		return this.servicesWithSlowdown.contains(service);
 	}
 
+	/**
+	 * Returns what this host's requests need of the memory of engines.
+	 * @return the means
+	 */
+	public MemoryUse memoryUse() {
+		return this.memoryUse;
+	}
+
+	/**
+	 * Returns the size of the memory of each engine of a service.
+	 * @param service name of the service
+	 * @return tokens, 0 if the configuration states none
+	 */
+	public long cacheTokens(String service) {
+		return this.view.configuration()
+			.flatMap((known) -> known.service(service))
+			.map(BackendService::cacheTokens)
+			.orElse(0L);
+	}
+
+	/**
+	 * Returns the number of servers whose memory is full.
+	 * @param nowNanos monotonic time in nanoseconds
+	 * @return number of servers of services with slowdown reports that have no room for a
+	 * request of mean size, as this host estimates
+	 */
+	public int fullCount(long nowNanos) {
+		return (int) this.states.values()
+			.stream()
+			.filter((state) -> reportsSlowdown(state.entry().service()))
+			.filter((state) -> full(state, nowNanos))
+			.count();
+	}
+
+	private boolean full(ServerState state, long nowNanos) {
+		String service = state.entry().service();
+		double meanTokens = this.memoryUse.heldTokens(service);
+		long capacity = cacheTokens(service);
+		return capacity > 0 && state.memory().occupiedTokens(meanTokens, nowNanos) + meanTokens > capacity;
+	}
+
 	/**
 	 * Returns the usable servers of a service.
 	 * @param service name of the service
--- a/gateway/src/test/java/io/sequoialink/gateway/http/ServerNoticeTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ServerNoticeTests.java
@@ -1,7 +1,9 @@
 package io.sequoialink.gateway.http;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -78,6 +80,35 @@
 		}
 	}
 
+	// Memory that an ended request still held would make its server look full for good.
+	@ParameterizedTest
+	@ValueSource(strings = { "complete", "failed", "lost" })
+	void aRequestHoldsMemoryOfItsServerUntilItEnds(String end) throws Exception {
+		ScriptedServer.Script script = (call) -> {
+			if (end.equals("complete")) {
+				call.streamHead("slowdown: 100\r\n");
+				call.chunk("id: 1\ndata: d\n\n");
+				call.endChunks();
+			}
+			else if (end.equals("lost")) {
+				call.write("HTTP/1.1 500 X\r\nid: " + call.header("id")
+						+ "\r\nseal: s\r\nslowdown: 100\r\ncontent-length: 9\r\n\r\n");
+				call.close();
+			}
+			else {
+				call.respond(500, "seal: s\r\nslowdown: 100\r\n", "failed");
+			}
+		};
+		try (GatewayFixture fixture = GatewayFixture.withServers(script)) {
+			List<Double> held = new CopyOnWriteArrayList<>();
+			fixture.afterChoice((placed) -> held.add(placed.heldTokens()));
+			fixture.exchange("/stream/x", "model: m\r\nlength-hint: 70\r\n");
+			fixture.exchange("/stream/x", "model: m\r\nlength-hint: 70\r\n");
+			assertThat(held).startsWith(0.0).endsWith(70.0);
+			assertThat(fixture.table().find("s1").orElseThrow().memory().occupiedTokens(0, System.nanoTime())).isZero();
+		}
+	}
+
 	private static String leavingResponse(String id) {
 		return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nseal: s\r\nleaving: 1\r\ncontent-length: 1\r\n\r\nx";
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
@@ -24,7 +24,8 @@
 			}
 		});
 		return new RequestMetadata(text(headers, "id"), text(headers, "key"), number(headers, "deadline"),
-				text(headers, "model"), 0, 0, prompt, text(headers, "session"), text(headers, "last-event-id"));
+				text(headers, "model"), 0, 0, number(headers, "length-hint"), prompt, text(headers, "session"),
+				text(headers, "last-event-id"));
 	}
 
 	@Override
--- a/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/LowestLatencyBalancerTests.java
@@ -15,6 +15,9 @@
 import io.sequoialink.decision.limits.PermitDecision;
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
+import io.sequoialink.gateway.fleet.BackendService;
+import io.sequoialink.gateway.fleet.ClientLimits;
+import io.sequoialink.gateway.fleet.Configuration;
 import io.sequoialink.gateway.fleet.FleetView;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.permit.RequestPermits;
@@ -174,6 +177,30 @@
 		}
 	}
 
+	// Three running drafts fill the memory, although most slots are free.
+	@ParameterizedTest
+	@CsvSource({ "true, 4000, 12000, free", "true, 0, 12000, busy", "true, 4000, 200, busy", "false, 4000, 12000, busy",
+			"true, 2147483647, 12000, free" })
+	void aServerWithoutRoomInItsMemoryIsAvoidedByRequestsThatDoNotFit(boolean reports, double outputTokens, int tokens,
+			String expected) {
+		this.view.updateConfiguration(
+				new Configuration(1, List.of(), List.of(new BackendService("s", "/", 100, 45_000, List.of())),
+						List.of(), new ClientLimits(2048, 10_000, 400, 1500)));
+		put("busy", "v1");
+		put("free", "v1");
+		choose(VersionGroup.ANY, PromptSize.NONE, Set.of());
+		this.servers.memoryUse().sent("s", 11_000);
+		OptionalInt usual = reports ? OptionalInt.of(100) : OptionalInt.empty();
+		this.servers.loadReported(this.servers.find("busy").orElseThrow(), 3, 0, usual, this.now);
+		this.servers.find("free").orElseThrow().attemptStarted(100);
+		SelectedServer selected = this.balancer
+			.choose(new LoadBalancingRequest("s", VersionGroup.ANY, "", 1, new PromptSize("m", 0, 0, tokens), Set.of(),
+					0, new ExpectedWork(0, outputTokens)))
+			.orElseThrow();
+		assertThat(selected.server().entry().id()).isEqualTo(expected);
+		assertThat(selected.heldTokens()).isEqualTo(reports ? Math.min(45_000, tokens + outputTokens) : 0);
+	}
+
 	// A limit must not move requests, or sessions that are pinned, to another version.
 	@ParameterizedTest
 	@CsvSource({ "PREFER_TARGET, new", "PREFER_OLD, old", "OLD_ONLY, old" })
--- a/gateway/src/test/java/io/sequoialink/gateway/place/SpeedFleet.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/SpeedFleet.java
@@ -196,7 +196,7 @@
 			PromptSize prompt = stream ? new PromptSize("m", 0, 0, tokens) : PromptSize.NONE;
 			SelectedServer selected = this.choice
 				.choose(new LoadBalancingRequest("s", VersionGroup.ANY, "", 1, prompt, Set.of(), 0,
-						new ExpectedWork(this.baseline.typicalMillis("usual").orElse(0))))
+						new ExpectedWork(this.baseline.typicalMillis("usual").orElse(0), 0)))
 				.orElseThrow();
 			selected.server().attemptStarted(selected.prefillMillis());
 			Server server = SpeedFleet.this.servers.get(Integer.parseInt(selected.server().entry().id().substring(2)));
--- a/gateway/src/test/java/io/sequoialink/gateway/place/SpeedFleetTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/place/SpeedFleetTests.java
@@ -64,7 +64,7 @@
 		AtomicInteger next = new AtomicInteger(random.nextInt(1000));
 		return (request) -> {
 			List<ServerState> usable = table.usableServers(request.service());
-			return Optional.of(new SelectedServer(usable.get(next.getAndIncrement() % usable.size()), 0, 0));
+			return Optional.of(new SelectedServer(usable.get(next.getAndIncrement() % usable.size()), 0, 0, 0));
 		};
 	}
 
@@ -75,7 +75,7 @@
 			Collections.rotate(usable, random.nextInt(usable.size()));
 			return usable.stream()
 				.min(Comparator.comparingInt(ServerState::inFlight))
-				.map((state) -> new SelectedServer(state, 0, 0));
+				.map((state) -> new SelectedServer(state, 0, 0, 0));
 		};
 	}
 
