--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -67,6 +67,8 @@
 
 	private final AttemptLog log;
 
+	private final AttemptMemory memory;
+
 	private long headAt;
 
 	private OutboundRequest outbound;
@@ -98,6 +100,7 @@
 		this.startedAt = exchange.now();
 		this.notices = new ServerNotices(exchange.gateway(), this.server, exchange.id());
 		this.log = new AttemptLog(exchange, this.server, this.startedAt);
+		this.memory = new AttemptMemory(exchange.gateway(), placed, this.startedAt);
 		this.latency = exchange.latencies().check(this.server, work);
 		this.watch = new AttemptWatch(exchange, this.server, this.latency, this.startedAt, this);
 	}
@@ -107,6 +110,7 @@
 		this.serverWasIdle = this.server.pendingMillis() == 0;
 		double expectedMillis = this.server.pendingMillis() + this.workMillis;
 		this.server.attemptStarted(this.workMillis);
+		this.memory.started();
 		this.notices.sent();
 		this.watch.attemptStarted(expectedMillis, this.work);
 	}
@@ -208,6 +212,10 @@
 			abort("response without signature, status " + responseStatus);
 			return;
 		}
+		if (this.verdict == ResponseVerdict.SUCCESS) {
+			this.exchange.latencies()
+				.headReceived(this.server, this.work, this.serverWasIdle, metadata.load(), millisSince(this.startedAt));
+		}
 		if (this.verdict == ResponseVerdict.SUCCESS && this.exchange.streaming()) {
 			startStream(metadata);
 		}
@@ -387,6 +395,7 @@
 		}
 		else {
 			this.latency.streamEnded(this.events.events(), millisSince(this.headAt));
+			this.memory.completed(this.exchange.routeName(), this.events.events(), millisSince(this.startedAt));
 		}
 	}
 
@@ -509,6 +518,7 @@
 		this.partialEventBytes = 0;
 		markResponseStarted();
 		this.server.attemptEnded();
+		this.memory.ended();
 		this.exchange.gateway().permits().ended(this.server.incarnation());
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
 import io.sequoialink.gateway.fleet.ClientAccount;
+import io.sequoialink.gateway.place.ExpectedWork;
 import io.sequoialink.gateway.place.LoadBalancingRequest;
 import io.sequoialink.gateway.place.PromptSize;
 import io.sequoialink.gateway.place.ServerState;
@@ -73,7 +75,25 @@
 				: this.gateway.rollouts().targetShare(service());
 		PromptSize work = this.prompt.work(this.models.modelName().orElse(""));
 		return new LoadBalancingRequest(service(), versions, this.gateway.rollouts().targetVersion(service()), servers,
-				work, excluded, permitWaitNanos);
+				work, excluded, permitWaitNanos, expectedWork(work));
+	}
+
+	// Without a known duration the load balancing assumes one that is the same for all
+	// servers.
+	private ExpectedWork expectedWork(PromptSize work) {
+		String route = this.admission.route().name();
+		return work.inference() ? new ExpectedWork(0, expectedOutputTokens(route))
+				: new ExpectedWork(this.gateway.latencyBaseline().typicalMillis(route).orElse(0), 0);
+	}
+
+	// The client's estimate, or else what the route's responses have on average; at most
+	// the stated maximum.
+	private double expectedOutputTokens(String route) {
+		double maximum = (this.metadata.outputTokens() > 0) ? this.metadata.outputTokens() : Double.MAX_VALUE;
+		OptionalDouble usual = this.gateway.servers().memoryUse().outputTokens(route);
+		double expected = this.metadata.lengthHint().isPresent() ? this.metadata.lengthHint().getAsInt()
+				: usual.orElse(this.metadata.outputTokens());
+		return Math.min(maximum, Math.max(0, expected));
 	}
 
 	private VersionGroup versions() {
@@ -96,10 +116,9 @@
 	 */
 	Optional<LoadBalancingRequest> withOldVersions(LoadBalancingRequest placement) {
 		boolean mayChange = placement.versionGroup() == VersionGroup.PREFER_TARGET && this.metadata.session().isEmpty();
-		return mayChange
-				? Optional.of(new LoadBalancingRequest(placement.service(), VersionGroup.PREFER_OLD, placement.target(),
-						placement.serverShare(), placement.prompt(), placement.tried(), placement.permitWaitNanos()))
-				: Optional.empty();
+		return mayChange ? Optional.of(new LoadBalancingRequest(placement.service(), VersionGroup.PREFER_OLD,
+				placement.target(), placement.serverShare(), placement.prompt(), placement.tried(),
+				placement.permitWaitNanos(), placement.expected())) : Optional.empty();
 	}
 
 	private String service() {
