Decision on requests when a service is short of capacity

A host sees one or two requests a second of a service, and a full queue of the plain servers makes every answer late, so sending at once serves nearly nothing on time at 1.8 times the capacity. RoomPolicy sends, holds or rejects: urgent requests first, equally urgent ones by max-min fairness of accounts, chosen by random numbers that an account's requests share for 300 ms.

--- /dev/null
+++ b/decision/src/main/java/io/sequoialink/decision/limits/RoomDecision.java
@@ -0,0 +1,39 @@
+package io.sequoialink.decision.limits;
+
+/**
+ * Decision on one request whose service may be short of capacity. Immutable.
+ *
+ * @param kind what to do with the request
+ * @param waitMillis longest time for which to hold the request, in milliseconds; 0 unless
+ * the request is to be held
+ * @param reason inputs of the decision for the log
+ */
+public record RoomDecision(Kind kind, long waitMillis, String reason) {
+
+	/** What becomes of a request. */
+	public enum Kind {
+
+		/** The request is sent now. */
+		SEND,
+
+		/** The request is held and decided on again. */
+		HOLD,
+
+		/** The request is rejected as not run. */
+		REJECT
+
+	}
+
+	static RoomDecision send() {
+		return new RoomDecision(Kind.SEND, 0, "");
+	}
+
+	static RoomDecision hold(long millis, String reason) {
+		return new RoomDecision(Kind.HOLD, millis, reason);
+	}
+
+	static RoomDecision reject(String reason) {
+		return new RoomDecision(Kind.REJECT, 0, reason);
+	}
+
+}
--- /dev/null
+++ b/decision/src/test/java/io/sequoialink/decision/limits/RoomPolicyTests.java
@@ -0,0 +1,111 @@
+package io.sequoialink.decision.limits;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link RoomPolicy} with {@link ServiceRoom} and {@link AccountDemand}: fleets
+ * in simulated time, against the same fleets that send each request at once.
+ */
+class RoomPolicyTests {
+
+	private static final double SECONDS = 60;
+
+	/** Difference that chance makes between two shares of the requests of a run. */
+	private static final double TOLERANCE = 0.05;
+
+	private static final long SEED = 21;
+
+	// Guards against urgent requests that wait behind less urgent ones.
+	@ParameterizedTest
+	@CsvSource({ "plain,1.3", "plain,1.8", "plain,2.5", "models,1.3", "models,1.8", "models,2.5" })
+	void urgentRequestsAreServedFirst(String servers, double load) {
+		RoomFleet fleet = run(setting(servers, load, true));
+		RoomFleet today = run(setting(servers, load, false));
+		double[] served = { onTime(fleet, 0), onTime(fleet, 1), onTime(fleet, 2) };
+		assertThat(served[1]).isLessThan(served[0] + TOLERANCE);
+		assertThat(served[2]).isLessThan(served[1] + TOLERANCE);
+		assertThat(served[0]).isGreaterThan(onTime(today, 0) + 0.05);
+		assertThat(fleet.onTime((call) -> true)).isGreaterThan(today.onTime((call) -> true));
+		assertThat(fleet.rejected((call) -> call.kind.priority() == 2)).isLessThan(0.999);
+	}
+
+	// Guards against requests that are held until their time is over.
+	@ParameterizedTest
+	@ValueSource(strings = { "plain", "models" })
+	void whatCannotBeServedIsRejectedAtOnce(String servers) {
+		RoomFleet fleet = run(setting(servers, 2.5, true));
+		assertThat(fleet.rejected((call) -> true)).isGreaterThan(0.4);
+		assertThat(fleet.rejectionMillis()).isLessThan(60);
+	}
+
+	// Guards against restrictions where there is no shortage.
+	@ParameterizedTest
+	@CsvSource({ "plain,0.6", "plain,0.8", "models,0.6", "models,0.9" })
+	void whereEverythingFitsNothingIsRejectedOrHeld(String servers, double load) {
+		RoomFleet fleet = run(setting(servers, load, true));
+		RoomFleet today = run(setting(servers, load, false));
+		assertThat(fleet.rejected((call) -> true)).isLessThanOrEqualTo(today.rejected((call) -> true) + 0.001);
+		assertThat(fleet.held()).isZero();
+		assertThat(fleet.onTime((call) -> true)).isGreaterThanOrEqualTo(today.onTime((call) -> true) - 0.005);
+	}
+
+	// Guards against an account that takes the capacity of others.
+	@ParameterizedTest
+	@ValueSource(strings = { "plain", "models" })
+	void heavyAccountComesAfterOthers(String servers) {
+		RoomFleet fleet = run(setting(servers, 1, true).heavy(7.5));
+		RoomFleet today = run(setting(servers, 1, false).heavy(7.5));
+		double others = fleet.onTime((call) -> !call.account.equals(RoomFleet.HEAVY));
+		assertThat(others).isGreaterThan(fleet.onTime((call) -> call.account.equals(RoomFleet.HEAVY)) + 0.1);
+		assertThat(others).isGreaterThan(today.onTime((call) -> !call.account.equals(RoomFleet.HEAVY)) + 0.05);
+		RoomFleet fits = run(setting(servers, 0.75, true).heavy(7.5));
+		RoomFleet without = run(setting(servers, 0.75, true));
+		assertThat(fits.onTime((call) -> !call.account.equals(RoomFleet.HEAVY)))
+			.isGreaterThan(without.onTime((call) -> true) - TOLERANCE);
+	}
+
+	// Guards against callers that gain by retrying at once, also while hosts come and go.
+	@ParameterizedTest
+	@ValueSource(strings = { "plain", "models" })
+	void retryingAtOnceGainsNothing(String servers) {
+		RoomFleet fleet = run(setting(servers, 1.5, true).withUnrest());
+		assertThat(fleet.onTime((call) -> call.retries)).isLessThan(fleet.onTime((call) -> !call.retries) + TOLERANCE);
+	}
+
+	// Guards against figures that hold for one size of the fleet only.
+	@ParameterizedTest
+	@ValueSource(ints = { 8, 330 })
+	void otherNumbersOfHostsServeUrgentRequestsFirst(int hosts) {
+		RoomFleet fleet = run(setting("plain", 1.8, true).hosts(hosts));
+		assertThat(onTime(fleet, 0)).isGreaterThan(0.5).isGreaterThan(onTime(fleet, 1) - TOLERANCE);
+		assertThat(onTime(fleet, 1)).isGreaterThan(onTime(fleet, 2) - TOLERANCE);
+	}
+
+	// Guards against a rejection because of one report, which may be old.
+	@Test
+	void oneReportRejectsNothing() {
+		ServiceRoom room = new ServiceRoom();
+		room.reported(1, 6, 24, 6, 393, 0);
+		room.reported(1, 6, 24, 6, 393, 1_000_000_000L);
+		assertThat(room.share(1_000_000_000L)).isEqualTo(1);
+	}
+
+	private static RoomFleet.Setting setting(String servers, double load, boolean withPolicy) {
+		return servers.equals("plain") ? RoomFleet.Setting.plain(load, withPolicy)
+				: RoomFleet.Setting.models(load, withPolicy);
+	}
+
+	private static RoomFleet run(RoomFleet.Setting setting) {
+		return new RoomFleet(setting, SEED).run(SECONDS);
+	}
+
+	private static double onTime(RoomFleet fleet, int priority) {
+		return fleet.onTime((call) -> call.kind.priority() == priority);
+	}
+
+}
