Requests are held or rejected while their service is short of capacity

The new package gateway/admission keeps, for each service with slowdown reports, what RoomPolicy decides on: reports and rejections, the demand of accounts, and the held requests. The order of the checks before a send is a class of its own, SendCheck, asked for each send and before the bytes are written; a server that has just rejected a request is avoided. Returns of the rejected are spread by ReturnSchedule. It is not in force for any service until the lead wires the condition in EntryHost, so nothing changes there.

--- a/decision/src/main/java/io/sequoialink/decision/limits/RoomDecision.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/RoomDecision.java
@@ -24,7 +24,11 @@
 
 	}
 
-	static RoomDecision send() {
+	/**
+	 * Returns the decision to send a request.
+	 * @return the decision
+	 */
+	public static RoomDecision send() {
 		return new RoomDecision(Kind.SEND, 0, "");
 	}
 
@@ -32,7 +36,12 @@
 		return new RoomDecision(Kind.HOLD, millis, reason);
 	}
 
-	static RoomDecision reject(String reason) {
+	/**
+	 * Returns the decision to reject a request.
+	 * @param reason inputs of the decision for the log
+	 * @return the decision
+	 */
+	public static RoomDecision reject(String reason) {
 		return new RoomDecision(Kind.REJECT, 0, reason);
 	}
 
--- a/decision/src/main/java/io/sequoialink/decision/limits/ServiceRoom.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/ServiceRoom.java
@@ -90,6 +90,10 @@
 
 	private double workMillis = Double.NaN;
 
+	private boolean everRejected;
+
+	private long lastRejectedNanos;
+
 	/**
 	 * Records a load report.
 	 * @param server incarnation of the server
@@ -105,7 +109,7 @@
 		state.reported = true;
 		state.reportedNanos = nowNanos;
 		state.free = waiting == 0 && running < slots;
-		state.rejected &= waiting >= state.waiting;
+		state.rejected &= !state.free && waiting >= state.waiting;
 		state.waiting = waiting;
 		state.queuePerSlot = (double) waiting / slots;
 		if (targetMillis > 0) {
@@ -123,6 +127,8 @@
 		state.rejected = true;
 		state.rejectedNanos = nowNanos;
 		state.free = false;
+		this.everRejected = true;
+		this.lastRejectedNanos = nowNanos;
 		observe(MAX_RATIO, nowNanos);
 	}
 
@@ -196,6 +202,26 @@
 		return state != null && state.rejected && nowNanos - state.rejectedNanos < FULL_NANOS;
 	}
 
+	/**
+	 * Returns whether a server has become full since a given time.
+	 * @param server incarnation of the server
+	 * @param sinceNanos the time
+	 * @param nowNanos current time
+	 * @return whether it is full and rejected a request since
+	 */
+	public boolean fullSince(long server, long sinceNanos, long nowNanos) {
+		return full(server, nowNanos) && this.servers.get(server).rejectedNanos - sinceNanos > 0;
+	}
+
+	/**
+	 * Returns whether any server rejected a request a moment ago.
+	 * @param nowNanos current time
+	 * @return false if no server needs to be asked about
+	 */
+	public boolean anyFull(long nowNanos) {
+		return this.everRejected && nowNanos - this.lastRejectedNanos < FULL_NANOS;
+	}
+
 	boolean allFull(Collection<Long> usable, long nowNanos) {
 		return !usable.isEmpty() && usable.stream().allMatch((id) -> full(id, nowNanos));
 	}
--- a/entry/src/main/java/io/sequoialink/entry/EntryHost.java
+++ b/entry/src/main/java/io/sequoialink/entry/EntryHost.java
@@ -23,6 +23,7 @@
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.decision.retry.RetryBudget;
 import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.admission.AdmissionControl;
 import io.sequoialink.gateway.count.GatewayMetrics;
 import io.sequoialink.gateway.crash.CrashCoordinator;
 import io.sequoialink.gateway.crash.TraitCoordinator;
@@ -181,6 +182,8 @@
 
 	private final Optional<TunnelServer> tunnels;
 
+	private final AdmissionControl admission;
+
 	private final FrontendServer frontendServer;
 
 	private final CountDownLatch idle = new CountDownLatch(1);
@@ -260,6 +263,9 @@
 				new OtherServers(this.fleetView, random), this.counts.tunnels(), System::nanoTime);
 		this.tunnels = this.readForwarder
 			.map((forwarder) -> new TunnelServer(this.connector, this.fleetView, forwarder::isPeerAddress));
+		// to be replaced at the merge by whether the service's servers report slowdown
+		this.admission = new AdmissionControl((service) -> false, this.servers, this.counts.refusedForRoom(),
+				this::schedule, System::nanoTime, random);
 		this.frontendServer = new FrontendServer(gateway(gate, random));
 	}
 
@@ -314,7 +320,7 @@
 				new LowestLatencyBalancer(this.servers, speed, this.settings.zone(), this.slots, System::nanoTime,
 						random),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), this.latencyPressure, new RequestCostRatio(),
-				this.rollouts, speed, new LatencyBaseline(), this.slots, new ReturnSchedule(random),
+				this.rollouts, speed, new LatencyBaseline(), this.slots, new ReturnSchedule(random), this.admission,
 				new BackendPool(this.connector, headers, this.counts.unexpectedHeads()), headers, this.retryBudget,
 				this.crashes, this.traits, new ResponseBufferLimit(), this.counts, System::nanoTime);
 	}
@@ -403,6 +409,8 @@
 						() -> this.fleetView.servers().size()),
 				new MetricsPage.Gauge("sequoialink_client_connections", "Open connections of clients",
 						this.frontendServer::connections),
+				new MetricsPage.Gauge("sequoialink_requests_held", "Requests that wait for room at their service",
+						this.admission::held),
 				new MetricsPage.Gauge("sequoialink_requests_under_way", "Requests that wait for their answer",
 						this.frontendServer::activeRequests)));
 		gauges.addAll(new FleetGauges(this.servers, this.sharedNotices, this.serverLimits, this.slots, this.paths,
--- a/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
+++ b/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
@@ -61,6 +61,8 @@
 				this.counts.tunnels()));
 		metrics.add(counter("sequoialink_unexpected_heads", "Heads of servers' responses that no request took",
 				this.counts.unexpectedHeads()));
+		metrics.add(counter("sequoialink_requests_refused_for_room",
+				"Requests rejected because their service was short of capacity", this.counts.refusedForRoom()));
 		metrics.add(firstPartHistogram());
 		this.gauges.forEach((gauge) -> metrics.add(gauge.snapshot()));
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -252,6 +252,12 @@
 	 */
 	public static final String PEER_REMOVED = "SL-3505 host {} has not renewed its address for datagrams for three hours and is removed from the hosts that this one sends datagrams to";
 
+	/** A request was held because its service was short of capacity. */
+	public static final String HELD_FOR_ROOM = "SL-3631 request {} for service {}, account {}, priority {}, was held for {} ms: {}, newest report {} ms old; outcome: {}";
+
+	/** A request was rejected because its service is short of capacity. */
+	public static final String REFUSED_FOR_ROOM = "SL-3632 request {} for service {}, account {}, priority {}, is rejected as not run for lack of room, held for {} ms: {}, newest report {} ms old";
+
 	private GatewayEvents() {
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
@@ -16,10 +16,12 @@
  * @param tunnels number of connections to servers that other hosts were asked for, by
  * outcome
  * @param unexpectedHeads number of heads of responses that no request took, by reason
+ * @param refusedForRoom number of requests rejected because their service was short of
+ * capacity, by service and priority
  */
 public record GatewayMetrics(LabelledCounters requests, LabelledCounters attempts, DurationHistograms firstPartTimes,
 		LabelledCounters storeCalls, LabelledCounters forwardedReads, LabelledCounters permits,
-		LabelledCounters tunnels, LabelledCounters unexpectedHeads) {
+		LabelledCounters tunnels, LabelledCounters unexpectedHeads, LabelledCounters refusedForRoom) {
 
 	/**
 	 * Creates metrics that are all 0.
@@ -29,7 +31,7 @@
 				new LabelledCounters("service", "version", "outcome"), new DurationHistograms(),
 				new LabelledCounters("topic", "outcome"), new LabelledCounters("topic", "outcome"),
 				new LabelledCounters("server", "outcome"), new LabelledCounters("outcome"),
-				new LabelledCounters("reason"));
+				new LabelledCounters("reason"), new LabelledCounters("service", "priority"));
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -21,9 +21,6 @@
 	/** Maximum size of a response that is buffered until it is complete. */
 	private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
-	/** Time for which a permit may be used, in nanoseconds. */
-	private static final long PERMIT_LIFETIME_NANOS = 1_000_000_000L;
-
 	/**
 	 * Number of events after which the request counts as unable to crash its server.
 	 */
@@ -58,6 +55,8 @@
 
 	private boolean serverWasIdle;
 
+	private boolean queueWasEmpty;
+
 	private final LatencyCheck latency;
 
 	private final AttemptWatch watch;
@@ -167,14 +166,11 @@
 
 	@Override
 	public boolean mayWrite() {
-		return this.exchange.gateway().servers().stillUsable(this.server, this.startedAt) && !needsPermit();
+		return withheld().isEmpty();
 	}
 
-	// The limit may have become known while the connection was opened, and a permit is
-	// outdated if this host was suspended meanwhile.
-	private boolean needsPermit() {
-		boolean outdated = this.exchange.now() - this.startedAt > PERMIT_LIFETIME_NANOS;
-		return (!this.permitted || outdated) && this.exchange.gateway().permits().limited(this.server.incarnation());
+	private Optional<SendCheck.Withheld> withheld() {
+		return this.exchange.check().withheld(this.server, this.startedAt, this.permitted);
 	}
 
 	@Override
@@ -199,7 +195,7 @@
 		this.server.bytesReceived(this.headAt);
 		markResponseStarted();
 		this.notices.record(responseStatus, metadata, this.startedAt);
-		metadata.load().ifPresent((load) -> this.server.report(load.running(), load.waiting(), this.exchange.now()));
+		metadata.load().ifPresent(this::recordLoad);
 		this.verdict = ResponseVerdict.of(responseStatus, responseHeaders, metadata);
 		if (this.verdict == ResponseVerdict.NONE) {
 			abort("response without signature, status " + responseStatus);
@@ -213,6 +209,14 @@
 		}
 	}
 
+	private void recordLoad(ServerLoad load) {
+		this.server.report(load.running(), load.waiting(), this.exchange.now());
+		this.queueWasEmpty = load.waiting() == 0;
+		this.exchange.gateway()
+			.admission()
+			.reported(this.server, load.running(), load.waiting(), load.slots(), this.exchange.targetLatencyMillis());
+	}
+
 	private void startStream(ResponseMetadata metadata) {
 		this.continuation = this.exchange.forwarding().stream().part();
 		if (this.continuation.filter((part) -> !part.isSameKind(this.status, this.headers)).isPresent()) {
@@ -379,6 +383,11 @@
 	}
 
 	private void recordLatency() {
+		if (this.queueWasEmpty || this.events != null) {
+			this.exchange.gateway()
+				.admission()
+				.worked(this.server, millisSince((this.events != null) ? this.headAt : this.startedAt));
+		}
 		if (this.events == null) {
 			this.latency.responseEnded(millisSince(this.startedAt));
 		}
@@ -396,8 +405,10 @@
 		finish();
 		dropBuffers();
 		logFailedEnd(describe(failure));
-		if (failure == AttemptFailure.NOT_SENT && needsPermit()) {
-			this.exchange.withheld(this.server);
+		Optional<SendCheck.Withheld> withheld = (failure == AttemptFailure.NOT_SENT) ? withheld() : Optional.empty();
+		if (withheld.filter((why) -> why != SendCheck.Withheld.UNUSABLE).isPresent()) {
+			this.exchange.withheld(this.server, (withheld.get() == SendCheck.Withheld.FULL) ? "has just become full"
+					: "takes a limited number of requests");
 			return;
 		}
 		if (failure == AttemptFailure.NOT_SENT) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -1,11 +1,9 @@
 package io.sequoialink.gateway.http;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.Future;
-import java.util.concurrent.ThreadLocalRandom;
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.sequoialink.gateway.fleet.ClientAccount;
@@ -13,8 +11,6 @@
 import io.sequoialink.gateway.flow.Executed;
 import io.sequoialink.gateway.flow.NextStep;
 import io.sequoialink.gateway.flow.RequestFlow;
-import io.sequoialink.gateway.place.LoadBalancer;
-import io.sequoialink.gateway.place.LoadBalancingRequest;
 import io.sequoialink.gateway.place.PromptSize;
 import io.sequoialink.gateway.place.SelectedServer;
 import io.sequoialink.gateway.place.ServerState;
@@ -25,12 +21,6 @@
  */
 final class Exchange {
 
-	/**
-	 * Minimum time until the deadline for another attempt, in milliseconds; with less,
-	 * the response would come too late.
-	 */
-	private static final long MIN_ATTEMPT_MILLIS = 30;
-
 	/** Minimum time until the deadline for asking a larger model, in milliseconds. */
 	private static final long MIN_ESCALATION_MILLIS = 800;
 
@@ -76,7 +66,7 @@
 
 	private CrashingRequestCheck crashCheck;
 
-	private final StreamPatience patience = new StreamPatience();
+	private SendCheck check;
 
 	private long retryAfterMillis = LocalResponse.DEFAULT_RETRY_MILLIS;
 
@@ -144,6 +134,8 @@
 		this.forwarding = new ResponseForwarding(this, this.client, this.flow, this.crashCheck, this.modelChoice,
 				this.dispatcher, this.metadata.lastEvent().isPresent());
 		this.permits = new PermitAcquisition(this.gateway, this.admission, this.metadata, this::schedule);
+		this.check = new SendCheck(this.gateway, this.admission, id(), this.dispatcher, this.crashCheck, this.permits,
+				this.flow, this::remainingMillis);
 	}
 
 	private Route route() {
@@ -159,51 +151,37 @@
 	}
 
 	private void send() {
-		if (remainingMillis() < MIN_ATTEMPT_MILLIS) {
-			this.reason = "too little time left";
-			perform(this.flow.noServerAvailable());
-			return;
+		SendDecision decision = this.check.decide();
+		if (decision instanceof SendDecision.Send ready) {
+			sendOrAcquirePermit(ready);
 		}
-		if (this.crashCheck.blocked() && this.crashCheck.awaitsTrial(remainingMillis() - MIN_ATTEMPT_MILLIS)) {
-			schedule(this::sendUnlessEnded, CrashingRequestCheck.TRIAL_WAIT_MILLIS);
-			return;
+		else if (decision instanceof SendDecision.Hold hold) {
+			this.check.hold(hold.room(), this::sendUnlessEnded);
 		}
-		if (this.crashCheck.blocked()) {
-			this.reason = this.crashCheck.reason();
-			this.retryAfterMillis = this.crashCheck.retryAfterMillis();
-			perform(this.flow.noServerAvailable());
-			return;
+		else if (decision instanceof SendDecision.DecideLater later) {
+			schedule(this::sendUnlessEnded, later.millis());
 		}
-		LoadBalancingRequest placement = this.dispatcher
-			.loadBalancingRequest(this.permits.waitNanos(remainingMillis()));
-		LoadBalancer balancer = this.gateway.loadBalancer();
-		Optional<SelectedServer> placed = balancer.choose(placement)
-			.or(() -> this.dispatcher.withOldVersions(placement).flatMap(balancer::choose));
-		if (placed.isEmpty() && streamWaits()) {
-			schedule(this::sendUnlessEnded, StreamPatience.STEP_MILLIS);
-			return;
-		}
-		if (placed.isEmpty()) {
-			this.reason = "no server of " + service() + " for versions " + placement.versionGroup();
-			noteBackoff();
-			this.permits.rejection(now()).ifPresent((rejection) -> {
-				this.reason += ", " + rejection.reason();
-				this.retryAfterMillis = rejection.retryAfterMillis();
-			});
+		else if (decision instanceof SendDecision.Reject rejection) {
+			this.reason = rejection.reason();
+			this.retryAfterMillis = rejection.retryAfterMillis();
 			perform(this.flow.noServerAvailable());
-			return;
 		}
-		if (this.permits.needed(placed.get())) {
-			acquirePermit(placed.get(), placement.prompt());
-			return;
-		}
-		send(placed.get(), placement.prompt());
 	}
 
-	private void acquirePermit(SelectedServer placed, PromptSize work) {
-		this.permits.acquire(placed, () -> {
-			if (mayStillSend()) {
-				send(placed, work, true);
+	private void sendOrAcquirePermit(SendDecision.Send ready) {
+		if (!ready.needsPermit()) {
+			send(ready.placed(), ready.work(), false);
+			return;
+		}
+		this.permits.acquire(ready.placed(), () -> {
+			if (this.flow.done()) {
+				return;
+			}
+			if (this.check.stillPermitted()) {
+				send(ready.placed(), ready.work(), true);
+			}
+			else {
+				send();
 			}
 		}, this::sendUnlessEnded);
 	}
@@ -214,25 +192,12 @@
 		}
 	}
 
-	// The request may have ended while it waited for a permit.
-	private boolean mayStillSend() {
-		if (this.flow.done()) {
-			return false;
-		}
-		if (remainingMillis() < MIN_ATTEMPT_MILLIS || this.crashCheck.blocked()) {
-			send();
-			return false;
-		}
-		return true;
-	}
-
-	// Adds a random delay, so that clients do not all return at the moment when the
-	// first server accepts requests again.
-	private void noteBackoff() {
-		this.gateway.servers().backoffMillis(service()).ifPresent((millis) -> {
-			this.reason += ", the first requested back-off ends in " + millis + " ms";
-			this.retryAfterMillis = LocalResponse.withJitter(millis, ThreadLocalRandom.current().nextDouble());
-		});
+	/**
+	 * Returns what decides whether the request may be sent.
+	 * @return the check of this request
+	 */
+	SendCheck check() {
+		return this.check;
 	}
 
 	/**
@@ -252,10 +217,6 @@
 		}
 	}
 
-	private void send(SelectedServer placed, PromptSize work) {
-		send(placed, work, false);
-	}
-
 	private void send(SelectedServer placed, PromptSize work, boolean permitted) {
 		ServerState server = placed.server();
 		this.flow.attemptStarted();
@@ -315,13 +276,14 @@
 	}
 
 	/**
-	 * An attempt was not sent, because its server has named a limit since it was chosen.
-	 * The server may be chosen again, with a permit.
+	 * An attempt was not sent, because its server has named a limit or become full since
+	 * it was chosen. The server may be chosen again.
 	 * @param server the server
+	 * @param cause reason for the log
 	 */
-	void withheld(ServerState server) {
+	void withheld(ServerState server, String cause) {
 		this.dispatcher.withheld(server);
-		replaceAttempt("server " + server.entry().id() + " takes a limited number of requests", true);
+		replaceAttempt("server " + server.entry().id() + ' ' + cause, true);
 	}
 
 	/**
@@ -336,9 +298,8 @@
 	private void replaceAttempt(String cause, boolean serverLeft) {
 		this.reason = cause;
 		long sinceReceipt = (now() - this.request.receivedNanos()) / NANOS_PER_MILLI;
-		boolean tryAnother = this.flow.mayReplaceAttempt(sinceReceipt) && remainingMillis() >= MIN_ATTEMPT_MILLIS
-				&& serverLeft;
-		if (!tryAnother && streamWaits()) {
+		boolean tryAnother = this.flow.mayReplaceAttempt(sinceReceipt) && this.check.timeLeft() && serverLeft;
+		if (!tryAnother && this.check.streamWaits()) {
 			this.flow.connectFailed();
 			schedule(this::sendUnlessEnded, StreamPatience.STEP_MILLIS);
 			return;
@@ -346,12 +307,6 @@
 		perform(tryAnother ? this.flow.connectFailed() : this.flow.notExecuted(tryConsumeRetry()));
 	}
 
-	// Whether a stream that the client has a part of waits for a server that is reached.
-	private boolean streamWaits() {
-		return this.flow.clientHasPart() && remainingMillis() >= MIN_ATTEMPT_MILLIS + StreamPatience.STEP_MILLIS
-				&& this.patience.waits(now());
-	}
-
 	/**
 	 * An attempt ended without a complete response.
 	 * @param cause reason for the log
@@ -360,7 +315,7 @@
 		this.reason = cause;
 		// an answer may have been refused for what came before it on its connection
 		this.needsNewConnection = true;
-		this.patience.brokenOff(now());
+		this.check.brokenOff();
 		perform(this.flow.brokeOff(route().retryable() && !this.crashCheck.crashLimitReached()
 				&& !this.crashCheck.traits().permanentlyBlocked() && tryConsumeRetry()));
 	}
@@ -371,7 +326,7 @@
 	 * @return whether the request may be sent again
 	 */
 	boolean mayAbandonSilentServer() {
-		return route().retryable() && this.flow.attemptsLeft() && remainingMillis() >= MIN_ATTEMPT_MILLIS
+		return route().retryable() && this.flow.attemptsLeft() && this.check.timeLeft()
 				&& this.gateway.retryBudget().allowsRetry(service(), now()) && this.dispatcher.hasUntriedServer();
 	}
 
@@ -396,7 +351,7 @@
 	}
 
 	private boolean tryConsumeRetry() {
-		if (!this.flow.attemptsLeft() || remainingMillis() < MIN_ATTEMPT_MILLIS) {
+		if (!this.flow.attemptsLeft() || !this.check.timeLeft()) {
 			return false;
 		}
 		boolean withinBudget = this.gateway.retryBudget().tryAcquireRetry(service(), now());
@@ -523,6 +478,9 @@
 			this.attempt.cancel();
 			this.dispatcher.refreshSession(this.attempt.server());
 		}
+		if (this.check != null) {
+			this.check.ended();
+		}
 		releaseFailure();
 		this.request.release();
 		Executed ran = (this.flow != null) ? this.flow.executed() : Executed.NO;
@@ -586,6 +544,10 @@
 		return route().name();
 	}
 
+	int targetLatencyMillis() {
+		return route().targetLatencyMillis();
+	}
+
 	boolean streaming() {
 		return route().streaming();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/GatewayContext.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/GatewayContext.java
@@ -6,6 +6,7 @@
 import io.sequoialink.decision.limits.LatencyPressure;
 import io.sequoialink.decision.limits.RequestCostRatio;
 import io.sequoialink.decision.retry.RetryBudget;
+import io.sequoialink.gateway.admission.AdmissionControl;
 import io.sequoialink.gateway.count.GatewayMetrics;
 import io.sequoialink.gateway.crash.CrashCoordinator;
 import io.sequoialink.gateway.crash.TraitCoordinator;
@@ -39,6 +40,7 @@
  * @param permits permits for servers that take a limited number of requests from all
  * hosts together
  * @param returns spreads the returns of requests rejected because of such limits
+ * @param admission decides on requests while a service is short of capacity
  * @param pool connections to backend servers
  * @param headerMapping reads and writes the metadata of requests and responses, such as
  * the request's identifier, in their headers
@@ -53,7 +55,7 @@
 public record GatewayContext(StartupGate startupGate, FleetView view, ServerTable servers, LoadBalancer loadBalancer,
 		ConfidenceCascade cascade, LatencyPressure latencyPressure, RequestCostRatio costRatio,
 		RolloutCoordinator rollouts, PrefillSpeed prefillSpeed, LatencyBaseline latencyBaseline, RequestPermits permits,
-		ReturnSchedule returns, BackendPool pool, HeaderMapping headerMapping, RetryBudget retryBudget,
-		CrashCoordinator crashCoordinator, TraitCoordinator traitCoordinator, ResponseBufferLimit responseBuffers,
-		GatewayMetrics metrics, LongSupplier clock) {
+		ReturnSchedule returns, AdmissionControl admission, BackendPool pool, HeaderMapping headerMapping,
+		RetryBudget retryBudget, CrashCoordinator crashCoordinator, TraitCoordinator traitCoordinator,
+		ResponseBufferLimit responseBuffers, GatewayMetrics metrics, LongSupplier clock) {
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
@@ -61,10 +61,15 @@
 	 * @param permitWaitNanos longest wait for a permit of a limited server, in
 	 * nanoseconds
 	 * @return service, permitted versions and prompt size of the request, and the servers
-	 * tried already
+	 * tried already or known to be full
 	 */
 	LoadBalancingRequest loadBalancingRequest(long permitWaitNanos) {
-		return loadBalancingRequest(this.tried, permitWaitNanos);
+		Set<String> full = this.gateway.admission().fullServers(service());
+		if (full.isEmpty()) {
+			return loadBalancingRequest(this.tried, permitWaitNanos);
+		}
+		full.addAll(this.tried);
+		return loadBalancingRequest(full, permitWaitNanos);
 	}
 
 	private LoadBalancingRequest loadBalancingRequest(Set<String> excluded, long permitWaitNanos) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
@@ -56,6 +56,7 @@
 		}
 		if (backoffRequested && metadata.notExecuted() && metadata.notice().backoffMillis().isEmpty()) {
 			this.gateway.permits().turnedAway(this.server.incarnation());
+			this.gateway.admission().rejected(this.server);
 		}
 		if (metadata.signed() || metadata.notExecuted()) {
 			this.gateway.permits().heard(this.server.entry(), metadata.bearableRejections(), sentNanos);
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -16,6 +16,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,6 +29,7 @@
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.decision.retry.RetryBudget;
+import io.sequoialink.gateway.admission.AdmissionControl;
 import io.sequoialink.gateway.count.GatewayMetrics;
 import io.sequoialink.gateway.crash.CrashCoordinator;
 import io.sequoialink.gateway.crash.CulpritRecord;
@@ -124,6 +126,8 @@
 			}, (work, millis) -> this.loops.schedule(work, millis, TimeUnit.MILLISECONDS), this.counts.permits(),
 			Long::toHexString, System::nanoTime, new SplittableRandom(4));
 
+	private final Set<String> restricted = ConcurrentHashMap.newKeySet();
+
 	private final ResponseBufferLimit responseBuffers = new ResponseBufferLimit();
 
 	private final LatencyBaseline latencyBaseline = new LatencyBaseline();
@@ -164,6 +168,9 @@
 						new SplittableRandom(1))),
 				new ConfidenceCascade(ConfidenceCascade.Options.DEFAULT), new LatencyPressure(), new RequestCostRatio(),
 				this.rollouts, speed, this.latencyBaseline, this.permits, new ReturnSchedule(new SplittableRandom(2)),
+				new AdmissionControl(this.restricted::contains, this.table, this.counts.refusedForRoom(),
+						(work, millis) -> this.loops.schedule(work, millis, TimeUnit.MILLISECONDS), System::nanoTime,
+						new SplittableRandom(10)),
 				new BackendPool(connector(), headerMapping, this.counts.unexpectedHeads()), headerMapping,
 				new RetryBudget(1, 100, TimeUnit.SECONDS.toNanos(10)), this.crashCoordinator, this.traitCoordinator,
 				this.responseBuffers, this.counts, System::nanoTime);
@@ -251,6 +258,13 @@
 		this.helperCutOff = cut;
 	}
 
+	/**
+	 * Puts the admission control in force.
+	 */
+	void restrictService() {
+		this.restricted.add("svc");
+	}
+
 	ServicePaths paths() {
 		return this.paths;
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
@@ -40,7 +40,7 @@
 	@Override
 	public ResponseMetadata readResponse(HttpHeaders headers) {
 		return new ResponseMetadata(text(headers, "id"), Optional.ofNullable(headers.get("seal")),
-				headers.contains("not-run"), Optional.empty(), number(headers, "confidence"),
+				headers.contains("not-run"), load(headers), number(headers, "confidence"),
 				new ResponseNotice("1".equals(headers.get("leaving")),
 						number(headers, "spare").stream().asLongStream().findFirst()),
 				headers.contains("limit") ? NamedLimit.of(Double.parseDouble(headers.get("limit"))) : NamedLimit.ABSENT,
@@ -67,4 +67,11 @@
 		return (text != null) ? OptionalInt.of(Integer.parseInt(text)) : OptionalInt.empty();
 	}
 
+	private static Optional<ServerLoad> load(HttpHeaders headers) {
+		return Optional.ofNullable(headers.get("load"))
+			.map((text) -> text.split(","))
+			.map((part) -> new ServerLoad(Integer.parseInt(part[0]), Integer.parseInt(part[1]),
+					Integer.parseInt(part[2])));
+	}
+
 }
