--- a/decision/src/main/java/io/sequoialink/decision/limits/RoomPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/RoomPolicy.java
@@ -27,8 +27,8 @@
 
 	/**
 	 * Multiple of the mean rate of the accounts up to which an account's requests count
-	 * by their urgency. More than 1, because an account sends one host a request every few
-	 * seconds, so its rate there varies by chance.
+	 * by their urgency. More than 1, because an account sends one host a request every
+	 * few seconds, so its rate there varies by chance.
 	 */
 	static final double MAX_ACCOUNT_SHARE = 1.3;
 
