Merge: admission when capacity is short

Hosts now send a part, urgent and equal shares of accounts first, hold for a moment, or reject at once; the order of checks before a send is one class (SendCheck), also asked before the bytes are written. In force for services with slowdown reports.

--- a/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
+++ b/entry/src/main/java/io/sequoialink/entry/MetricsPage.java
@@ -63,6 +63,8 @@
 				this.counts.unexpectedHeads()));
 		metrics.add(counter("sequoialink_load_reports_ignored", "Malformed load reports of backend servers",
 				this.counts.ignoredLoadReports()));
+		metrics.add(counter("sequoialink_requests_refused_for_room",
+				"Requests rejected because their service was short of capacity", this.counts.refusedForRoom()));
 		metrics.add(firstPartHistogram());
 		this.gauges.forEach((gauge) -> metrics.add(gauge.snapshot()));
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/GatewayEvents.java
@@ -275,6 +275,12 @@
 	/** The store's older copy has the record of an evacuation that has ended. */
 	public static final String EVACUATION_NOT_REVIVED = "SL-3604 zone {} is not evacuated again by its record at offset {} of era {}, which the store's older copy has: its evacuation has ended";
 
+	/** A request was held because its service was short of capacity. */
+	public static final String HELD_FOR_ROOM = "SL-3631 request {} for service {}, account {}, priority {}, was held for {} ms: {}, newest report {} ms old; outcome: {}";
+
+	/** A request was rejected because its service is short of capacity. */
+	public static final String REFUSED_FOR_ROOM = "SL-3632 request {} for service {}, account {}, priority {}, is rejected as not run for lack of room, held for {} ms: {}, newest report {} ms old";
+
 	private GatewayEvents() {
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/count/GatewayMetrics.java
@@ -17,10 +17,13 @@
  * outcome
  * @param unexpectedHeads number of heads of responses that no request took, by reason
  * @param ignoredLoadReports number of malformed load reports of servers, by service
+ * @param refusedForRoom number of requests rejected because their service was short of
+ * capacity, by service and priority
  */
 public record GatewayMetrics(LabelledCounters requests, LabelledCounters attempts, DurationHistograms firstPartTimes,
 		LabelledCounters storeCalls, LabelledCounters forwardedReads, LabelledCounters permits,
-		LabelledCounters tunnels, LabelledCounters unexpectedHeads, LabelledCounters ignoredLoadReports) {
+		LabelledCounters tunnels, LabelledCounters unexpectedHeads, LabelledCounters ignoredLoadReports,
+		LabelledCounters refusedForRoom) {
 
 	/**
 	 * Creates metrics that are all 0.
@@ -30,7 +33,8 @@
 				new LabelledCounters("service", "version", "outcome"), new DurationHistograms(),
 				new LabelledCounters("topic", "outcome"), new LabelledCounters("topic", "outcome"),
 				new LabelledCounters("server", "outcome"), new LabelledCounters("outcome"),
-				new LabelledCounters("reason"), new LabelledCounters("service"));
+				new LabelledCounters("reason"), new LabelledCounters("service"),
+				new LabelledCounters("service", "priority"));
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sequoialink.decision.crash.Involvement;
-import io.sequoialink.gateway.permit.RequestPermits;
 import io.sequoialink.gateway.place.PromptSize;
 import io.sequoialink.gateway.place.SelectedServer;
 import io.sequoialink.gateway.place.ServerState;
@@ -22,9 +21,6 @@
 	/** Maximum size of a response that is buffered until it is complete. */
 	private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
-	/** Time for which a permit may be used, in nanoseconds. */
-	private static final long PERMIT_LIFETIME_NANOS = 1_000_000_000L;
-
 	/**
 	 * Number of events after which the request counts as unable to crash its server.
 	 */
@@ -59,6 +55,8 @@
 
 	private boolean serverWasIdle;
 
+	private boolean queueWasEmpty;
+
 	private final LatencyCheck latency;
 
 	private final AttemptWatch watch;
@@ -172,16 +170,11 @@
 
 	@Override
 	public boolean mayWrite() {
-		return this.exchange.gateway().servers().stillUsable(this.server, this.startedAt) && !needsPermit();
+		return withheld().isEmpty();
 	}
 
-	// The limit may have become known while the connection was opened; a permit is
-	// outdated if this host was suspended meanwhile or the server has turned cold.
-	private boolean needsPermit() {
-		RequestPermits permits = this.exchange.gateway().permits();
-		boolean outdated = this.exchange.now() - this.startedAt > PERMIT_LIFETIME_NANOS
-				|| permits.turnedColdSince(this.server.incarnation(), this.startedAt);
-		return (!this.permitted || outdated) && permits.limited(this.server.incarnation());
+	private Optional<SendCheck.Withheld> withheld() {
+		return this.exchange.check().withheld(this.server, this.startedAt, this.permitted);
 	}
 
 	@Override
@@ -207,6 +200,7 @@
 		markResponseStarted();
 		this.notices.record(responseStatus, metadata, this.startedAt);
 		this.notices.recordLoad(responseStatus, metadata, this.headAt);
+		metadata.load().ifPresent(this::recordLoad);
 		this.verdict = ResponseVerdict.of(responseStatus, responseHeaders, metadata);
 		if (this.verdict == ResponseVerdict.NONE) {
 			abort("response without signature, status " + responseStatus);
@@ -224,6 +218,13 @@
 		}
 	}
 
+	private void recordLoad(ServerLoad load) {
+		this.queueWasEmpty = load.waiting() == 0;
+		this.exchange.gateway()
+			.admission()
+			.reported(this.server, load.running(), load.waiting(), load.slots(), this.exchange.targetLatencyMillis());
+	}
+
 	private void startStream(ResponseMetadata metadata) {
 		this.continuation = this.exchange.forwarding().stream().part();
 		if (this.continuation.filter((part) -> !part.isSameKind(this.status, this.headers)).isPresent()) {
@@ -390,6 +391,11 @@
 	}
 
 	private void recordLatency() {
+		if (this.queueWasEmpty || this.events != null) {
+			this.exchange.gateway()
+				.admission()
+				.worked(this.server, millisSince((this.events != null) ? this.headAt : this.startedAt));
+		}
 		if (this.events == null) {
 			this.latency.responseEnded(millisSince(this.startedAt));
 		}
@@ -408,8 +414,10 @@
 		finish();
 		dropBuffers();
 		logFailedEnd(describe(failure));
-		if (failure == AttemptFailure.NOT_SENT && needsPermit()) {
-			this.exchange.withheld(this.server);
+		Optional<SendCheck.Withheld> withheld = (failure == AttemptFailure.NOT_SENT) ? withheld() : Optional.empty();
+		if (withheld.filter((why) -> why != SendCheck.Withheld.UNUSABLE).isPresent()) {
+			this.exchange.withheld(this.server, (withheld.get() == SendCheck.Withheld.FULL) ? "has just become full"
+					: "takes a limited number of requests");
 			return;
 		}
 		if (failure == AttemptFailure.NOT_SENT) {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/TestHeaderMapping.java
@@ -60,12 +60,6 @@
 		return "/ready";
 	}
 
-	private static Optional<ServerLoad> load(HttpHeaders headers) {
-		return number(headers, "slowdown").stream()
-			.mapToObj((percent) -> new ServerLoad(1, 0, 8, OptionalInt.of(percent)))
-			.findFirst();
-	}
-
 	private static Optional<String> text(HttpHeaders headers, String name) {
 		return Optional.ofNullable(headers.get(name));
 	}
@@ -75,4 +69,13 @@
 		return (text != null) ? OptionalInt.of(Integer.parseInt(text)) : OptionalInt.empty();
 	}
 
+	private static Optional<ServerLoad> load(HttpHeaders headers) {
+		OptionalInt slowdown = number(headers, "slowdown");
+		Optional<String> stated = text(headers, "load")
+			.or(() -> slowdown.isPresent() ? Optional.of("1,0,8") : Optional.empty());
+		return stated.map((text) -> text.split(","))
+			.map((part) -> new ServerLoad(Integer.parseInt(part[0]), Integer.parseInt(part[1]),
+					Integer.parseInt(part[2]), slowdown));
+	}
+
 }
