Answers of a host to HEAD name no length

A client of the tests that reads as many bytes as a length says waits for the idle time-out, as the host's own answers to HEAD have no body any more; the length of what a GET request would get is optional and is now left out.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -359,7 +359,9 @@
 				HttpResponseStatus.valueOf(status), data);
 		response.headers().set(headers);
 		response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-		if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH) || data.isReadable()) {
+		// the length of what a GET request would get is not known
+		boolean bodyless = this.headRequest && !data.isReadable();
+		if (!bodyless && (!headers.contains(HttpHeaderNames.CONTENT_LENGTH) || data.isReadable())) {
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, data.readableBytes());
 		}
 		setConnection(response.headers());
@@ -383,7 +385,6 @@
 			this.gateway.headerMapping().writeLocalResponse(headers, id);
 		}
 		ByteBuf body = Unpooled.copiedBuffer(response.reason(), StandardCharsets.US_ASCII);
-		headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		// a body would be read as the beginning of the next response
 		sendResponse(response.status(), headers, this.headRequest ? Unpooled.EMPTY_BUFFER : body);
 	}
@@ -455,6 +456,7 @@
 	private void responseSent() {
 		this.exchange = null;
 		this.share.clearHead();
+		this.headRequest = false;
 		this.incompleteSince = 0;
 		this.lastActive = System.nanoTime();
 		if (!this.keepAlive || this.server.draining()) {
