--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -55,6 +55,12 @@
 	 */
 	private static final int LINGER_MILLIS = 500;
 
+	/**
+	 * Time after which a response of which the client reads nothing is cut, as a multiple
+	 * of the idle timeout: a client may pause for longer than that and read on.
+	 */
+	private static final int UNREAD_IDLE_TIMES = 4;
+
 	private final GatewayContext gateway;
 
 	private final FrontendServer server;
@@ -517,7 +523,7 @@
 	}
 
 	private void closeIfUnread(long now, long idleMillis) {
-		if (now - this.lastWritten > idleMillis * 1_000_000L) {
+		if (now - this.lastWritten > UNREAD_IDLE_TIMES * idleMillis * 1_000_000L) {
 			this.channel.close();
 		}
 	}
