--- a/decision/src/main/java/io/sequoialink/decision/limits/AccountDemand.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/AccountDemand.java
@@ -13,8 +13,8 @@
 public final class AccountDemand {
 
 	/**
-	 * Time constant of the decaying rates, in seconds. An account sends a host a request
-	 * every few seconds, so shorter ones would show chance.
+	 * Time constant of the decaying rates, in seconds; long compared to the time between
+	 * two requests of an account.
 	 */
 	private static final double MEAN_SECONDS = 30;
 
--- a/decision/src/main/java/io/sequoialink/decision/limits/RoomDecision.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/CapacityDecision.java
@@ -6,9 +6,9 @@
  * @param kind what to do with the request
  * @param waitMillis longest time for which to hold the request, in milliseconds; 0 unless
  * the request is to be held
- * @param reason inputs of the decision for the log
+ * @param reason text for the log
  */
-public record RoomDecision(Kind kind, long waitMillis, String reason) {
+public record CapacityDecision(Kind kind, long waitMillis, String reason) {
 
 	/** What becomes of a request. */
 	public enum Kind {
@@ -28,12 +28,12 @@
 	 * Returns the decision to send a request.
 	 * @return the decision
 	 */
-	public static RoomDecision send() {
-		return new RoomDecision(Kind.SEND, 0, "");
+	public static CapacityDecision send() {
+		return new CapacityDecision(Kind.SEND, 0, "");
 	}
 
-	static RoomDecision hold(long millis, String reason) {
-		return new RoomDecision(Kind.HOLD, millis, reason);
+	static CapacityDecision hold(long millis, String reason) {
+		return new CapacityDecision(Kind.HOLD, millis, reason);
 	}
 
 	/**
@@ -41,8 +41,8 @@
 	 * @param reason inputs of the decision for the log
 	 * @return the decision
 	 */
-	public static RoomDecision reject(String reason) {
-		return new RoomDecision(Kind.REJECT, 0, reason);
+	public static CapacityDecision reject(String reason) {
+		return new CapacityDecision(Kind.REJECT, 0, reason);
 	}
 
 }
--- a/decision/src/main/java/io/sequoialink/decision/limits/RoomPolicy.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/CapacityPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Decides what to do with a request whose service may be short of capacity: send it, hold
@@ -12,16 +13,17 @@
  * Capacity goes to the most urgent requests first and among equally urgent ones to the
  * accounts by max-min fairness. What an account asks for beyond its fair share of all
  * capacity and {@link #MAX_ACCOUNT_SHARE} times the mean of all accounts comes after
- * everything else, however urgent, and is lent room by the mean share of half a minute.
- * Requests are chosen by a random number, so that hosts with equal knowledge do not act
- * alike. Invariants: nothing is held or rejected while most servers report free slots and
- * empty queues, or while nothing is known of them; at least {@link #MIN_FRACTION} of the
- * requests of each account and priority is sent.
+ * everything else, however urgent, and is sent only as far as the mean capacity of the
+ * last half minute leaves some. Requests are chosen by a random number, so that hosts
+ * with equal knowledge do not act alike. Invariants: nothing is held or rejected while
+ * most servers report free slots and empty queues, or while nothing is known of them; the
+ * fair shares alone reject no more than 1 - {@link #MIN_FRACTION} of the requests of each
+ * account and priority.
  */
-public final class RoomPolicy {
+public final class CapacityPolicy {
 
 	/**
-	 * Part of a request's target latency for which it is held without an outlook.
+	 * Longest hold, as a fraction (1/n) of the request's target latency.
 	 */
 	static final int HOLD_DIVISOR = 8;
 
@@ -40,7 +42,7 @@
 
 	private static final long DEFAULT_HOLD_MILLIS = 50;
 
-	private RoomPolicy() {
+	private CapacityPolicy() {
 	}
 
 	/**
@@ -51,37 +53,41 @@
 	 * @param nowNanos current monotonic time in nanoseconds
 	 * @return the decision
 	 */
-	public static RoomDecision decide(ServiceRoom room, AccountDemand demand, RoomRequest request, long nowNanos) {
+	public static CapacityDecision decide(ServiceCapacity room, AccountDemand demand, CapacityRequest request,
+			long nowNanos) {
 		if (room.mostlyFree(request.servers(), nowNanos)) {
-			return RoomDecision.send();
+			return CapacityDecision.send();
 		}
 		double share = room.share(nowNanos);
 		double lendingShare = room.lendingShare(nowNanos);
 		if (lendingShare < FULL_SHARE) {
 			double fraction = fraction(share, lendingShare, demand, request, nowNanos);
 			if (demand.draw(request.account(), request.priority()) >= fraction) {
-				return RoomDecision.reject(String.format("room for %.2f of all and %.2f of its kind", share, fraction));
+				return CapacityDecision
+					.reject(String.format("room for %.2f of all and %.2f of its kind", share, fraction));
 			}
 			double queueMillis = room.shortestQueueMillis(request.servers(), request.targetMillis(), nowNanos);
 			if (queueMillis > request.remainingMillis()) {
-				return RoomDecision
+				return CapacityDecision
 					.reject(String.format("queues of %.0f ms or more, longer than is left", queueMillis));
 			}
 		}
 		if (!room.allFull(request.servers(), nowNanos)) {
-			return RoomDecision.send();
+			return CapacityDecision.send();
 		}
 		long left = Math.min(request.remainingMillis(), maxHoldMillis(request) - request.heldMillis());
-		return (left > 0) ? RoomDecision.hold(left, "all servers rejected requests just now")
-				: RoomDecision.reject("all servers rejected requests just now, held " + request.heldMillis() + " ms");
+		long untilRoom = Math.max(1, TimeUnit.NANOSECONDS.toMillis(room.fullNanos(request.servers(), nowNanos)));
+		return (left > 0) ? CapacityDecision.hold(Math.min(left, untilRoom), "all servers rejected requests just now")
+				: CapacityDecision
+					.reject("all servers rejected requests just now, held " + request.heldMillis() + " ms");
 	}
 
-	private static long maxHoldMillis(RoomRequest request) {
+	private static long maxHoldMillis(CapacityRequest request) {
 		return (request.targetMillis() > 0) ? request.targetMillis() / HOLD_DIVISOR : DEFAULT_HOLD_MILLIS;
 	}
 
 	// Returns the part of the requests of the request's account and priority to send.
-	private static double fraction(double share, double lendingShare, AccountDemand demand, RoomRequest request,
+	private static double fraction(double share, double lendingShare, AccountDemand demand, CapacityRequest request,
 			long nowNanos) {
 		Map<Integer, Map<String, Double>> offered = demand.perSecond(nowNanos);
 		Map<String, Double> totals = new HashMap<>();
--- a/decision/src/main/java/io/sequoialink/decision/limits/RoomRequest.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/CapacityRequest.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 
 /**
- * A request on which {@link RoomPolicy} decides. Immutable.
+ * A request on which {@link CapacityPolicy} decides. Immutable.
  *
  * @param account client account, empty if it is not known
  * @param priority priority, 0 for the most urgent requests
@@ -12,6 +12,6 @@
  * @param heldMillis time for which it has been held already, in milliseconds
  * @param servers incarnations of the usable servers of its service
  */
-public record RoomRequest(String account, int priority, long targetMillis, long remainingMillis, long heldMillis,
+public record CapacityRequest(String account, int priority, long targetMillis, long remainingMillis, long heldMillis,
 		Collection<Long> servers) {
 }
--- a/decision/src/main/java/io/sequoialink/decision/limits/ServiceRoom.java
+++ b/decision/src/main/java/io/sequoialink/decision/limits/ServiceCapacity.java
@@ -11,28 +11,25 @@
  * time. Times are monotonic nanoseconds of an injected clock. Confined to one thread.
  *
  * <p>
- * A host hears from a service only once or twice a second, and a queue fills within a
- * third of that, so no report says what a server does now. The share therefore depends on
- * the mean of the reported queues over some seconds, as a ratio to the queue that is
- * wanted. All hosts see the same queues, so their shares stay close to each other without
- * messages; a share that each host raised and lowered on its own would drift apart.
+ * Reports are too rare to show a server's present queue, so the share depends on the mean
+ * of the reported queues over some seconds, as a ratio to the queue that is wanted. All
+ * hosts see the same queues, so their shares agree without messages.
+ *
+ * <p>
  * Invariants: one report or rejection has a weight of at most {@link #MAX_WEIGHT} and
  * counts as at most {@link #MAX_RATIO}, so none by itself takes a host that knew of no
  * queues to a share below 1; without news the share returns to 1.
  */
-public final class ServiceRoom {
+public final class ServiceCapacity {
 
 	/**
-	 * Part of a request's target latency that it is wanted to spend in a server's queue;
-	 * the rest is left for its own work and for queues that grow before a host hears of
-	 * it. With 0.5, an eighth of the urgent requests to plain servers came too late.
+	 * Part of a request's target latency that it may spend in a server's queue; the rest
+	 * is for its processing and for queues that grow before the host learns of it.
 	 */
 	private static final double QUEUE_SHARE = 0.25;
 
 	/**
-	 * Negative exponent with which the share depends on the ratio of the mean queue to
-	 * the wanted one. With 2, a load of 2.5 times the capacity holds the queue at 1.6
-	 * times the wanted one.
+	 * Exponent by which the share falls as the mean queue exceeds the wanted one.
 	 */
 	private static final double STEEPNESS = 2;
 
@@ -169,13 +166,12 @@
 	 * @return share, 1 if nothing is known of a shortage
 	 */
 	public double share(long nowNanos) {
-		return share(meanRatio(nowNanos));
+		return shareAt(meanRatio(nowNanos));
 	}
 
 	/**
-	 * Returns the smaller of the share and its mean over half a minute. Room beyond the
-	 * fair shares is lent by this; lending all that a momentary rise of the share leaves
-	 * served 10 in 100 more requests of a heavy account and 3 in 100 fewer of the others.
+	 * Returns the smaller of the share and its mean over half a minute, so that a
+	 * momentary rise of the share is not lent to accounts beyond their fair share.
 	 * @param nowNanos current time
 	 * @return share, 1 if nothing is known of a shortage
 	 */
@@ -184,7 +180,7 @@
 		return known ? Math.min(share(nowNanos), this.steadyShare) : 1;
 	}
 
-	private static double share(double ratio) {
+	private static double shareAt(double ratio) {
 		return Math.max(MIN_SHARE, Math.min(1, Math.pow(ratio, -STEEPNESS)));
 	}
 
--- a/decision/src/test/java/io/sequoialink/decision/limits/RoomFleet.java
+++ b/decision/src/test/java/io/sequoialink/decision/limits/CapacityFleet.java
@@ -12,9 +12,9 @@
 /**
  * Hosts in front of the servers of one service, in simulated time. Hosts know only what
  * stands in the responses that they got. A host sends at once to the server with the
- * lowest estimate, as without {@link RoomPolicy}, or asks it before.
+ * lowest estimate, as without {@link CapacityPolicy}, or asks it before.
  */
-final class RoomFleet {
+final class CapacityFleet {
 
 	static final String HEAVY = "account-0";
 
@@ -44,7 +44,7 @@
 
 	private long sequence;
 
-	RoomFleet(Setting setting, long seed) {
+	CapacityFleet(Setting setting, long seed) {
 		this.setting = setting;
 		this.random = new SplittableRandom(seed);
 		this.servers = IntStream.range(0, setting.servers).mapToObj(Server::new).toList();
@@ -52,7 +52,7 @@
 	}
 
 	/** Runs the fleet, ignores the time before 15 s, and returns itself. */
-	RoomFleet run(double seconds) {
+	CapacityFleet run(double seconds) {
 		double workPerCall = this.setting.kinds.stream().mapToDouble((kind) -> kind.share * kind.workMillis).sum();
 		double capacity = this.setting.servers * this.setting.slots / workPerCall;
 		double perMilli = this.setting.load * capacity * (1 + (this.setting.heavyFactor - 1) / ACCOUNTS);
@@ -153,38 +153,38 @@
 		private double heldSince = Double.NaN;
 
 		private Call() {
-			this.startMillis = RoomFleet.this.now;
-			this.kind = draw(RoomFleet.this.random.nextDouble());
-			Setting set = RoomFleet.this.setting;
+			this.startMillis = CapacityFleet.this.now;
+			this.kind = draw(CapacityFleet.this.random.nextDouble());
+			Setting set = CapacityFleet.this.setting;
 			double weights = ACCOUNTS - 1 + set.heavyFactor;
-			double drawn = RoomFleet.this.random.nextDouble() * weights - set.heavyFactor;
+			double drawn = CapacityFleet.this.random.nextDouble() * weights - set.heavyFactor;
 			this.account = (drawn < 0) ? HEAVY : "account-" + (1 + (int) drawn);
-			this.retries = set.restless && RoomFleet.this.random.nextInt(3) == 0;
-			this.leaves = set.restless && RoomFleet.this.random.nextInt(5) == 0;
-			RoomFleet.this.calls.add(this);
+			this.retries = set.restless && CapacityFleet.this.random.nextInt(3) == 0;
+			this.leaves = set.restless && CapacityFleet.this.random.nextInt(5) == 0;
+			CapacityFleet.this.calls.add(this);
 			if (this.leaves) {
-				at(RoomFleet.this.random.nextDouble() * this.kind.targetMillis, () -> this.left = true);
+				at(CapacityFleet.this.random.nextDouble() * this.kind.targetMillis, () -> this.left = true);
 			}
 		}
 
 		private Kind draw(double value) {
 			double rest = value;
-			for (Kind candidate : RoomFleet.this.setting.kinds) {
+			for (Kind candidate : CapacityFleet.this.setting.kinds) {
 				rest -= candidate.share;
 				if (rest < 0) {
 					return candidate;
 				}
 			}
-			return RoomFleet.this.setting.kinds.get(0);
+			return CapacityFleet.this.setting.kinds.get(0);
 		}
 
 		private void submit() {
 			this.submissions++;
 			// One in six requests may be sent to three servers, the others to one.
-			this.attempts = (RoomFleet.this.random.nextInt(6) == 0) ? 3 : 1;
+			this.attempts = (CapacityFleet.this.random.nextInt(6) == 0) ? 3 : 1;
 			if (this.host == null) {
-				List<Host> live = RoomFleet.this.hosts.stream().filter((candidate) -> candidate.up).toList();
-				this.host = live.get(RoomFleet.this.random.nextInt(live.size()));
+				List<Host> live = CapacityFleet.this.hosts.stream().filter((candidate) -> candidate.up).toList();
+				this.host = live.get(CapacityFleet.this.random.nextInt(live.size()));
 			}
 			this.host.arrived(this);
 		}
@@ -197,7 +197,7 @@
 				at(NETWORK_MILLIS, this::submit);
 				return;
 			}
-			this.rejectedMillis = RoomFleet.this.now;
+			this.rejectedMillis = CapacityFleet.this.now;
 		}
 
 	}
@@ -207,7 +207,7 @@
 
 		private boolean up = true;
 
-		private ServiceRoom room;
+		private ServiceCapacity room;
 
 		private AccountDemand demand;
 
@@ -225,8 +225,8 @@
 		}
 
 		private void reset() {
-			int count = RoomFleet.this.servers.size();
-			this.room = new ServiceRoom();
+			int count = CapacityFleet.this.servers.size();
+			this.room = new ServiceCapacity();
 			this.demand = new AccountDemand();
 			this.inFlight = new int[count];
 			this.reported = new int[count];
@@ -236,19 +236,19 @@
 		}
 
 		private void arrived(Call call) {
-			this.demand.arrived(call.account, call.kind.priority, RoomFleet.this.random.nextDouble(), nanos());
+			this.demand.arrived(call.account, call.kind.priority, CapacityFleet.this.random.nextDouble(), nanos());
 			decide(call);
 		}
 
 		private void decide(Call call) {
-			if (!RoomFleet.this.setting.withPolicy) {
+			if (!CapacityFleet.this.setting.withPolicy) {
 				send(call);
 				return;
 			}
-			List<Long> usable = RoomFleet.this.servers.stream().map((server) -> (long) server.index).toList();
-			double remaining = call.startMillis + call.kind.deadlineMillis - RoomFleet.this.now;
-			double heldFor = Double.isNaN(call.heldSince) ? 0 : RoomFleet.this.now - call.heldSince;
-			RoomDecision decision = RoomPolicy.decide(this.room, this.demand, new RoomRequest(call.account,
+			List<Long> usable = CapacityFleet.this.servers.stream().map((server) -> (long) server.index).toList();
+			double remaining = call.startMillis + call.kind.deadlineMillis - CapacityFleet.this.now;
+			double heldFor = Double.isNaN(call.heldSince) ? 0 : CapacityFleet.this.now - call.heldSince;
+			CapacityDecision decision = CapacityPolicy.decide(this.room, this.demand, new CapacityRequest(call.account,
 					call.kind.priority, (long) call.kind.targetMillis, (long) remaining, (long) heldFor, usable),
 					nanos());
 			switch (decision.kind()) {
@@ -260,7 +260,7 @@
 
 		private void hold(Call call, long millis) {
 			call.held = true;
-			call.heldSince = Double.isNaN(call.heldSince) ? RoomFleet.this.now : call.heldSince;
+			call.heldSince = Double.isNaN(call.heldSince) ? CapacityFleet.this.now : call.heldSince;
 			this.heldCalls.add(call);
 			at(millis, () -> {
 				if (this.heldCalls.remove(call) && !call.left) {
@@ -282,31 +282,31 @@
 			call.heldSince = Double.NaN;
 			int best = IntStream.range(0, Math.min(SAMPLE, this.inFlight.length))
 				.map((drawn) -> (this.inFlight.length <= SAMPLE) ? drawn
-						: RoomFleet.this.random.nextInt(this.inFlight.length))
+						: CapacityFleet.this.random.nextInt(this.inFlight.length))
 				.boxed()
-				.min(Comparator.comparingDouble(
-						(index) -> load(index) + (full(index) ? 1000 : 0) + 1e-6 * RoomFleet.this.random.nextDouble()))
+				.min(Comparator.comparingDouble((index) -> load(index) + (full(index) ? 1000 : 0)
+						+ 1e-6 * CapacityFleet.this.random.nextDouble()))
 				.orElseThrow();
 			this.inFlight[best]++;
 			AccountDemand sender = this.demand;
-			at(NETWORK_MILLIS, () -> RoomFleet.this.servers.get(best)
+			at(NETWORK_MILLIS, () -> CapacityFleet.this.servers.get(best)
 				.submit(new Work(call, this, sender, () -> !call.left && this.demand == sender)));
 		}
 
 		private boolean full(int index) {
-			return RoomFleet.this.setting.withPolicy && this.room.full(index, nanos());
+			return CapacityFleet.this.setting.withPolicy && this.room.full(index, nanos());
 		}
 
 		private double load(int index) {
-			double age = RoomFleet.this.now - this.reportedMillis[index];
+			double age = CapacityFleet.this.now - this.reportedMillis[index];
 			double weight = (this.reportedMillis[index] > 0) ? Math.max(0, 1 - age / REPORT_MAX_AGE_MILLIS) : 0;
 			return Math.max(this.inFlight[index], weight * this.reported[index]);
 		}
 
 		private void heard(Server server, Kind kind) {
 			this.reported[server.index] = server.running + server.queue.size();
-			this.reportedMillis[server.index] = RoomFleet.this.now;
-			this.room.reported(server.index, server.running, server.queue.size(), RoomFleet.this.setting.slots,
+			this.reportedMillis[server.index] = CapacityFleet.this.now;
+			this.room.reported(server.index, server.running, server.queue.size(), CapacityFleet.this.setting.slots,
 					(long) kind.targetMillis, nanos());
 			if (!this.heldCalls.isEmpty()) {
 				wake();
@@ -338,10 +338,10 @@
 		}
 
 		private void submit(Work work) {
-			if (this.running < RoomFleet.this.setting.slots) {
+			if (this.running < CapacityFleet.this.setting.slots) {
 				begin(work);
 			}
-			else if (this.queue.size() < RoomFleet.this.setting.queue) {
+			else if (this.queue.size() < CapacityFleet.this.setting.queue) {
 				this.queue.add(work);
 				if (work.call.kind.stream) {
 					this.queue.sort(Comparator.comparingInt((queued) -> queued.call.kind.priority));
@@ -369,7 +369,7 @@
 
 		private void begin(Work work) {
 			this.running++;
-			double millis = work.call.kind.workMillis * (0.8 + 0.4 * RoomFleet.this.random.nextDouble());
+			double millis = work.call.kind.workMillis * (0.8 + 0.4 * CapacityFleet.this.random.nextDouble());
 			at(millis, () -> {
 				this.running--;
 				this.queue.removeIf((queued) -> !queued.wanted.getAsBoolean());
@@ -389,7 +389,7 @@
 			work.host.room.worked(millis);
 			work.host.heard(this, work.call.kind);
 			if (!work.call.left) {
-				work.call.servedMillis = RoomFleet.this.now;
+				work.call.servedMillis = CapacityFleet.this.now;
 			}
 		}
 
--- a/decision/src/test/java/io/sequoialink/decision/limits/RoomPolicyTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/limits/CapacityPolicyTests.java
@@ -8,10 +8,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of {@link RoomPolicy} with {@link ServiceRoom} and {@link AccountDemand}: fleets
- * in simulated time, against the same fleets that send each request at once.
+ * Tests of {@link CapacityPolicy} with {@link ServiceCapacity} and {@link AccountDemand}:
+ * fleets in simulated time, against the same fleets that send each request at once.
  */
-class RoomPolicyTests {
+class CapacityPolicyTests {
 
 	private static final double SECONDS = 60;
 
@@ -24,8 +24,8 @@
 	@ParameterizedTest
 	@CsvSource({ "plain,1.3", "plain,1.8", "plain,2.5", "models,1.3", "models,1.8", "models,2.5" })
 	void urgentRequestsAreServedFirst(String servers, double load) {
-		RoomFleet fleet = run(setting(servers, load, true));
-		RoomFleet today = run(setting(servers, load, false));
+		CapacityFleet fleet = run(setting(servers, load, true));
+		CapacityFleet today = run(setting(servers, load, false));
 		double[] served = { onTime(fleet, 0), onTime(fleet, 1), onTime(fleet, 2) };
 		assertThat(served[1]).isLessThan(served[0] + TOLERANCE);
 		assertThat(served[2]).isLessThan(served[1] + TOLERANCE);
@@ -38,7 +38,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "plain", "models" })
 	void whatCannotBeServedIsRejectedAtOnce(String servers) {
-		RoomFleet fleet = run(setting(servers, 2.5, true));
+		CapacityFleet fleet = run(setting(servers, 2.5, true));
 		assertThat(fleet.rejected((call) -> true)).isGreaterThan(0.4);
 		assertThat(fleet.rejectionMillis()).isLessThan(60);
 	}
@@ -47,8 +47,8 @@
 	@ParameterizedTest
 	@CsvSource({ "plain,0.6", "plain,0.8", "models,0.6", "models,0.9" })
 	void whereEverythingFitsNothingIsRejectedOrHeld(String servers, double load) {
-		RoomFleet fleet = run(setting(servers, load, true));
-		RoomFleet today = run(setting(servers, load, false));
+		CapacityFleet fleet = run(setting(servers, load, true));
+		CapacityFleet today = run(setting(servers, load, false));
 		assertThat(fleet.rejected((call) -> true)).isLessThanOrEqualTo(today.rejected((call) -> true) + 0.001);
 		assertThat(fleet.held()).isZero();
 		assertThat(fleet.onTime((call) -> true)).isGreaterThanOrEqualTo(today.onTime((call) -> true) - 0.005);
@@ -58,15 +58,15 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "plain", "models" })
 	void heavyAccountComesAfterOthers(String servers) {
-		RoomFleet fleet = run(setting(servers, 1, true).heavy(7.5));
-		RoomFleet today = run(setting(servers, 1, false).heavy(7.5));
-		double others = fleet.onTime((call) -> !call.account.equals(RoomFleet.HEAVY));
-		assertThat(others).isGreaterThan(fleet.onTime((call) -> call.account.equals(RoomFleet.HEAVY)) + 0.15);
+		CapacityFleet fleet = run(setting(servers, 1, true).heavy(7.5));
+		CapacityFleet today = run(setting(servers, 1, false).heavy(7.5));
+		double others = fleet.onTime((call) -> !call.account.equals(CapacityFleet.HEAVY));
+		assertThat(others).isGreaterThan(fleet.onTime((call) -> call.account.equals(CapacityFleet.HEAVY)) + 0.15);
 		assertThat(others).isGreaterThan(run(setting(servers, 1, true)).onTime((call) -> true) - 0.1);
-		assertThat(others).isGreaterThan(today.onTime((call) -> !call.account.equals(RoomFleet.HEAVY)) + 0.05);
-		RoomFleet fits = run(setting(servers, 0.75, true).heavy(7.5));
-		RoomFleet without = run(setting(servers, 0.75, true));
-		assertThat(fits.onTime((call) -> !call.account.equals(RoomFleet.HEAVY)))
+		assertThat(others).isGreaterThan(today.onTime((call) -> !call.account.equals(CapacityFleet.HEAVY)) + 0.05);
+		CapacityFleet fits = run(setting(servers, 0.75, true).heavy(7.5));
+		CapacityFleet without = run(setting(servers, 0.75, true));
+		assertThat(fits.onTime((call) -> !call.account.equals(CapacityFleet.HEAVY)))
 			.isGreaterThan(without.onTime((call) -> true) - TOLERANCE);
 	}
 
@@ -74,7 +74,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "plain", "models" })
 	void retryingAtOnceGainsNothing(String servers) {
-		RoomFleet fleet = run(setting(servers, 1.5, true).withUnrest());
+		CapacityFleet fleet = run(setting(servers, 1.5, true).withUnrest());
 		assertThat(fleet.onTime((call) -> call.retries)).isLessThan(fleet.onTime((call) -> !call.retries) + TOLERANCE);
 	}
 
@@ -82,7 +82,7 @@
 	@ParameterizedTest
 	@ValueSource(ints = { 8, 330 })
 	void otherNumbersOfHostsServeUrgentRequestsFirst(int hosts) {
-		RoomFleet fleet = run(setting("plain", 1.8, true).hosts(hosts));
+		CapacityFleet fleet = run(setting("plain", 1.8, true).hosts(hosts));
 		assertThat(onTime(fleet, 0)).isGreaterThan(0.5).isGreaterThan(onTime(fleet, 1) - TOLERANCE);
 		assertThat(onTime(fleet, 1)).isGreaterThan(onTime(fleet, 2) - TOLERANCE);
 	}
@@ -90,22 +90,22 @@
 	// Guards against a rejection because of one report, which may be old.
 	@Test
 	void oneReportRejectsNothing() {
-		ServiceRoom room = new ServiceRoom();
+		ServiceCapacity room = new ServiceCapacity();
 		room.reported(1, 6, 24, 6, 393, 0);
 		room.reported(1, 6, 24, 6, 393, 1_000_000_000L);
 		assertThat(room.share(1_000_000_000L)).isEqualTo(1);
 	}
 
-	private static RoomFleet.Setting setting(String servers, double load, boolean withPolicy) {
-		return servers.equals("plain") ? RoomFleet.Setting.plain(load, withPolicy)
-				: RoomFleet.Setting.models(load, withPolicy);
+	private static CapacityFleet.Setting setting(String servers, double load, boolean withPolicy) {
+		return servers.equals("plain") ? CapacityFleet.Setting.plain(load, withPolicy)
+				: CapacityFleet.Setting.models(load, withPolicy);
 	}
 
-	private static RoomFleet run(RoomFleet.Setting setting) {
-		return new RoomFleet(setting, SEED).run(SECONDS);
+	private static CapacityFleet run(CapacityFleet.Setting setting) {
+		return new CapacityFleet(setting, SEED).run(SECONDS);
 	}
 
-	private static double onTime(RoomFleet fleet, int priority) {
+	private static double onTime(CapacityFleet fleet, int priority) {
 		return fleet.onTime((call) -> call.kind.priority() == priority);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/admission/AdmissionControl.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/admission/AdmissionControl.java
@@ -13,10 +13,10 @@
 import java.util.random.RandomGenerator;
 
 import io.sequoialink.decision.limits.AccountDemand;
-import io.sequoialink.decision.limits.RoomDecision;
-import io.sequoialink.decision.limits.RoomPolicy;
-import io.sequoialink.decision.limits.RoomRequest;
-import io.sequoialink.decision.limits.ServiceRoom;
+import io.sequoialink.decision.limits.CapacityDecision;
+import io.sequoialink.decision.limits.CapacityPolicy;
+import io.sequoialink.decision.limits.CapacityRequest;
+import io.sequoialink.decision.limits.ServiceCapacity;
 import io.sequoialink.gateway.GatewayEvents;
 import io.sequoialink.gateway.count.LabelledCounters;
 import io.sequoialink.gateway.feed.EventLoopTimer;
@@ -26,17 +26,17 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps what {@link RoomPolicy} decides on for each service: the reports and rejections
- * of its servers, the demand of the accounts, and the requests that are held. Confined to
- * the event loop.
+ * Keeps what {@link CapacityPolicy} decides on for each service: the reports and
+ * rejections of its servers, the demand of the accounts, and the requests that are held.
+ * Confined to the event loop.
  *
  * <p>
  * Invariants: services for which it is not in force are never restricted; a held request
  * is decided on again after the time of its decision at the latest; at most
  * {@link #MAX_HELD} requests are held, further ones are rejected; at most
- * {@link #MAX_SERVICES} services are remembered. State is neither shared with other hosts
- * nor stored, so a host that starts sends as if there were no shortage until it has heard
- * of one.
+ * {@link #MAX_SERVICES} services are remembered, besides those with held requests. State
+ * is neither shared with other hosts nor stored, so a host that starts sends as if there
+ * were no shortage until it has heard of one.
  */
 public final class AdmissionControl {
 
@@ -93,35 +93,35 @@
 	 * Decides on a request that is about to be sent, and counts it the first time.
 	 * @param ticket the request
 	 * @param remainingMillis time until its deadline, in milliseconds
-	 * @return the decision; after {@link RoomDecision.Kind#HOLD} the caller calls
+	 * @return the decision; after {@link CapacityDecision.Kind#HOLD} the caller calls
 	 * {@link #hold}
 	 */
-	public RoomDecision decide(AdmissionTicket ticket, long remainingMillis) {
+	public CapacityDecision decide(AdmissionTicket ticket, long remainingMillis) {
 		if (!this.inForce.test(ticket.service())) {
-			return RoomDecision.send();
+			return CapacityDecision.send();
 		}
 		long now = this.clock.getAsLong();
 		Service service = service(ticket.service());
 		if (ticket.count()) {
 			service.demand.arrived(ticket.account(), ticket.priority(), this.random.nextDouble(), now);
 		}
-		RoomDecision decision = RoomPolicy.decide(service.room, service.demand,
-				new RoomRequest(ticket.account(), ticket.priority(), ticket.targetMillis(), remainingMillis,
+		CapacityDecision decision = CapacityPolicy.decide(service.capacity, service.demand,
+				new CapacityRequest(ticket.account(), ticket.priority(), ticket.targetMillis(), remainingMillis,
 						ticket.heldNanos(now) / NANOS_PER_MILLI, incarnations(ticket.service())),
 				now);
-		boolean tooMany = decision.kind() == RoomDecision.Kind.HOLD && this.held >= MAX_HELD;
-		return record(ticket, tooMany ? RoomDecision.reject("too many requests are held") : decision, service, now);
+		boolean tooMany = decision.kind() == CapacityDecision.Kind.HOLD && this.held >= MAX_HELD;
+		return record(ticket, tooMany ? CapacityDecision.reject("too many requests are held") : decision, service, now);
 	}
 
-	private RoomDecision record(AdmissionTicket ticket, RoomDecision decision, Service service, long now) {
-		if (decision.kind() == RoomDecision.Kind.REJECT) {
+	private CapacityDecision record(AdmissionTicket ticket, CapacityDecision decision, Service service, long now) {
+		if (decision.kind() == CapacityDecision.Kind.REJECT) {
 			logger.info(GatewayEvents.REFUSED_FOR_ROOM, ticket.id(), ticket.service(), ticket.account(),
 					ticket.priority(), ticket.heldNanos(now) / NANOS_PER_MILLI, decision.reason(),
-					service.room.ageMillis(now));
+					service.capacity.ageMillis(now));
 			this.refused.increment(ticket.service(), String.valueOf(ticket.priority()));
 			ticket.reset();
 		}
-		if (decision.kind() == RoomDecision.Kind.SEND) {
+		if (decision.kind() == CapacityDecision.Kind.SEND) {
 			logHeld(ticket, "sent", service, now);
 		}
 		return decision;
@@ -130,7 +130,7 @@
 	private static void logHeld(AdmissionTicket ticket, String outcome, Service service, long now) {
 		if (ticket.everHeld()) {
 			logger.info(GatewayEvents.HELD_FOR_ROOM, ticket.id(), ticket.service(), ticket.account(), ticket.priority(),
-					ticket.heldNanos(now) / NANOS_PER_MILLI, ticket.reason(), service.room.ageMillis(now), outcome);
+					ticket.heldNanos(now) / NANOS_PER_MILLI, ticket.reason(), service.capacity.ageMillis(now), outcome);
 			ticket.reset();
 		}
 	}
@@ -141,7 +141,7 @@
 	 * @param decision the decision to hold it
 	 * @param decideAgain decides on the request again
 	 */
-	public void hold(AdmissionTicket ticket, RoomDecision decision, Runnable decideAgain) {
+	public void hold(AdmissionTicket ticket, CapacityDecision decision, Runnable decideAgain) {
 		Service service = service(ticket.service());
 		ticket.hold(decideAgain, decision.reason(), this.clock.getAsLong());
 		service.held.add(ticket);
@@ -164,12 +164,15 @@
 	 * @param ticket the request
 	 */
 	public void ended(AdmissionTicket ticket) {
+		Service service = this.services.get(ticket.service());
+		if (service == null) {
+			return;
+		}
 		if (ticket.held()) {
-			Service service = service(ticket.service());
 			service.held.remove(ticket);
 			this.held--;
-			logHeld(ticket, "ended", service, this.clock.getAsLong());
 		}
+		logHeld(ticket, "ended", service, this.clock.getAsLong());
 	}
 
 	/**
@@ -187,8 +190,8 @@
 			return;
 		}
 		Service service = service(server.entry().service());
-		service.room.reported(server.incarnation(), running, waiting, slots, targetMillis, this.clock.getAsLong());
-		if (!service.held.isEmpty() && !service.room.full(server.incarnation(), this.clock.getAsLong())) {
+		service.capacity.reported(server.incarnation(), running, waiting, slots, targetMillis, this.clock.getAsLong());
+		if (!service.held.isEmpty() && !service.capacity.full(server.incarnation(), this.clock.getAsLong())) {
 			wake(service, Math.max(1, slots - running));
 		}
 	}
@@ -210,7 +213,7 @@
 	 */
 	public void rejected(ServerState server) {
 		if (this.inForce.test(server.entry().service())) {
-			service(server.entry().service()).room.rejected(server.incarnation(), this.clock.getAsLong());
+			service(server.entry().service()).capacity.rejected(server.incarnation(), this.clock.getAsLong());
 		}
 	}
 
@@ -221,7 +224,7 @@
 	 */
 	public void worked(ServerState server, double millis) {
 		if (this.inForce.test(server.entry().service())) {
-			service(server.entry().service()).room.worked(millis);
+			service(server.entry().service()).capacity.worked(millis);
 		}
 	}
 
@@ -233,7 +236,7 @@
 	 */
 	public boolean becameFull(ServerState server, long sinceNanos) {
 		Service service = this.services.get(server.entry().service());
-		return service != null && service.room.fullSince(server.incarnation(), sinceNanos, this.clock.getAsLong());
+		return service != null && service.capacity.fullSince(server.incarnation(), sinceNanos, this.clock.getAsLong());
 	}
 
 	/**
@@ -244,9 +247,9 @@
 	public Set<String> fullServers(String service) {
 		Set<String> full = new HashSet<>();
 		Service known = this.services.get(service);
-		if (known != null && known.room.anyFull(this.clock.getAsLong())) {
+		if (known != null && known.capacity.anyFull(this.clock.getAsLong())) {
 			for (ServerState state : this.servers.usableServers(service)) {
-				if (known.room.full(state.incarnation(), this.clock.getAsLong())) {
+				if (known.capacity.full(state.incarnation(), this.clock.getAsLong())) {
 					full.add(state.entry().id());
 				}
 			}
@@ -259,10 +262,10 @@
 	 * @param name name of the service
 	 * @return requests per second
 	 */
-	public double roomPerSecond(String name) {
+	public double capacityPerSecond(String name) {
 		long now = this.clock.getAsLong();
 		Service service = service(name);
-		return service.room.share(now) * service.demand.totalPerSecond(now);
+		return service.capacity.share(now) * service.demand.totalPerSecond(now);
 	}
 
 	/**
@@ -271,7 +274,7 @@
 	 * @return time in nanoseconds, 0 if one is not known to be full
 	 */
 	public long fullNanos(String name) {
-		return service(name).room.fullNanos(incarnations(name), this.clock.getAsLong());
+		return service(name).capacity.fullNanos(incarnations(name), this.clock.getAsLong());
 	}
 
 	/**
@@ -293,7 +296,7 @@
 	/** What is known of one service. */
 	private static final class Service {
 
-		private final ServiceRoom room = new ServiceRoom();
+		private final ServiceCapacity capacity = new ServiceCapacity();
 
 		private final AccountDemand demand = new AccountDemand();
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendAttempt.java
@@ -49,6 +49,10 @@
 
 	private final boolean permitted;
 
+	private final long chosenNanos;
+
+	private Optional<SendCheck.Withheld> withheld = Optional.empty();
+
 	private boolean responseStarted;
 
 	private ResponseProgress progress = ResponseProgress.NOTHING;
@@ -89,17 +93,19 @@
 
 	private int partialEventBytes;
 
-	BackendAttempt(Exchange exchange, SelectedServer placed, PromptSize work, boolean permitted) {
+	BackendAttempt(Exchange exchange, SendDecision.Send ready, boolean permitted) {
+		SelectedServer placed = ready.placed();
 		this.permitted = permitted;
+		this.chosenNanos = ready.chosenNanos();
 		this.exchange = exchange;
 		this.server = placed.server();
 		this.workMillis = placed.prefillMillis();
-		this.work = work;
+		this.work = ready.work();
 		this.startedAt = exchange.now();
 		this.notices = new ServerNotices(exchange.gateway(), this.server, exchange.id());
 		this.log = new AttemptLog(exchange, this.server, this.startedAt);
 		this.memory = new AttemptMemory(exchange.gateway(), placed, this.startedAt);
-		this.latency = exchange.latencies().check(this.server, work);
+		this.latency = exchange.latencies().check(this.server, this.work);
 		this.watch = new AttemptWatch(exchange, this.server, this.latency, this.startedAt, this);
 	}
 
@@ -170,11 +176,8 @@
 
 	@Override
 	public boolean mayWrite() {
-		return withheld().isEmpty();
-	}
-
-	private Optional<SendCheck.Withheld> withheld() {
-		return this.exchange.check().withheld(this.server, this.startedAt, this.permitted);
+		this.withheld = this.exchange.check().withheld(this.server, this.chosenNanos, this.startedAt, this.permitted);
+		return this.withheld.isEmpty();
 	}
 
 	@Override
@@ -199,8 +202,8 @@
 		this.server.bytesReceived(this.headAt);
 		markResponseStarted();
 		this.notices.record(responseStatus, metadata, this.startedAt);
-		this.notices.recordLoad(responseStatus, metadata, this.headAt);
-		metadata.load().ifPresent(this::recordLoad);
+		this.notices.recordLoad(responseStatus, metadata, this.exchange.targetLatencyMillis(), this.headAt);
+		this.queueWasEmpty = metadata.load().filter((load) -> load.waiting() == 0).isPresent();
 		this.verdict = ResponseVerdict.of(responseStatus, responseHeaders, metadata);
 		if (this.verdict == ResponseVerdict.NONE) {
 			abort("response without signature, status " + responseStatus);
@@ -218,13 +221,6 @@
 		}
 	}
 
-	private void recordLoad(ServerLoad load) {
-		this.queueWasEmpty = load.waiting() == 0;
-		this.exchange.gateway()
-			.admission()
-			.reported(this.server, load.running(), load.waiting(), load.slots(), this.exchange.targetLatencyMillis());
-	}
-
 	private void startStream(ResponseMetadata metadata) {
 		this.continuation = this.exchange.forwarding().stream().part();
 		if (this.continuation.filter((part) -> !part.isSameKind(this.status, this.headers)).isPresent()) {
@@ -414,10 +410,10 @@
 		finish();
 		dropBuffers();
 		logFailedEnd(describe(failure));
-		Optional<SendCheck.Withheld> withheld = (failure == AttemptFailure.NOT_SENT) ? withheld() : Optional.empty();
-		if (withheld.filter((why) -> why != SendCheck.Withheld.UNUSABLE).isPresent()) {
-			this.exchange.withheld(this.server, (withheld.get() == SendCheck.Withheld.FULL) ? "has just become full"
-					: "takes a limited number of requests");
+		if (failure == AttemptFailure.NOT_SENT
+				&& this.withheld.filter((why) -> why != SendCheck.Withheld.UNUSABLE).isPresent()) {
+			this.exchange.withheld(this.server, (this.withheld.get() == SendCheck.Withheld.FULL)
+					? "has just become full" : "takes a limited number of requests");
 			return;
 		}
 		if (failure == AttemptFailure.NOT_SENT) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -139,6 +139,7 @@
 		return !this.closing;
 	}
 
+	// May close other connections to make room in memory.
 	@Override
 	public boolean takesInput() {
 		return this.exchange == null && this.channel.isWritable() && this.memory.makeRoom(0, receivedBytes());
@@ -233,7 +234,11 @@
 			rejectWithoutBody(large);
 			return;
 		}
-		if (declared > ConnectionMemory.SMALL_BYTES && !this.memory.makeRoom(declared, declared)) {
+		boolean fits = declared <= ConnectionMemory.SMALL_BYTES || this.memory.makeRoom(declared, declared);
+		if (this.closing) {
+			return;
+		}
+		if (!fits) {
 			rejectForMemory();
 			return;
 		}
@@ -448,6 +453,8 @@
 		this.closing = true;
 		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 		this.channel.close();
+		// Netty releases the output later; it must not count in the search for room.
+		this.share.setOutput(0);
 	}
 
 	private void setConnection(HttpHeaders headers) {
@@ -531,6 +538,10 @@
 	private void rejectIfSlow(long now, long headerMillis, long idleMillis) {
 		boolean headSlow = this.head == null && now - this.incompleteSince > headerMillis * 1_000_000L;
 		boolean bodySlow = this.head != null && now - this.lastActive > idleMillis * 1_000_000L;
+		if ((headSlow || bodySlow) && !this.memory.hasRoom(0, receivedBytes())) {
+			rejectForMemory();
+			return;
+		}
 		if (headSlow || bodySlow) {
 			this.keepAlive = false;
 			releaseBody();
@@ -538,6 +549,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether closing the connection loses no response: its request is still
+	 * being received.
+	 * @return whether no request is being processed and no response is unwritten
+	 */
+	boolean receiving() {
+		return this.exchange == null && !this.closing && this.unwrittenSince == 0;
+	}
+
 	/**
 	 * Returns whether no request is being processed or received and none is unanswered.
 	 * @return whether the connection waits for a request
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ConnectionLimit.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ConnectionLimit.java
@@ -5,12 +5,17 @@
 import java.nio.file.Path;
 import java.util.stream.Stream;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 /**
  * Derives the maximum number of client connections from the number of descriptors that
  * the process may open. Stateless.
  */
 final class ConnectionLimit {
 
+	private static final Logger logger = LoggerFactory.getLogger(ConnectionLimit.class);
+
 	private static final Path LIMITS = Path.of("/proc/self/limits");
 
 	private static final String OPEN_FILES = "Max open files";
@@ -44,6 +49,7 @@
 				.orElse(DEFAULT_DESCRIPTORS);
 		}
 		catch (IOException ex) {
+			logger.warn("cannot read the limit of open files, assuming {}", DEFAULT_DESCRIPTORS, ex);
 			return DEFAULT_DESCRIPTORS;
 		}
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ConnectionMemory.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ConnectionMemory.java
@@ -21,9 +21,10 @@
  * Invariant: while the limit is exceeded, no further request or response grows. A quarter
  * of the limit is open only to connections that hold little, so that large requests
  * cannot shut out small ones and the readiness probe. Room is made by closing the
- * connections that have held the most for the longest time. One whose request may be
- * running is not closed, and while the limit itself is kept, none that has held memory
- * for less than {@link #MIN_AGE_NANOS}.
+ * connections that have held the most for the longest time. One whose request is being
+ * processed is closed only if its client does not read the response; while the limit
+ * itself is kept, none is closed that has held memory for less than
+ * {@link #MIN_AGE_NANOS}.
  *
  * <p>
  * The limit is well below the maximum of direct memory, because a thread that allocates
@@ -48,10 +49,7 @@
 	 */
 	private static final double SHARE_OF_DIRECT = 5.0 / 8;
 
-	/**
-	 * Share of the heap, because heads are kept there. A host without clients uses some
-	 * 20 MB of it.
-	 */
+	/** Share of the heap, where heads are kept. */
 	private static final double SHARE_OF_HEAP = 5.0 / 12;
 
 	private static final double SHARE_OF_LARGE = 3.0 / 4;
@@ -81,7 +79,7 @@
 	private long noSearchUntilNanos;
 
 	/**
-	 * Creates the accounts of a process that holds nothing.
+	 * Creates a counter that holds nothing.
 	 * @param limit maximum number of bytes
 	 * @param clock monotonic time in nanoseconds
 	 */
@@ -93,8 +91,8 @@
 	}
 
 	/**
-	 * Creates the accounts with a limit that suits the memory of this process.
-	 * @return new accounts
+	 * Creates a counter with a limit that suits the memory of this process.
+	 * @return the counter
 	 */
 	public static ConnectionMemory ofProcess() {
 		long direct = (long) (PlatformDependent.maxDirectMemory() * SHARE_OF_DIRECT);
--- a/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/Exchange.java
@@ -12,8 +12,6 @@
 import io.sequoialink.gateway.flow.Executed;
 import io.sequoialink.gateway.flow.NextStep;
 import io.sequoialink.gateway.flow.RequestFlow;
-import io.sequoialink.gateway.place.PromptSize;
-import io.sequoialink.gateway.place.SelectedServer;
 import io.sequoialink.gateway.place.ServerState;
 
 /**
@@ -157,7 +155,7 @@
 			sendOrAcquirePermit(ready);
 		}
 		else if (decision instanceof SendDecision.Hold hold) {
-			this.check.hold(hold.room(), this::sendUnlessEnded);
+			this.check.hold(hold.decision(), this::sendUnlessEnded);
 		}
 		else if (decision instanceof SendDecision.DecideLater later) {
 			schedule(this::sendUnlessEnded, later.millis());
@@ -171,7 +169,7 @@
 
 	private void sendOrAcquirePermit(SendDecision.Send ready) {
 		if (!ready.needsPermit()) {
-			send(ready.placed(), ready.work(), false);
+			send(ready, false);
 			return;
 		}
 		this.permits.acquire(ready.placed(), () -> {
@@ -179,7 +177,7 @@
 				return;
 			}
 			if (this.check.stillPermitted()) {
-				send(ready.placed(), ready.work(), true);
+				send(ready, true);
 			}
 			else {
 				send();
@@ -218,11 +216,11 @@
 		}
 	}
 
-	private void send(SelectedServer placed, PromptSize work, boolean permitted) {
-		ServerState server = placed.server();
+	private void send(SendDecision.Send ready, boolean permitted) {
+		ServerState server = ready.placed().server();
 		this.flow.attemptStarted();
 		FullHttpRequest message = this.dispatcher.buildRequest(server, remainingMillis());
-		this.attempt = new BackendAttempt(this, placed, work, permitted);
+		this.attempt = new BackendAttempt(this, ready, permitted);
 		this.crashCheck.traits().attemptStarted(this::blockedInFlight);
 		OutboundRequest outbound = new OutboundRequest(this.metadata.id().orElseThrow(), message, this.attempt);
 		this.attempt.start(outbound);
--- a/gateway/src/main/java/io/sequoialink/gateway/http/FrontendServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/FrontendServer.java
@@ -168,7 +168,7 @@
 	// expected, else one whose request is still being received.
 	private Optional<ClientConnection> replaceable() {
 		return oldest(ClientConnection::idle).or(() -> oldest(ClientConnection::lingers))
-			.or(() -> oldest((connection) -> !connection.busy()));
+			.or(() -> oldest(ClientConnection::receiving));
 	}
 
 	private Optional<ClientConnection> oldest(Predicate<ClientConnection> kind) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ReadinessServer.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ReadinessServer.java
@@ -239,6 +239,7 @@
 		@Override
 		public void closeForMemory() {
 			close();
+			this.share.close();
 		}
 
 		@Override
--- a/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/RequestDispatcher.java
@@ -42,6 +42,8 @@
 
 	private final Set<String> tried = new HashSet<>();
 
+	private boolean firstTry;
+
 	private String lastEvent;
 
 	RequestDispatcher(GatewayContext gateway, ClientRequest request, RequestMetadata metadata, Admission admission,
@@ -157,7 +159,9 @@
 	 * @param server the server
 	 */
 	void withheld(ServerState server) {
-		this.tried.remove(server.entry().id());
+		if (this.firstTry) {
+			this.tried.remove(server.entry().id());
+		}
 	}
 
 	/**
@@ -174,7 +178,7 @@
 	 * @return the request; ownership passes to the caller
 	 */
 	FullHttpRequest buildRequest(ServerState server, long remainingMillis) {
-		this.tried.add(server.entry().id());
+		this.firstTry = this.tried.add(server.entry().id());
 		if (this.metadata.session().isPresent()) {
 			this.gateway.rollouts().onRequestSent(service(), server.entry().version(), this.stickyKey);
 		}
--- a/gateway/src/main/java/io/sequoialink/gateway/http/SendCheck.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/SendCheck.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 
-import io.sequoialink.decision.limits.RoomDecision;
+import io.sequoialink.decision.limits.CapacityDecision;
 import io.sequoialink.gateway.admission.AdmissionTicket;
 import io.sequoialink.gateway.fleet.ClientAccount;
 import io.sequoialink.gateway.flow.Executed;
@@ -22,8 +22,8 @@
  *
  * <p>
  * The checks are, in this order: time left; request content blocked because of crashes; a
- * usable server; limits and permits; capacity. Capacity is checked before a permit is
- * taken, so that a rejected request uses up none. A stream of which the client has a part
+ * usable server whose limit permits a request; capacity. A permit is acquired only
+ * afterwards, so a rejected request uses up none. A stream of which the client has a part
  * and a request that may have run are not checked for capacity, because a rejection would
  * not be true of them.
  */
@@ -91,8 +91,9 @@
 			return streamWaits() ? new SendDecision.DecideLater(StreamPatience.STEP_MILLIS)
 					: rejectWithoutServer(placement);
 		}
-		return checkCapacity().orElseGet(
-				() -> new SendDecision.Send(placed.get(), placement.prompt(), this.permits.needed(placed.get())));
+		long chosenNanos = now();
+		return checkCapacity().orElseGet(() -> new SendDecision.Send(placed.get(), placement.prompt(),
+				this.permits.needed(placed.get()), chosenNanos));
 	}
 
 	/**
@@ -108,17 +109,19 @@
 	 * since things may have changed while a connection was opened.
 	 * @param server the server
 	 * @param chosenNanos monotonic time at which it was chosen
+	 * @param startedNanos monotonic time at which the attempt began, with its permit if
+	 * it has one
 	 * @param permitted whether a permit was acquired for it
 	 * @return the reason, empty if it may be written
 	 */
-	Optional<Withheld> withheld(ServerState server, long chosenNanos, boolean permitted) {
+	Optional<Withheld> withheld(ServerState server, long chosenNanos, long startedNanos, boolean permitted) {
 		if (!this.gateway.servers().stillUsable(server, chosenNanos)) {
 			return Optional.of(Withheld.UNUSABLE);
 		}
 		// A permit is outdated if this host was suspended meanwhile or the server has
 		// turned cold.
-		boolean outdated = now() - chosenNanos > PERMIT_LIFETIME_NANOS
-				|| this.gateway.permits().turnedColdSince(server.incarnation(), chosenNanos);
+		boolean outdated = now() - startedNanos > PERMIT_LIFETIME_NANOS
+				|| this.gateway.permits().turnedColdSince(server.incarnation(), startedNanos);
 		if ((!permitted || outdated) && this.gateway.permits().limited(server.incarnation())) {
 			return Optional.of(Withheld.LIMITED);
 		}
@@ -140,7 +143,7 @@
 		if (!mayBeRejected()) {
 			return Optional.empty();
 		}
-		RoomDecision decision = this.gateway.admission().decide(this.ticket, this.remainingMillis.getAsLong());
+		CapacityDecision decision = this.gateway.admission().decide(this.ticket, this.remainingMillis.getAsLong());
 		return switch (decision.kind()) {
 			case SEND -> Optional.empty();
 			case HOLD -> Optional.of(new SendDecision.Hold(decision));
@@ -158,7 +161,7 @@
 		String service = this.admission.service();
 		return this.gateway.returns()
 			.retryAfterMillis(service, this.gateway.admission().fullNanos(service),
-					this.gateway.admission().roomPerSecond(service), Math.max(0, this.admission.priority()), now());
+					this.gateway.admission().capacityPerSecond(service), Math.max(0, this.admission.priority()), now());
 	}
 
 	/**
@@ -166,7 +169,7 @@
 	 * @param decision the decision to hold it
 	 * @param decideAgain decides on the request again
 	 */
-	void hold(RoomDecision decision, Runnable decideAgain) {
+	void hold(CapacityDecision decision, Runnable decideAgain) {
 		this.gateway.admission().hold(this.ticket, decision, decideAgain);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/SendDecision.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/SendDecision.java
@@ -1,6 +1,6 @@
 package io.sequoialink.gateway.http;
 
-import io.sequoialink.decision.limits.RoomDecision;
+import io.sequoialink.decision.limits.CapacityDecision;
 import io.sequoialink.gateway.place.PromptSize;
 import io.sequoialink.gateway.place.SelectedServer;
 
@@ -15,12 +15,14 @@
 	 * @param placed the server
 	 * @param work size of the prompt
 	 * @param needsPermit whether a permit must be acquired first
+	 * @param chosenNanos monotonic time at which the server was chosen
 	 */
-	record Send(SelectedServer placed, PromptSize work, boolean needsPermit) implements SendDecision {
+	record Send(SelectedServer placed, PromptSize work, boolean needsPermit, long chosenNanos) implements SendDecision {
 	}
 
 	/**
-	 * The request is decided on again later.
+	 * The request is decided on again after a fixed time; unlike a held one it is not
+	 * counted and not woken earlier.
 	 *
 	 * @param millis time from now in milliseconds
 	 */
@@ -30,9 +32,9 @@
 	/**
 	 * The request is held until there is room.
 	 *
-	 * @param room the decision to hold it
+	 * @param decision the decision to hold it
 	 */
-	record Hold(RoomDecision room) implements SendDecision {
+	record Hold(CapacityDecision decision) implements SendDecision {
 	}
 
 	/**
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ServerNotices.java
@@ -73,20 +73,27 @@
 
 	/**
 	 * Records the load report of a response, unless it comes from a different server than
-	 * the one addressed (status 421). Counts a malformed report.
+	 * the one addressed (status 421). Counts a malformed report. The report in a
+	 * rejection does not count as one of free capacity.
 	 * @param status status code
 	 * @param metadata metadata of the response
+	 * @param targetMillis target latency of the request in milliseconds; 0 if it has none
 	 * @param nowNanos monotonic time at which the head of the response arrived, in
 	 * nanoseconds
 	 */
-	void recordLoad(int status, ResponseMetadata metadata, long nowNanos) {
+	void recordLoad(int status, ResponseMetadata metadata, long targetMillis, long nowNanos) {
 		if (metadata.loadIgnored()) {
 			this.gateway.metrics().ignoredLoadReports().increment(this.server.entry().service());
 		}
 		if (status != MISDIRECTED) {
-			metadata.load()
-				.ifPresent((load) -> this.gateway.servers()
-					.loadReported(this.server, load.running(), load.waiting(), load.slowdownPercent(), nowNanos));
+			metadata.load().ifPresent((load) -> {
+				this.gateway.servers()
+					.loadReported(this.server, load.running(), load.waiting(), load.slowdownPercent(), nowNanos);
+				if (!metadata.notExecuted()) {
+					this.gateway.admission()
+						.reported(this.server, load.running(), load.waiting(), load.slots(), targetMillis);
+				}
+			});
 		}
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/place/PrefillSpeed.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/PrefillSpeed.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.place;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -21,9 +22,17 @@
 	 */
 	private static final int MIN_TOKENS = 400;
 
+	/** Number of models for which a fit is kept; clients may name any. */
+	private static final int MAX_MODELS = 256;
+
 	private final Map<String, Double> millisPerToken = new HashMap<>();
 
-	private final Map<String, PrefillFit> fits = new HashMap<>();
+	private final Map<String, PrefillFit> fits = new LinkedHashMap<>(16, 0.75f, true) {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, PrefillFit> eldest) {
+			return size() > MAX_MODELS;
+		}
+	};
 
 	/**
 	 * Returns the estimated prefill time.
--- a/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/place/ServerTable.java
@@ -103,8 +103,9 @@
 	}
 
 	/**
-	 * Returns whether a service has slowdown reports, and therefore servers that share
-	 * their machines.
+	 * Returns whether a service sends slowdown reports, and therefore has servers that
+	 * share their machines. Admission control, load balancing by speed and estimates of
+	 * the servers' memory apply to such services only.
 	 * @param service name of the service
 	 * @return whether one of its servers has sent such a report to this host since the
 	 * host's start
--- a/gateway/src/test/java/io/sequoialink/gateway/admission/AdmissionControlTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/admission/AdmissionControlTests.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 
+import io.sequoialink.decision.limits.CapacityDecision;
 import io.sequoialink.decision.limits.ColdServers;
-import io.sequoialink.decision.limits.RoomDecision;
 import io.sequoialink.decision.limits.ServerLimits;
 import io.sequoialink.decision.observation.SharedServerNotices;
 import io.sequoialink.gateway.count.LabelledCounters;
@@ -67,7 +67,7 @@
 	}
 
 	private void decide(AdmissionTicket ticket) {
-		RoomDecision decision = this.control.decide(ticket, 1000);
+		CapacityDecision decision = this.control.decide(ticket, 1000);
 		switch (decision.kind()) {
 			case SEND -> this.sent.add(ticket.id());
 			case HOLD -> this.control.hold(ticket, decision, () -> decide(ticket));
--- a/gateway/src/test/java/io/sequoialink/gateway/http/ShortRoomTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ShortCapacityTests.java
@@ -12,7 +12,7 @@
 /**
  * Servers that are full, over loopback, with a single host that restricts their service.
  */
-class ShortRoomTests {
+class ShortCapacityTests {
 
 	private static void turnAway(ScriptedServer.Call call) throws IOException {
 		call.respond(503, "not-run: 1\r\nload: 6,24,6\r\n", "");
@@ -32,7 +32,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "/safe/x", "/once/x", "/stream/x" })
 	void requestIsSentOnceWhileAllServersAreFull(String path) throws Exception {
-		try (GatewayFixture fixture = GatewayFixture.withServers(ShortRoomTests::turnAway)) {
+		try (GatewayFixture fixture = GatewayFixture.withServers(ShortCapacityTests::turnAway)) {
 			fixture.restrictService();
 			for (int i = 0; i < 3; i++) {
 				String response = fixture.exchange(path, "");
@@ -48,7 +48,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "/safe/x", "/once/x", "/stream/x" })
 	void fullServerIsAvoided(String path) throws Exception {
-		try (GatewayFixture fixture = GatewayFixture.withServers(ShortRoomTests::turnAway,
+		try (GatewayFixture fixture = GatewayFixture.withServers(ShortCapacityTests::turnAway,
 				(call) -> answer(call, "1,0,6"))) {
 			fixture.restrictService();
 			for (int i = 0; i < 10; i++) {
