--- a/decision/src/test/java/io/sequoialink/decision/limits/CapacityPolicyTests.java
+++ b/decision/src/test/java/io/sequoialink/decision/limits/CapacityPolicyTests.java
@@ -1,5 +1,7 @@
 package io.sequoialink.decision.limits;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -96,6 +98,21 @@
 		assertThat(room.share(1_000_000_000L)).isEqualTo(1);
 	}
 
+	// Guards against a request with a long target that is held after the rejections which
+	// it waits out have lapsed.
+	@ParameterizedTest
+	@ValueSource(longs = { 393, 8000 })
+	void aHeldRequestIsDecidedOnAgainWhenTheRejectionsLapse(long targetMillis) {
+		ServiceCapacity capacity = new ServiceCapacity();
+		capacity.rejected(1, 0);
+		AccountDemand demand = new AccountDemand();
+		demand.arrived("a", 0, 0.5, 50_000_000L);
+		CapacityDecision decision = CapacityPolicy.decide(capacity, demand,
+				new CapacityRequest("a", 0, targetMillis, 20_000, 0, List.of(1L)), 50_000_000L);
+		assertThat(decision.kind()).isEqualTo(CapacityDecision.Kind.HOLD);
+		assertThat(decision.waitMillis()).isBetween(1L, Math.min(150, targetMillis / 8));
+	}
+
 	private static CapacityFleet.Setting setting(String servers, double load, boolean withPolicy) {
 		return servers.equals("plain") ? CapacityFleet.Setting.plain(load, withPolicy)
 				: CapacityFleet.Setting.models(load, withPolicy);
