--- a/entry/src/test/java/io/sequoialink/entry/ClientsOutsideLimitsTests.java
+++ b/entry/src/test/java/io/sequoialink/entry/ClientsOutsideLimitsTests.java
@@ -171,6 +171,7 @@
 			.append(System.nanoTime())
 			.append("\r\n");
 		head.append("a:\r\n".repeat(3900)).append("\r\n");
+		Await.within(MAX_WAIT_MILLIS, host::calm);
 		try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), host.clients())) {
 			socket.setSoTimeout((int) MAX_WAIT_MILLIS);
 			socket.getOutputStream().write(head.toString().getBytes());
--- a/entry/src/test/java/io/sequoialink/entry/ConstrainedHost.java
+++ b/entry/src/test/java/io/sequoialink/entry/ConstrainedHost.java
@@ -25,6 +25,10 @@
  */
 final class ConstrainedHost implements AutoCloseable {
 
+	private static final Pattern HELD_BYTES = Pattern.compile("(?m)^sequoialink_connection_memory_bytes ([0-9.E]+)$");
+
+	private static final int CALM_BYTES = 64 << 10;
+
 	private static final Path DEPLOYMENT = Path.of("..", "deploy", "system.toml");
 
 	private static final Pattern OPTIONS = Pattern.compile("run = \"java (.*) -jar .*\"");
@@ -117,6 +121,17 @@
 		}
 	}
 
+	/** Returns whether the host holds less for all connections than one large request. */
+	boolean calm() {
+		try (InputStream page = URI.create("http://127.0.0.1:" + this.readiness + "/metrics").toURL().openStream()) {
+			Matcher held = HELD_BYTES.matcher(new String(page.readAllBytes(), StandardCharsets.UTF_8));
+			return held.find() && Double.parseDouble(held.group(1)) < CALM_BYTES;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	/** Returns the resident memory; 0 if the process has ended. */
 	long residentMebibytes() {
 		try (Stream<String> lines = Files.lines(proc("status"))) {
