Refuse an answer whose first line is no status line

Cause: Netty's decoder parses the second word of the line as any integer that is not negative, the first as any name and version, and skips blanks and control bytes before them; nothing behind it asked whether the code is one of HTTP. None of its options changes that. Change: MessageSyntax looks at the bytes before the decoder does and refuses a first line that is not 'HTTP/1.x', a code from 100 to 599 and perhaps a reason phrase. It works for all readers with a ResponseDecoder (servers, directly and through another host, and the store), which moves to the new package codec. Why it works: a code outside 100 to 599 is invalid (RFC 9110, 15), and its client is to treat it as a 5xx; it gets 502.

--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MalformedMessageException.java
@@ -0,0 +1,44 @@
+package io.sequoialink.gateway.codec;
+
+/**
+ * An HTTP/1 message breaks the syntax of the protocol, so that its sender and its readers
+ * may take it for different messages. Immutable.
+ */
+public final class MalformedMessageException extends Exception {
+
+	private final Reason reason;
+
+	MalformedMessageException(Reason reason) {
+		super(reason.text, null, false, false);
+		this.reason = reason;
+	}
+
+	/**
+	 * Returns what is wrong.
+	 * @return the reason, whose text is the message of this exception
+	 */
+	public Reason reason() {
+		return this.reason;
+	}
+
+	/** What is wrong with a message. */
+	public enum Reason {
+
+		/** Its first line is neither a request line nor a status line. */
+		START_LINE("its first line is malformed"),
+
+		/** The major version of the protocol is not 1. */
+		VERSION("its version is not HTTP/1"),
+
+		/** Not three digits, or outside the range that the protocol has. */
+		STATUS("its status code is not between 100 and 599");
+
+		private final String text;
+
+		Reason(String text) {
+			this.text = text;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
@@ -0,0 +1,208 @@
+package io.sequoialink.gateway.codec;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Supplier;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * Checks the messages on one connection where Netty's decoder is more lenient than the
+ * protocol. Confined to the event loop.
+ *
+ * <p>
+ * The decoder reads the same bytes after this class, and both go line by line through a
+ * head: the decoder never consumes a part of a line. Invariant: {@link #ahead} bytes that
+ * the decoder has not consumed yet were found in order.
+ */
+final class MessageSyntax {
+
+	private static final byte LINE_FEED = '\n';
+
+	private static final byte CARRIAGE_RETURN = '\r';
+
+	private static final int DELETE = 0x7f;
+
+	private final StartLineCheck startLine;
+
+	private final Supplier<HttpMessage> invalidMessage;
+
+	private Part part = Part.START_LINE;
+
+	private int ahead;
+
+	private boolean broken;
+
+	/**
+	 * Creates a check for a connection on which nothing was received.
+	 * @param startLine checks the first line of each message
+	 * @param invalidMessage creates a message for a head that is malformed
+	 */
+	MessageSyntax(StartLineCheck startLine, Supplier<HttpMessage> invalidMessage) {
+		this.startLine = startLine;
+		this.invalidMessage = invalidMessage;
+	}
+
+	/**
+	 * Returns whether a message was malformed. All further input is discarded.
+	 * @return whether the connection is of no more use
+	 */
+	boolean broken() {
+		return this.broken;
+	}
+
+	/**
+	 * Checks the input and has it decoded. A malformed message ends with an object whose
+	 * decoder result is a failure by {@link MalformedMessageException}.
+	 * @param input what was received and not decoded yet
+	 * @param out receives the decoded objects
+	 * @param decoder decodes a part of the input
+	 * @throws Exception if the decoder fails
+	 */
+	void decode(ByteBuf input, List<Object> out, Decoder decoder) throws Exception {
+		if (!this.broken) {
+			try {
+				inspect(input);
+			}
+			catch (MalformedMessageException ex) {
+				refuse(ex, out);
+			}
+		}
+		if (this.broken) {
+			input.skipBytes(input.readableBytes());
+			return;
+		}
+		int start = input.readerIndex();
+		int decoded = out.size();
+		decoder.decode();
+		this.ahead = Math.max(0, this.ahead - (input.readerIndex() - start));
+		for (int i = decoded; i < out.size(); i++) {
+			decoded((HttpObject) out.get(i));
+		}
+	}
+
+	private void refuse(MalformedMessageException cause, List<Object> out) {
+		boolean inHead = this.part == Part.START_LINE || this.part == Part.FIELDS;
+		HttpObject refused = inHead ? this.invalidMessage.get() : new DefaultLastHttpContent();
+		refused.setDecoderResult(DecoderResult.failure(cause));
+		out.add(refused);
+		this.broken = true;
+	}
+
+	private void decoded(HttpObject object) {
+		if (object instanceof HttpMessage) {
+			this.part = Part.BODY;
+		}
+		if (object instanceof LastHttpContent) {
+			this.part = Part.START_LINE;
+			this.ahead = 0;
+		}
+	}
+
+	private void inspect(ByteBuf input) throws MalformedMessageException {
+		boolean found = true;
+		while (found) {
+			found = switch (this.part) {
+				case START_LINE -> startLine(input);
+				case FIELDS -> field(input);
+				case BODY -> false;
+			};
+		}
+	}
+
+	// Empty lines may precede a message (RFC 9112, 2.2); the decoder skips anything that
+	// is no character, and consumes it before the line is whole.
+	private boolean startLine(ByteBuf input) throws MalformedMessageException {
+		int start = input.readerIndex() + this.ahead;
+		while (start < input.writerIndex() && isLineEnd(input.getByte(start))) {
+			start++;
+		}
+		this.ahead = start - input.readerIndex();
+		if (start < input.writerIndex() && isBlankOrControl(input.getByte(start))) {
+			throw new MalformedMessageException(MalformedMessageException.Reason.START_LINE);
+		}
+		int end = endOfLine(input);
+		if (end < 0) {
+			return false;
+		}
+		this.startLine.check(input.toString(start, textEnd(input, start, end) - start, StandardCharsets.ISO_8859_1));
+		this.part = Part.FIELDS;
+		advance(input, end);
+		return true;
+	}
+
+	private boolean field(ByteBuf input) {
+		int start = input.readerIndex() + this.ahead;
+		int end = endOfLine(input);
+		if (end < 0) {
+			return false;
+		}
+		if (textEnd(input, start, end) == start) {
+			this.part = Part.BODY;
+		}
+		advance(input, end);
+		return true;
+	}
+
+	private int endOfLine(ByteBuf input) {
+		return input.indexOf(input.readerIndex() + this.ahead, input.writerIndex(), LINE_FEED);
+	}
+
+	private void advance(ByteBuf input, int lineFeed) {
+		this.ahead = lineFeed + 1 - input.readerIndex();
+	}
+
+	private static int textEnd(ByteBuf input, int start, int lineFeed) {
+		return (lineFeed > start && input.getByte(lineFeed - 1) == CARRIAGE_RETURN) ? lineFeed - 1 : lineFeed;
+	}
+
+	private static boolean isLineEnd(byte octet) {
+		return octet == CARRIAGE_RETURN || octet == LINE_FEED;
+	}
+
+	private static boolean isBlankOrControl(byte octet) {
+		return (octet >= 0 && octet <= ' ') || octet == DELETE;
+	}
+
+	/** The part of a message that is inspected next. */
+	private enum Part {
+
+		START_LINE, FIELDS, BODY
+
+	}
+
+	/**
+	 * Checks the first line of a message.
+	 */
+	@FunctionalInterface
+	interface StartLineCheck {
+
+		/**
+		 * Checks a line.
+		 * @param line the line without its end, one character a byte
+		 * @throws MalformedMessageException if it is malformed
+		 */
+		void check(String line) throws MalformedMessageException;
+
+	}
+
+	/**
+	 * Decodes a part of the input.
+	 */
+	@FunctionalInterface
+	interface Decoder {
+
+		/**
+		 * Decodes.
+		 * @throws Exception if the input cannot be decoded
+		 */
+		void decode() throws Exception;
+
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ResponseDecoder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/ResponseDecoder.java
@@ -1,10 +1,12 @@
-package io.sequoialink.gateway.path;
+package io.sequoialink.gateway.codec;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
@@ -15,12 +17,30 @@
  * <p>
  * Bytes that follow a complete response belong to no request. A connection that has any
  * must not carry another request: the next response would be read as the rest of them.
+ *
+ * <p>
+ * A malformed response ends with an object whose decoder result is a failure; nothing is
+ * decoded after it.
  */
 public class ResponseDecoder extends HttpResponseDecoder {
 
 	/** The decoder takes any word for the name of the protocol, and any blanks. */
 	private static final Pattern STATUS_LINE = Pattern.compile("/\\d+\\.\\d+\\s+0*\\d{3}(?!\\d)");
 
+	private final MessageSyntax syntax = new MessageSyntax(StartLines::checkStatusLine, this::createInvalidMessage);
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> out) throws Exception {
+		this.syntax.decode(input, out, () -> super.decode(context, input, out));
+	}
+
+	@Override
+	protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> out) throws Exception {
+		if (!this.syntax.broken()) {
+			super.decodeLast(context, input, out);
+		}
+	}
+
 	/**
 	 * Returns whether bytes were received that no message contains. Valid while a message
 	 * is being handled.
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -19,7 +19,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.sequoialink.gateway.path.ResponseDecoder;
+import io.sequoialink.gateway.codec.MalformedMessageException;
+import io.sequoialink.gateway.codec.ResponseDecoder;
 import io.sequoialink.gateway.path.TunnelLostException;
 
 /**
@@ -198,7 +199,7 @@
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
-			notTaken(UnexpectedHead.UNREADABLE, "bytes");
+			notTaken(UnexpectedHead.UNREADABLE, unreadable(message.decoderResult().cause()));
 			close();
 			return;
 		}
@@ -210,6 +211,11 @@
 		}
 	}
 
+	// The message of any other cause may quote the server's bytes.
+	private static String unreadable(Throwable cause) {
+		return (cause instanceof MalformedMessageException) ? "bytes (" + cause.getMessage() + ")" : "bytes";
+	}
+
 	private void head(HttpResponse response) {
 		if (!this.answeredRequests.isEmpty() && ResponseDecoder.joined(response)) {
 			notTaken(UnexpectedHead.JOINED, response);
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
@@ -0,0 +1,71 @@
+package io.sequoialink.gateway.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Servers whose answers break the syntax of the protocol, over loopback, directly and
+ * through a helping host. Guards against handing such an answer to a client (MIXED).
+ */
+class BrokenAnswerTests {
+
+	private static final String EVENT = "id: 1\ndata: d\n\n";
+
+	private static final String FIELDS = "\r\nid: ID\r\nseal: s\r\ncontent-length: 15\r\n";
+
+	private static void assertRefused(String answer) throws Exception {
+		for (boolean throughHost : List.of(false, true)) {
+			assertRefused(answer, throughHost);
+		}
+	}
+
+	private static void assertRefused(String answer, boolean throughHost) throws Exception {
+		ScriptedServer.Script script = (call) -> {
+			call.write(answer.replace("ID", call.header("id")));
+			call.close();
+		};
+		try (GatewayFixture fixture = GatewayFixture.withServers(script, script)) {
+			fixture.startHelpingHost();
+			fixture.setCutOff(throughHost);
+			for (String path : List.of("/safe/x", "/once/x", "/firm/x")) {
+				String response = fixture.exchange(path, "");
+				assertThat(response).as(path).startsWith("HTTP/1.1 502 ").doesNotContain(EVENT);
+				assertThat(RawHttp.header(response, "seal")).as(path).isNull();
+			}
+			assertThat(fixture.attemptCount()).isEqualTo(4);
+			assertUnreadable(fixture, 4);
+		}
+	}
+
+	private static void assertUnreadable(GatewayFixture fixture, long count) throws Exception {
+		List<Map<List<String>, Long>> counts = new ArrayList<>();
+		fixture.onLoop(() -> counts.add(Map.copyOf(fixture.counts().unexpectedHeads().counts())));
+		assertThat(counts.get(0)).containsEntry(List.of("unreadable"), count);
+	}
+
+	// Guards against a server in trouble whose answer with status 000 reached its client.
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "000", "001", "099", "600", "999", "-1", "20", "2000", "0200", "+200", "+20", "2x0", "200OK" })
+	@Timeout(30)
+	void statusThatTheProtocolDoesNotHave(String status) throws Exception {
+		assertRefused("HTTP/1.1 " + status + " X" + FIELDS + "\r\n" + EVENT);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/1.10 200 OK", "ICY 200 OK",
+			"http/1.1 200 OK", " HTTP/1.1 200 OK", "\u0001HTTP/1.1 200 OK", "HTTP/1.1 200 O\u0001K",
+			"HTTP/1.1 200 O\u007fK", "HTTP/1.1200 OK", "200 OK" })
+	@Timeout(30)
+	void firstLineThatIsNoStatusLine(String line) throws Exception {
+		assertRefused(line + FIELDS + "\r\n" + EVENT);
+	}
+
+}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -167,6 +167,8 @@
 	private volatile Consumer<SelectedServer> afterChoice = (placed) -> {
 	};
 
+	private ClientLimits clientLimits = LIMITS;
+
 	private GatewayFixture() {
 		TestHeaderMapping headerMapping = new TestHeaderMapping();
 		this.table = new ServerTable(this.view,
@@ -356,6 +358,17 @@
 		return fixture;
 	}
 
+	/**
+	 * Starts a gateway whose clients may send large bodies.
+	 */
+	static GatewayFixture withLargeBodies(ScriptedServer.Script... scripts) throws Exception {
+		GatewayFixture fixture = withoutConfiguration(scripts);
+		fixture.clientLimits = new ClientLimits(LIMITS.headerBytes(), 8 << 20, LIMITS.headerTimeoutMillis(),
+				LIMITS.idleTimeoutMillis());
+		fixture.publishConfiguration();
+		return fixture;
+	}
+
 	/**
 	 * Starts a gateway that has not read a configuration yet.
 	 */
@@ -371,7 +384,7 @@
 
 	void publishConfiguration() throws Exception {
 		this.loops.submit(() -> {
-			this.view.updateConfiguration(configuration());
+			this.view.updateConfiguration(configuration(this.clientLimits));
 			int number = 0;
 			for (ScriptedServer server : this.servers) {
 				number++;
@@ -383,7 +396,7 @@
 		}).get();
 	}
 
-	private static Configuration configuration() {
+	private static Configuration configuration(ClientLimits clientLimits) {
 		List<Route> routes = List.of(route("/safe/", RequestKind.IDEMPOTENT, 5000, 2, false, List.of()),
 				route("/brief/", RequestKind.IDEMPOTENT, 300, 2, false, List.of()),
 				route("/once/", RequestKind.NON_IDEMPOTENT, 5000, 2, false, List.of()),
@@ -395,7 +408,7 @@
 		BackendService service = new BackendService("svc", "/health", 100, 1000,
 				List.of(new ModelCost("small", 0.1), new ModelCost("large", 1)), 1);
 		return new Configuration(1, routes, List.of(service),
-				List.of(new ClientAccount("acme", List.of("k", "k2"), OptionalInt.empty())), LIMITS);
+				List.of(new ClientAccount("acme", List.of("k", "k2"), OptionalInt.empty())), clientLimits);
 	}
 
 	private static Route route(String prefix, RequestKind kind, int timeout, int attempts, boolean resumable,
@@ -540,7 +553,7 @@
 		}
 
 		void raw(String text) throws IOException {
-			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
 		}
 
 		String read() throws IOException {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/ScriptedServer.java
@@ -198,7 +198,7 @@
 
 		void write(String text) throws IOException {
 			OutputStream out = this.socket.getOutputStream();
-			out.write(text.getBytes(StandardCharsets.US_ASCII));
+			out.write(text.getBytes(StandardCharsets.ISO_8859_1));
 			out.flush();
 		}
 
