Refuse an answer with a malformed field in its head

Cause: for responses Netty's decoder ends a name at the first blank, looks for the colon later, takes a line without a colon for a name, and joins folded lines; validation of headers sees only what is left. Requests are decoded more strictly. Change: MessageSyntax requires of each line of a response's head a name without blanks and control bytes, directly followed by a colon. So a folded line is refused too; RFC 9112, 5.2 lets a gateway refuse it with 502 or replace it, and no server may send it. Why it works: the name is judged in the bytes as they came, before the decoder shortens it. Evidence: BrokenAnswerTests.fieldThatIsMalformed: 15 of 26 cases failed on and pass; the other 11 (control bytes, lengths that don't fit, no name) were refused already. OddAnswerTests pass.

--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MalformedMessageException.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MalformedMessageException.java
@@ -30,6 +30,9 @@
 		/** The major version of the protocol is not 1. */
 		VERSION("its version is not HTTP/1"),
 
+		/** A field has no name, or one with a blank or a control byte, or is folded. */
+		FIELD_NAME("a field has no name, or one with a blank or a control byte"),
+
 		/** Not three digits, or outside the range that the protocol has. */
 		STATUS("its status code is not between 100 and 599");
 
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
@@ -22,6 +22,8 @@
  */
 final class MessageSyntax {
 
+	private static final byte COLON = ':';
+
 	private static final byte LINE_FEED = '\n';
 
 	private static final byte CARRIAGE_RETURN = '\r';
@@ -136,7 +138,7 @@
 		return true;
 	}
 
-	private boolean field(ByteBuf input) {
+	private boolean field(ByteBuf input) throws MalformedMessageException {
 		int start = input.readerIndex() + this.ahead;
 		int end = endOfLine(input);
 		if (end < 0) {
@@ -145,10 +147,28 @@
 		if (textEnd(input, start, end) == start) {
 			this.part = Part.BODY;
 		}
+		else {
+			checkField(input, start, end);
+		}
 		advance(input, end);
 		return true;
 	}
 
+	// The decoder shortens a name at a blank and appends a line that begins with one to
+	// the
+	// value before. It checks the other characters of names and values itself.
+	private static void checkField(ByteBuf input, int start, int end) throws MalformedMessageException {
+		int colon = input.indexOf(start, end, COLON);
+		if (colon <= start) {
+			throw new MalformedMessageException(MalformedMessageException.Reason.FIELD_NAME);
+		}
+		for (int i = start; i < colon; i++) {
+			if (isBlankOrControl(input.getByte(i))) {
+				throw new MalformedMessageException(MalformedMessageException.Reason.FIELD_NAME);
+			}
+		}
+	}
+
 	private int endOfLine(ByteBuf input) {
 		return input.indexOf(input.readerIndex() + this.ahead, input.writerIndex(), LINE_FEED);
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
@@ -68,4 +68,24 @@
 		assertRefused(line + FIELDS + "\r\n" + EVENT);
 	}
 
+	// Guards against a line that is passed on under another name, and against a length or
+	// a
+	// seal that the server did not name so. The line stands in the place of one of the
+	// right head.
+	@ParameterizedTest
+	@ValueSource(strings = { "x-own field: v", "x-own\tfield: v", "x-own : v", "x-own\t: v", " x-own: v", "\tx-own: v",
+			": v", "no colon", "x-o\u0001wn: v", "x-o\u0000wn: v", "x-own\u007f: v", "x-own: a\u0001b",
+			"x-own: a\u0000b", "seal : s", "seal\t: s", "seal: s\u0001", " seal: s", "id : ID", "content-length : 2",
+			"content-length\t: 2", "content length: 2", "transfer-encoding : chunked", " content-length: 2",
+			"x-own: a\r\n b", "x-own: a\r\n\tb: c", "x-own: a\r\n content-length: 2" })
+	@Timeout(30)
+	void fieldThatIsMalformed(String field) throws Exception {
+		String name = field.strip().split("[ \t:]", 2)[0];
+		for (String order : List.of("first", "last")) {
+			String others = FIELDS.substring(2).replaceFirst(name + ": .*\r\n", "");
+			String fields = order.equals("first") ? field + "\r\n" + others : others + field + "\r\n";
+			assertRefused("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + EVENT);
+		}
+	}
+
 }
