Refuse an answer with a malformed chunk or trailer

Cause: Netty's decoder ends a chunk's size at the first blank or control byte and computes it in an int; trailers are read like the fields of a response's head. Its strict mode, on by default, covers the ends of lines only. Change: MessageSyntax follows the chunks: it checks the line of each size, the end of each chunk's data and the lines of the trailers. Why it works: what the decoder reads leniently has been found in order before it gets there; a right chunked body, with extensions, sizes padded with zeros or blanks and trailers, passes.

--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MalformedMessageException.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MalformedMessageException.java
@@ -30,6 +30,12 @@
 		/** The major version of the protocol is not 1. */
 		VERSION("its version is not HTTP/1"),
 
+		/**
+		 * The size of a chunk is no number, or is followed by anything but an extension;
+		 * or its data is followed by anything but the end of a line.
+		 */
+		CHUNK("a chunk is malformed"),
+
 		/** A field has no name, or one with a blank or a control byte, or is folded. */
 		FIELD_NAME("a field has no name, or one with a blank or a control byte"),
 
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
@@ -38,6 +39,8 @@
 
 	private int ahead;
 
+	private long chunkLeft;
+
 	private boolean broken;
 
 	/**
@@ -97,8 +100,8 @@
 	}
 
 	private void decoded(HttpObject object) {
-		if (object instanceof HttpMessage) {
-			this.part = Part.BODY;
+		if (object instanceof HttpMessage message) {
+			this.part = HttpUtil.isTransferEncodingChunked(message) ? Part.CHUNK_SIZE : Part.UNCHECKED;
 		}
 		if (object instanceof LastHttpContent) {
 			this.part = Part.START_LINE;
@@ -111,8 +114,11 @@
 		while (found) {
 			found = switch (this.part) {
 				case START_LINE -> startLine(input);
-				case FIELDS -> field(input);
-				case BODY -> false;
+				case FIELDS, TRAILERS -> field(input);
+				case CHUNK_SIZE -> chunkSize(input);
+				case CHUNK -> chunk(input);
+				case CHUNK_END -> chunkEnd(input);
+				case UNCHECKED -> false;
 			};
 		}
 	}
@@ -132,7 +138,7 @@
 		if (end < 0) {
 			return false;
 		}
-		this.startLine.check(input.toString(start, textEnd(input, start, end) - start, StandardCharsets.ISO_8859_1));
+		this.startLine.check(text(input, start, end));
 		this.part = Part.FIELDS;
 		advance(input, end);
 		return true;
@@ -145,7 +151,7 @@
 			return false;
 		}
 		if (textEnd(input, start, end) == start) {
-			this.part = Part.BODY;
+			this.part = Part.UNCHECKED;
 		}
 		else {
 			checkField(input, start, end);
@@ -169,6 +175,44 @@
 		}
 	}
 
+	private boolean chunkSize(ByteBuf input) throws MalformedMessageException {
+		int start = input.readerIndex() + this.ahead;
+		int end = endOfLine(input);
+		if (end < 0) {
+			return false;
+		}
+		this.chunkLeft = ChunkSize.parse(text(input, start, end));
+		this.part = (this.chunkLeft > 0) ? Part.CHUNK : Part.TRAILERS;
+		advance(input, end);
+		return true;
+	}
+
+	private boolean chunk(ByteBuf input) {
+		int found = (int) Math.min(this.chunkLeft, input.readableBytes() - this.ahead);
+		this.chunkLeft -= found;
+		this.ahead += found;
+		if (this.chunkLeft == 0) {
+			this.part = Part.CHUNK_END;
+		}
+		return this.chunkLeft == 0;
+	}
+
+	// The decoder consumes the line end behind a chunk byte by byte.
+	private boolean chunkEnd(ByteBuf input) throws MalformedMessageException {
+		if (this.ahead == input.readableBytes()) {
+			return false;
+		}
+		byte octet = input.getByte(input.readerIndex() + this.ahead);
+		if (!isLineEnd(octet)) {
+			throw new MalformedMessageException(MalformedMessageException.Reason.CHUNK);
+		}
+		this.ahead++;
+		if (octet == LINE_FEED) {
+			this.part = Part.CHUNK_SIZE;
+		}
+		return true;
+	}
+
 	private int endOfLine(ByteBuf input) {
 		return input.indexOf(input.readerIndex() + this.ahead, input.writerIndex(), LINE_FEED);
 	}
@@ -177,6 +221,10 @@
 		this.ahead = lineFeed + 1 - input.readerIndex();
 	}
 
+	private static String text(ByteBuf input, int start, int lineFeed) {
+		return input.toString(start, textEnd(input, start, lineFeed) - start, StandardCharsets.ISO_8859_1);
+	}
+
 	private static int textEnd(ByteBuf input, int start, int lineFeed) {
 		return (lineFeed > start && input.getByte(lineFeed - 1) == CARRIAGE_RETURN) ? lineFeed - 1 : lineFeed;
 	}
@@ -189,10 +237,13 @@
 		return (octet >= 0 && octet <= ' ') || octet == DELETE;
 	}
 
-	/** The part of a message that is inspected next. */
+	/**
+	 * The part of a message that is inspected next; a body with a length, or without, is
+	 * not.
+	 */
 	private enum Part {
 
-		START_LINE, FIELDS, BODY
+		START_LINE, FIELDS, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, UNCHECKED
 
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
@@ -27,13 +27,7 @@
 	}
 
 	private static void assertRefused(String answer, boolean throughHost) throws Exception {
-		ScriptedServer.Script script = (call) -> {
-			call.write(answer.replace("ID", call.header("id")));
-			call.close();
-		};
-		try (GatewayFixture fixture = GatewayFixture.withServers(script, script)) {
-			fixture.startHelpingHost();
-			fixture.setCutOff(throughHost);
+		try (GatewayFixture fixture = answering(throughHost, answer)) {
 			for (String path : List.of("/safe/x", "/once/x", "/firm/x")) {
 				String response = fixture.exchange(path, "");
 				assertThat(response).as(path).startsWith("HTTP/1.1 502 ").doesNotContain(EVENT);
@@ -44,6 +38,17 @@
 		}
 	}
 
+	private static GatewayFixture answering(boolean throughHost, String answer) throws Exception {
+		ScriptedServer.Script script = (call) -> {
+			call.write(answer.replace("ID", call.header("id")));
+			call.close();
+		};
+		GatewayFixture fixture = GatewayFixture.withServers(script, script);
+		fixture.startHelpingHost();
+		fixture.setCutOff(throughHost);
+		return fixture;
+	}
+
 	private static void assertUnreadable(GatewayFixture fixture, long count) throws Exception {
 		List<Map<List<String>, Long>> counts = new ArrayList<>();
 		fixture.onLoop(() -> counts.add(Map.copyOf(fixture.counts().unexpectedHeads().counts())));
@@ -88,4 +93,43 @@
 		}
 	}
 
+	// Guards against a body that is not the server's, and against trailers that are
+	// passed
+	// on or ignored though their names are malformed.
+	@ParameterizedTest
+	@ValueSource(strings = { "5 5\r\nid: 1|", "F x\r\nE|0\r\n\r\n", "Fx\r\nE|0\r\n\r\n", " F\r\nE|0\r\n\r\n",
+			"F ;a\u0001\r\nE|0\r\n\r\n", "-F\r\nE|0\r\n\r\n", "0xF\r\nE|0\r\n\r\n", "\r\nE|0\r\n\r\n",
+			"100000000F\r\nE|0\r\n\r\n", "F\r\nEmore|0\r\n\r\n", "F\r\nE|0 0\r\n\r\n",
+			"F\r\nE|0\r\nx-own field: v\r\n\r\n", "F\r\nE|0\r\nx-own : v\r\n\r\n", "F\r\nE|0\r\n x-own: v\r\n\r\n",
+			"F\r\nE|0\r\nx: a\r\n b\r\n\r\n", "F\r\nE|0\r\nno colon\r\n\r\n", "F\r\nE|0\r\nx-o\u0001wn: v\r\n\r\n",
+			"F\r\nE|0\r\nx: a\u0001b\r\n\r\n" })
+	@Timeout(30)
+	void chunkOrTrailerThatIsMalformed(String body) throws Exception {
+		String chunks = body.replace("E|", EVENT + "\r\n")
+			.replace("Emore|", EVENT + "more\r\n")
+			.replace("|", "\r\n0\r\n\r\n");
+		String answer = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n" + chunks;
+		for (boolean throughHost : List.of(false, true)) {
+			try (GatewayFixture fixture = answering(throughHost, answer)) {
+				for (String path : List.of("/safe/x", "/once/x")) {
+					assertThat(fixture.exchange(path, "")).as(path).startsWith("HTTP/1.1 502 ");
+				}
+				assertUnreadable(fixture, 3);
+			}
+		}
+	}
+
+	// A stream has begun when the bytes behind its first event turn out to be malformed.
+	@ParameterizedTest
+	@ValueSource(strings = { "5 5\r\nid: 2\r\n0\r\n\r\n", "0\r\nx-own : v\r\n\r\n" })
+	@Timeout(30)
+	void streamWithAMalformedRestIsBrokenOff(String rest) throws Exception {
+		String answer = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\nF\r\n" + EVENT
+				+ "\r\n" + rest;
+		try (GatewayFixture fixture = answering(false, answer); GatewayFixture.Client client = fixture.connect()) {
+			client.send("/firm/x", "");
+			assertThat(client.readToEnd()).doesNotContain("\r\n0\r\n\r\n");
+		}
+	}
+
 }
