Take no empty seal for a server's signature

Cause: ResponseMetadata.signed() asked whether the header is there, not whether it says anything. Change: a signature without text is none, so the answer is refused like one without the header, and its notices aren't heeded.

--- a/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ResponseMetadata.java
@@ -12,8 +12,7 @@
  * Metadata in the headers of a backend server's response. Immutable.
  *
  * @param requestId identifier of the request that it answers
- * @param seal the server's signature, empty if it carries none; a present signature may
- * be empty text
+ * @param seal text of the server's signature, empty if there is no such header
  * @param notExecuted whether the server states that it did not run the request
  * @param load current load of the server
  * @param loadIgnored whether the response carries a load report that is malformed
@@ -32,10 +31,10 @@
 
 	/**
 	 * Returns whether the response carries the server's signature.
-	 * @return whether it is signed
+	 * @return whether it is signed; a signature without text is none
 	 */
 	public boolean signed() {
-		return this.seal.isPresent();
+		return this.seal.filter((text) -> !text.isBlank()).isPresent();
 	}
 
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
@@ -132,4 +132,22 @@
 		}
 	}
 
+	// Guards against a success that bears no server's signature.
+	@ParameterizedTest
+	@ValueSource(strings = { "seal:", "seal: ", "seal: \t " })
+	@Timeout(30)
+	void signatureWithoutText(String field) throws Exception {
+		for (int status : List.of(200, 404, 500)) {
+			String answer = "HTTP/1.1 " + status + " X\r\nid: ID\r\n" + field + "\r\ncontent-length: 15\r\n\r\n"
+					+ EVENT;
+			try (GatewayFixture fixture = answering(false, answer)) {
+				for (String path : List.of("/safe/x", "/once/x", "/firm/x")) {
+					String response = fixture.exchange(path, "");
+					assertThat(response).as(path).startsWith("HTTP/1.1 502 ");
+					assertThat(RawHttp.header(response, "seal")).as(path).isNull();
+				}
+			}
+		}
+	}
+
 }
