Don't take a connection that a write found lost for the end of an answer

So it did when the server ended its output first. And an early answer that was whole (413, 503, not run) was lost if the reset followed it at once. Cause: an answer with neither length nor chunks ends with its connection, and the decoder took any end for it. A write that fails closes the channel (AUTO_CLOSE) and takes the socket's error, so there is no exception, only the end; what had been received and not read was dropped. An end of the server's output closed the channel too, with most of the upload unwritten. Change: server connections stay open for reading after a failed write and after the end of the server's output. An end that nothing in order came before (this host closed, or the channel ended otherwise) ends no answer. Why it works: of the two signs of a lost connection, read error and write error, one is always seen before the answer counts as whole; a server that reads the upload to its end is delivered, whenever it ends its output. What can't be told: a server that ends its output in order, with less of the upload unread than the socket buffers hold, and then resets.

--- a/gateway/src/main/java/io/sequoialink/gateway/codec/ResponseDecoder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/ResponseDecoder.java
@@ -3,12 +3,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes the responses on a connection that is used for one request after the other.
@@ -19,6 +25,13 @@
  * must not carry another request: the next response would be read as the rest of them.
  *
  * <p>
+ * A response with neither a length nor chunks is complete only if the server ended its
+ * output in order and the request had been written whole by then, or was afterwards: a
+ * lost connection ends the input as well, at times without an error once a write has
+ * failed. The connection has the options of {@link #configure(Bootstrap)}, without which
+ * a failed write discards what was received before. It is closed after the end of input.
+ *
+ * <p>
  * A malformed response ends with an object whose decoder result is a failure; nothing is
  * decoded after it.
  */
@@ -29,18 +42,79 @@
 
 	private final MessageSyntax syntax = new MessageSyntax(StartLines::checkStatusLine, this::createInvalidMessage);
 
+	private final RequestWrites writes = new RequestWrites();
+
+	private boolean endsWithConnection;
+
+	private boolean endedInOrder;
+
+	/**
+	 * Sets the options of a connection to a server: what it has sent is still read after
+	 * it has ended its output, and after a write has failed.
+	 * @param bootstrap bootstrap of the connection; changed in place
+	 * @return the same bootstrap
+	 */
+	public static Bootstrap configure(Bootstrap bootstrap) {
+		return bootstrap.option(ChannelOption.ALLOW_HALF_CLOSURE, true).option(ChannelOption.AUTO_CLOSE, false);
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) throws Exception {
+		super.handlerAdded(context);
+		context.pipeline().addBefore(context.name(), null, this.writes);
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> out) throws Exception {
+		int decoded = out.size();
 		this.syntax.decode(input, out, () -> super.decode(context, input, out));
+		for (int i = decoded; i < out.size(); i++) {
+			noteFraming(out.get(i));
+		}
+	}
+
+	private void noteFraming(Object object) {
+		if (object instanceof HttpResponse response) {
+			this.endsWithConnection = !HttpUtil.isTransferEncodingChunked(response)
+					&& !HttpUtil.isContentLengthSet(response);
+		}
+		if (object instanceof LastHttpContent) {
+			this.endsWithConnection = false;
+		}
 	}
 
 	@Override
 	protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> out) throws Exception {
-		if (!this.syntax.broken()) {
+		boolean lost = this.endsWithConnection && !this.endedInOrder;
+		if (!this.syntax.broken() && !lost) {
 			super.decodeLast(context, input, out);
 		}
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		if (!(event instanceof ChannelInputShutdownEvent)) {
+			super.userEventTriggered(context, event);
+			return;
+		}
+		if (this.endsWithConnection) {
+			this.writes.whenSettled((failure) -> endOfInput(context, failure));
+		}
+		else {
+			context.close();
+		}
+	}
+
+	private void endOfInput(ChannelHandlerContext context, Optional<Throwable> writeFailure) {
+		if (writeFailure.isPresent()) {
+			context.fireExceptionCaught(new RequestCutException(writeFailure.get()));
+		}
+		else {
+			this.endedInOrder = true;
+		}
+		context.close();
+	}
+
 	/**
 	 * Returns whether bytes were received that no message contains. Valid while a message
 	 * is being handled.
--- a/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/BackendConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.sequoialink.gateway.codec.MalformedMessageException;
+import io.sequoialink.gateway.codec.RequestCutException;
 import io.sequoialink.gateway.codec.ResponseDecoder;
 import io.sequoialink.gateway.path.TunnelLostException;
 
@@ -319,7 +320,7 @@
 			notTaken(UnexpectedHead.FOLLOWING, "bytes behind the response to " + finished.requestId());
 		}
 		boolean keep = this.reusable && !followed && this.answeredRequests.size() < MAX_REQUESTS
-				&& this.writing.isDone() && this.channel.isActive();
+				&& this.writing.isSuccess() && this.channel.isActive();
 		if (keep) {
 			this.idleSince = System.nanoTime();
 			// a slow client may have paused it; its end and extra bytes must be noticed
@@ -339,6 +340,9 @@
 			end(AttemptFailure.HOST_LOST);
 			return;
 		}
+		if (cause instanceof RequestCutException && this.request != null) {
+			this.request.explainFailure(cause.getMessage());
+		}
 		end((cause instanceof IOException) ? AttemptFailure.DISCONNECTED : AttemptFailure.ABORTED);
 	}
 
--- a/gateway/src/main/java/io/sequoialink/gateway/http/OutboundRequest.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/OutboundRequest.java
@@ -105,10 +105,18 @@
 	 * @param cause why, for the log
 	 */
 	void failConnecting(Throwable cause) {
-		this.failureDetail = cause.toString();
+		explainFailure(cause.toString());
 		fail(AttemptFailure.NOT_CONNECTED);
 	}
 
+	/**
+	 * Says more of a failure that follows.
+	 * @param detail text for the log
+	 */
+	void explainFailure(String detail) {
+		this.failureDetail = detail;
+	}
+
 	/**
 	 * Returns why the request failed, beyond the kind of failure.
 	 * @return text for the log, empty if there is no more to say
--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -21,6 +21,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.sequoialink.gateway.GatewayEvents;
+import io.sequoialink.gateway.codec.ResponseDecoder;
 import io.sequoialink.gateway.count.LabelledCounters;
 import io.sequoialink.gateway.fleet.ServerEntry;
 import io.sequoialink.gateway.relay.Peer;
@@ -88,7 +89,7 @@
 	 */
 	public ServerConnector(EventLoopGroup loop, UnaryOperator<InetSocketAddress> addresses, ServicePaths paths,
 			HelpingHosts hosts, OtherServers others, LabelledCounters counts, LongSupplier clock) {
-		this.toServers = KeepAlive.newBootstrap(loop, CONNECT_MILLIS)
+		this.toServers = ResponseDecoder.configure(KeepAlive.newBootstrap(loop, CONNECT_MILLIS))
 			.option(ChannelOption.RCVBUF_ALLOCATOR, ReadSize.newAllocator());
 		this.toHosts = KeepAlive.newBootstrap(loop, HOST_CONNECT_MILLIS)
 			.option(ChannelOption.RCVBUF_ALLOCATOR, ReadSize.newAllocator());
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
@@ -13,13 +13,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.sequoialink.gateway.relay.Peer;
 
 /**
  * This host's end of a connection to a server through another host: asks for it, then
  * passes the bytes of the server's connection to the handlers behind. Confined to the
- * event loop. The end of the server's connection appears as the end of this one; its
- * loss, and the loss of the connection between the hosts, as exceptions before.
+ * event loop. The end of the server's output appears as that of this connection's input;
+ * its loss, and the loss of the connection between the hosts, as exceptions. The handlers
+ * behind close the connection after the end of input.
  */
 final class TunnelClientHandler extends ChannelDuplexHandler {
 
@@ -144,7 +146,7 @@
 		}
 		else if (this.state == State.OPEN && kind == TunnelFrames.Kind.END) {
 			this.state = State.ENDED;
-			context.close();
+			context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
 		}
 		else if (this.state == State.OPEN && kind == TunnelFrames.Kind.RESET) {
 			this.state = State.ENDED;
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import io.sequoialink.gateway.fleet.ServerEntry;
 
@@ -155,6 +156,13 @@
 			TunnelServerHandler.this.client.config().setAutoRead(context.channel().isWritable());
 		}
 
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event instanceof ChannelInputShutdownEvent) {
+				context.close();
+			}
+		}
+
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			finish(TunnelFrames.Kind.END);
--- a/gateway/src/main/java/io/sequoialink/gateway/path/UnusedConnectionHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/UnusedConnectionHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,6 +20,13 @@
 		ReferenceCountUtil.release(message);
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			context.close();
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		logger.debug("connection that was opened as a check was lost: {}", cause.toString());
--- a/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/GatewayFixture.java
@@ -152,7 +152,7 @@
 
 	private volatile InetSocketAddress cutOff;
 
-	private volatile boolean helperCutOff;
+	private volatile InetSocketAddress helpingHostDirectedTo;
 
 	private TunnelServer helping;
 
@@ -207,7 +207,8 @@
 
 	void startHelpingHost(String name, Predicate<InetAddress> knownHost) throws Exception {
 		ServerConnector connector = new ServerConnector(this.loops,
-				(address) -> this.helperCutOff ? UNREACHABLE : address, new ServicePaths(System::nanoTime),
+				(address) -> (this.helpingHostDirectedTo != null) ? this.helpingHostDirectedTo : address,
+				new ServicePaths(System::nanoTime),
 				new HelpingHosts(new Peer(name, "z", UNREACHABLE), List::of, System::nanoTime, new SplittableRandom(7)),
 				new OtherServers(this.view, new SplittableRandom(9)), this.counts.tunnels(), System::nanoTime);
 		this.helping = new TunnelServer(connector, this.view, this.evacuatedAtHelpingHost, knownHost);
@@ -269,7 +270,14 @@
 	 * Refuses the helping host's connections to all servers too, or lets them pass again.
 	 */
 	void setHelpingHostCutOff(boolean cut) {
-		this.helperCutOff = cut;
+		this.helpingHostDirectedTo = cut ? UNREACHABLE : null;
+	}
+
+	/**
+	 * Directs the helping host's connections to all servers to another address.
+	 */
+	void directHelpingHost(InetSocketAddress instead) {
+		this.helpingHostDirectedTo = instead;
 	}
 
 	/**
--- /dev/null
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
@@ -0,0 +1,235 @@
+package io.sequoialink.gateway.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Servers that answer a long upload while it is still being written, over loopback,
+ * directly and through a helping host. Guards against taking a part of an answer for a
+ * whole one when the connection breaks (MIXED), and against losing a whole one.
+ */
+class UploadAnswerTests {
+
+	private static final int UPLOAD_BYTES = 3_900_000;
+
+	private static final int REPETITIONS = 5;
+
+	private static final String EVENT = "id: 1\ndata: d\n\n";
+
+	/** What the server does after the head of a request. */
+	private enum End {
+
+		RESET, END_THEN_RESET, CRASH, READ_THEN_CLOSE, END_THEN_READ
+
+	}
+
+	private static void serve(ServerSocket listening, Behaviour behaviour) {
+		while (!listening.isClosed()) {
+			try {
+				Socket socket = listening.accept();
+				Thread serving = new Thread(() -> answer(listening, socket, behaviour), "upload-server");
+				serving.setDaemon(true);
+				serving.start();
+			}
+			catch (IOException ex) {
+				// the test has ended
+			}
+		}
+	}
+
+	private static void answer(ServerSocket listening, Socket socket, Behaviour behaviour) {
+		try (socket) {
+			InputStream in = socket.getInputStream();
+			StringBuilder head = new StringBuilder();
+			while (head.indexOf("\r\n\r\n") < 0) {
+				head.append((char) in.read());
+			}
+			String text = behaviour.answer.replace("ID", RawHttp.header(head.toString(), "id"));
+			socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+			behaviour.end(listening, socket, in);
+		}
+		catch (IOException ex) {
+			// the host has closed the connection
+		}
+	}
+
+	private static String upload(GatewayFixture fixture, String path) throws Exception {
+		try (GatewayFixture.Client client = fixture.connect()) {
+			client.raw("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nid: up1\r\nkey: k\r\ncontent-length: "
+					+ UPLOAD_BYTES + "\r\n\r\n" + "x".repeat(UPLOAD_BYTES));
+			return path.startsWith("/firm/") ? client.readToEnd() : client.read();
+		}
+	}
+
+	private static long brokenAttempts(GatewayFixture fixture) throws Exception {
+		AtomicLong attempts = new AtomicLong();
+		fixture.onLoop(() -> attempts
+			.set(fixture.counts().attempts().counts().getOrDefault(List.of("svc", "v1", "broken"), 0L)));
+		return attempts.get();
+	}
+
+	// The server's socket takes only a small part of the upload before the server reads
+	// it.
+	private static void play(Behaviour behaviour, boolean throughHost, Play play) throws Exception {
+		try (ServerSocket listening = new ServerSocket();
+				GatewayFixture fixture = GatewayFixture.withLargeBodies((call) -> {
+				}, (call) -> {
+				})) {
+			listening.setReceiveBufferSize(8 << 10);
+			listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+			Thread serving = new Thread(() -> serve(listening, behaviour), "upload-accept");
+			serving.setDaemon(true);
+			serving.start();
+			InetSocketAddress server = new InetSocketAddress(InetAddress.getLoopbackAddress(),
+					listening.getLocalPort());
+			if (throughHost) {
+				fixture.startHelpingHost();
+				fixture.directHelpingHost(server);
+				fixture.setCutOff(true);
+			}
+			else {
+				fixture.setCutOff(server);
+			}
+			for (int i = 0; i < REPETITIONS; i++) {
+				play.play(fixture);
+			}
+		}
+	}
+
+	@ParameterizedTest(name = "{0} after {1} ms, through a host: {2}")
+	@CsvSource({ "RESET, 0, false", "RESET, 1, false", "RESET, 40, false", "END_THEN_RESET, 0, false",
+			"END_THEN_RESET, 40, false" })
+	@Timeout(60)
+	void partOfAnAnswerWithoutALengthIsNotComplete(End end, int millis, boolean throughHost) throws Exception {
+		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n" + "p".repeat(1000);
+		play(new Behaviour(part, end, millis), throughHost, (fixture) -> {
+			String response = upload(fixture, "/once/x");
+			assertThat(response).startsWith("HTTP/1.1 502 ");
+			assertThat(RawHttp.header(response, "seal")).isNull();
+		});
+	}
+
+	@ParameterizedTest(name = "{0} after {1} ms, through a host: {2}")
+	@CsvSource({ "RESET, 0, false", "RESET, 40, false", "END_THEN_RESET, 40, false" })
+	@Timeout(60)
+	void partOfAStreamWithoutALengthIsNotComplete(End end, int millis, boolean throughHost) throws Exception {
+		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n" + EVENT;
+		play(new Behaviour(part, end, millis), throughHost,
+				(fixture) -> assertThat(upload(fixture, "/firm/x")).doesNotContain("\r\n0\r\n\r\n"));
+	}
+
+	@ParameterizedTest(name = "{0} after {1} ms, through a host: {2}")
+	@CsvSource({ "READ_THEN_CLOSE, 0, false", "READ_THEN_CLOSE, 40, false", "END_THEN_READ, 0, false",
+			"END_THEN_READ, 40, false", "READ_THEN_CLOSE, 0, true", "END_THEN_READ, 0, true",
+			"END_THEN_READ, 40, true" })
+	@Timeout(60)
+	void answerWithoutALengthIsDeliveredIfTheUploadIsRead(End end, int millis, boolean throughHost) throws Exception {
+		String body = "w".repeat(1000);
+		String whole = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n" + body;
+		play(new Behaviour(whole, end, millis), throughHost, (fixture) -> {
+			String response = upload(fixture, "/once/x");
+			assertThat(response).startsWith("HTTP/1.1 200 ");
+			assertThat(RawHttp.body(response)).isEqualTo(body);
+		});
+	}
+
+	@ParameterizedTest(name = "{0}, through a host: {1}")
+	@CsvSource({ "200, false", "413, false", "503, false", "200, true", "413, true", "503, true" })
+	@Timeout(60)
+	void earlyAnswerWithALengthIsDelivered(int status, boolean throughHost) throws Exception {
+		String whole = "HTTP/1.1 " + status + " X\r\nid: ID\r\nseal: s\r\ncontent-length: 15\r\n\r\n" + EVENT;
+		for (End end : List.of(End.RESET, End.END_THEN_RESET, End.READ_THEN_CLOSE)) {
+			play(new Behaviour(whole, end, 0), throughHost, (fixture) -> {
+				String response = upload(fixture, "/once/x");
+				assertThat(RawHttp.status(response)).as(end.name()).isEqualTo(status);
+				assertThat(RawHttp.header(response, "seal")).isEqualTo("s");
+				assertThat(RawHttp.body(response)).isEqualTo(EVENT);
+			});
+		}
+	}
+
+	@ParameterizedTest(name = "through a host: {0}")
+	@ValueSource(booleans = { false, true })
+	@Timeout(60)
+	void earlyStatementThatTheRequestWasNotRunIsHeard(boolean throughHost) throws Exception {
+		String notRun = "HTTP/1.1 503 X\r\nid: ID\r\nnot-run: 1\r\ncontent-length: 4\r\n\r\nfull";
+		for (End end : EnumSet.complementOf(EnumSet.of(End.CRASH))) {
+			play(new Behaviour(notRun, end, 0), throughHost,
+					(fixture) -> assertThat(upload(fixture, "/once/x")).as(end.name()).startsWith("HTTP/1.1 503 "));
+		}
+	}
+
+	@ParameterizedTest
+	@EnumSource(names = { "RESET", "END_THEN_RESET" })
+	@Timeout(60)
+	void requestThatMayBeRepeatedIsSentOnceMore(End end) throws Exception {
+		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\np";
+		play(new Behaviour(part, end, 10), false, (fixture) -> {
+			long before = brokenAttempts(fixture);
+			assertThat(upload(fixture, "/safe/x")).startsWith("HTTP/1.1 502 ").contains("outcome unknown");
+			assertThat(brokenAttempts(fixture) - before).isEqualTo(2);
+		});
+	}
+
+	// Guards against a crash that goes unnoticed because a write found it.
+	@Test
+	@Timeout(60)
+	void serverThatRefusesConnectionsAfterwardsHasCrashed() throws Exception {
+		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\np";
+		play(new Behaviour(part, End.CRASH, 10), false, (fixture) -> {
+			assertThat(upload(fixture, "/once/x")).startsWith("HTTP/1.1 5");
+			while (fixture.published().isEmpty()) {
+				ScriptedServer.pause(20);
+			}
+		});
+	}
+
+	/** Plays a request. */
+	@FunctionalInterface
+	private interface Play {
+
+		void play(GatewayFixture fixture) throws Exception;
+
+	}
+
+	/**
+	 * What a server does once it has the head of a request. Immutable.
+	 */
+	private record Behaviour(String answer, End end, int millis) {
+
+		private void end(ServerSocket listening, Socket socket, InputStream in) throws IOException {
+			if (this.end == End.END_THEN_RESET || this.end == End.END_THEN_READ) {
+				socket.shutdownOutput();
+			}
+			ScriptedServer.pause(this.millis);
+			if (this.end == End.CRASH) {
+				listening.close();
+			}
+			if (this.end == End.READ_THEN_CLOSE || this.end == End.END_THEN_READ) {
+				in.readNBytes(UPLOAD_BYTES);
+			}
+			else {
+				socket.setSoLinger(true, 0);
+			}
+		}
+
+	}
+
+}
