Tell a lost connection from an ended one through a helping host

Cause: the helping host told any end of the server's connection as END, also when its own write had found the connection lost; with END it closed, so what it still held of the upload was dropped, and the asking host, whose write to the helping host had ended long before, could not know that the upload had not reached the server. Change: the helping host reads the server's end and the failure of its writes apart: END with the number of bytes that it has written to the server, RESET after a failed write or a read error. It passes the upload on after END, and keeps the connection for 0.5 s after RESET so that what the server had sent isn't lost to a reset. The asking host takes END for the end of the answer once that number is all it has sent. Why it works: the end counts only when the host next to the server knows that all writes have succeeded, the rule of a direct connection.

--- a/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/ServerConnector.java
@@ -92,6 +92,7 @@
 		this.toServers = ResponseDecoder.configure(KeepAlive.newBootstrap(loop, CONNECT_MILLIS))
 			.option(ChannelOption.RCVBUF_ALLOCATOR, ReadSize.newAllocator());
 		this.toHosts = KeepAlive.newBootstrap(loop, HOST_CONNECT_MILLIS)
+			.option(ChannelOption.AUTO_CLOSE, false)
 			.option(ChannelOption.RCVBUF_ALLOCATOR, ReadSize.newAllocator());
 		this.addresses = addresses;
 		this.paths = paths;
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelClientHandler.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -19,9 +20,10 @@
 /**
  * This host's end of a connection to a server through another host: asks for it, then
  * passes the bytes of the server's connection to the handlers behind. Confined to the
- * event loop. The end of the server's output appears as that of this connection's input;
- * its loss, and the loss of the connection between the hosts, as exceptions. The handlers
- * behind close the connection after the end of input.
+ * event loop. The end of the server's output appears as that of this connection's input
+ * once all that was written here has been written to the server; its loss, and the loss
+ * of the connection between the hosts, appear as exceptions. The handlers behind close
+ * the connection after the end of input.
  */
 final class TunnelClientHandler extends ChannelDuplexHandler {
 
@@ -36,7 +38,7 @@
 
 	private enum State {
 
-		ASKING, OPEN, ENDED
+		ASKING, OPEN, SERVER_ENDED, ENDED
 
 	}
 
@@ -58,6 +60,8 @@
 
 	private long writtenNanos;
 
+	private long writtenBytes;
+
 	/**
 	 * Creates a handler.
 	 * @param host the host that is asked
@@ -144,11 +148,10 @@
 		if (this.state == State.ASKING && kind == TunnelFrames.Kind.ANSWER) {
 			answered(context, TunnelFrames.readAnswer(payload));
 		}
-		else if (this.state == State.OPEN && kind == TunnelFrames.Kind.END) {
-			this.state = State.ENDED;
-			context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		else if (connected() && kind == TunnelFrames.Kind.END) {
+			serverEnded(context, TunnelFrames.readEnd(payload));
 		}
-		else if (this.state == State.OPEN && kind == TunnelFrames.Kind.RESET) {
+		else if (connected() && kind == TunnelFrames.Kind.RESET) {
 			this.state = State.ENDED;
 			context.fireExceptionCaught(new IOException("connection reset, according to host " + this.host.host()));
 			context.close();
@@ -158,6 +161,19 @@
 		}
 	}
 
+	private boolean connected() {
+		return this.state == State.OPEN || this.state == State.SERVER_ENDED;
+	}
+
+	// Until the server has got everything, its connection may still turn out to be lost.
+	private void serverEnded(ChannelHandlerContext context, OptionalLong writtenToServer) {
+		this.state = State.SERVER_ENDED;
+		if (writtenToServer.orElse(this.writtenBytes) == this.writtenBytes) {
+			this.state = State.ENDED;
+			context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		}
+	}
+
 	private void answered(ChannelHandlerContext context, TunnelAnswer answer) {
 		if (answer == TunnelAnswer.CONNECTED) {
 			this.state = State.OPEN;
@@ -188,6 +204,7 @@
 		ByteBuf data = (ByteBuf) message;
 		if (data.isReadable()) {
 			this.awaitsBytes = true;
+			this.writtenBytes += data.readableBytes();
 			this.writtenNanos = this.clock.getAsLong();
 		}
 		while (data.readableBytes() > TunnelFrames.MAX_PAYLOAD_BYTES) {
@@ -219,22 +236,22 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		unanswered("connection ended without an answer");
-		if (this.state == State.OPEN) {
-			this.state = State.ENDED;
-			this.hosts.unreachable(this.host, "connection lost");
-			context.fireExceptionCaught(new TunnelLostException(this.host.host()));
-		}
+		lost(context, "connection lost");
 		context.fireChannelInactive();
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		if (this.state == State.OPEN) {
+		lost(context, cause.toString());
+		context.close();
+	}
+
+	private void lost(ChannelHandlerContext context, String reason) {
+		if (connected()) {
 			this.state = State.ENDED;
-			this.hosts.unreachable(this.host, cause.toString());
+			this.hosts.unreachable(this.host, reason);
 			context.fireExceptionCaught(new TunnelLostException(this.host.host()));
 		}
-		context.close();
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelFrames.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelFrames.java
@@ -1,6 +1,7 @@
 package io.sequoialink.gateway.path;
 
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -17,7 +18,8 @@
  *   OPEN: start time of the server(8) identifier of the server(UTF-8)
  *   ANSWER: code of {@link TunnelAnswer}(1)
  *   DATA: bytes of the connection to the server
- *   END: the server has ended its output; no payload
+ *   END: the server has ended its output in order, and so many bytes have been written to
+ *     it(8); repeated after further ones. Without payload from earlier versions, once
  *   RESET: the connection to the server was lost; no payload
  * </pre>
  *
@@ -82,6 +84,25 @@
 		return header(ByteBufAllocator.DEFAULT, kind, 0);
 	}
 
+	/**
+	 * Returns the frame that says that the server has ended its output.
+	 * @param writtenBytes bytes of the connection that have been written to the server
+	 * @return the frame
+	 */
+	static ByteBuf end(long writtenBytes) {
+		return header(ByteBufAllocator.DEFAULT, Kind.END, Long.BYTES).writeLong(writtenBytes);
+	}
+
+	/**
+	 * Reads the payload of a frame that says that the server has ended its output.
+	 * @param payload the payload
+	 * @return bytes that have been written to the server, empty if the other host does
+	 * not tell
+	 */
+	static OptionalLong readEnd(ByteBuf payload) {
+		return (payload.readableBytes() >= Long.BYTES) ? OptionalLong.of(payload.readLong()) : OptionalLong.empty();
+	}
+
 	/**
 	 * Returns the frame that asks for a connection.
 	 * @param target the server
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -22,9 +23,19 @@
  * of the server begin another request. If the zone of the server is evacuated by then,
  * none of them is passed on and the connection ends as if this host were lost, which
  * blames neither the server nor the request.
+ *
+ * <p>
+ * The server's end and its loss are told apart for the other host: a lost connection may
+ * show in a write only, and then the input of the server ends without an error.
  */
 final class TunnelServerHandler extends ChannelInboundHandlerAdapter {
 
+	/**
+	 * Time the other host has to close the connection after the server's was lost, in
+	 * milliseconds.
+	 */
+	private static final int LINGER_MILLIS = 500;
+
 	private final TunnelServer owner;
 
 	private Channel client;
@@ -39,6 +50,16 @@
 
 	private boolean betweenRequests = true;
 
+	private boolean lost;
+
+	private boolean serverEnded;
+
+	private boolean writeFailed;
+
+	private int pendingWrites;
+
+	private long writtenBytes;
+
 	TunnelServerHandler(TunnelServer owner) {
 		this.owner = owner;
 	}
@@ -60,6 +81,9 @@
 			return;
 		}
 		try {
+			if (this.lost) {
+				return;
+			}
 			if (this.asked || kind != TunnelFrames.Kind.OPEN) {
 				context.close();
 				return;
@@ -81,7 +105,41 @@
 			return;
 		}
 		this.betweenRequests = false;
-		this.server.writeAndFlush(data);
+		int bytes = data.readableBytes();
+		this.pendingWrites++;
+		this.server.writeAndFlush(data).addListener((write) -> written(bytes, write.isSuccess()));
+	}
+
+	private void written(int bytes, boolean success) {
+		this.pendingWrites--;
+		this.writtenBytes += success ? bytes : 0;
+		this.writeFailed |= !success;
+		if (this.serverEnded) {
+			tellEnd();
+		}
+	}
+
+	private void tellEnd() {
+		if (this.writeFailed) {
+			tellLoss();
+		}
+		else if (this.connected && this.pendingWrites == 0) {
+			this.client.writeAndFlush(TunnelFrames.end(this.writtenBytes));
+		}
+	}
+
+	// Closing the connection with unread input would reset it, and the other host might
+	// lose what the server had sent.
+	private void tellLoss() {
+		if (!this.connected || !this.client.isActive()) {
+			return;
+		}
+		this.connected = false;
+		this.lost = true;
+		this.server.close();
+		this.client.config().setAutoRead(true);
+		this.client.writeAndFlush(TunnelFrames.empty(TunnelFrames.Kind.RESET));
+		this.client.eventLoop().schedule((Runnable) this.client::close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void open(TunnelFrames.Target target) {
@@ -159,29 +217,22 @@
 		@Override
 		public void userEventTriggered(ChannelHandlerContext context, Object event) {
 			if (event instanceof ChannelInputShutdownEvent) {
-				context.close();
+				TunnelServerHandler.this.serverEnded = true;
+				tellEnd();
 			}
 		}
 
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
-			finish(TunnelFrames.Kind.END);
+			tellLoss();
 		}
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			finish(TunnelFrames.Kind.RESET);
+			tellLoss();
 			context.close();
 		}
 
-		private void finish(TunnelFrames.Kind kind) {
-			Channel to = TunnelServerHandler.this.client;
-			if (TunnelServerHandler.this.connected && to.isActive()) {
-				TunnelServerHandler.this.connected = false;
-				to.writeAndFlush(TunnelFrames.empty(kind)).addListener(ChannelFutureListener.CLOSE);
-			}
-		}
-
 	}
 
 }
--- a/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.Test;
@@ -40,36 +41,6 @@
 
 	}
 
-	private static void serve(ServerSocket listening, Behaviour behaviour) {
-		while (!listening.isClosed()) {
-			try {
-				Socket socket = listening.accept();
-				Thread serving = new Thread(() -> answer(listening, socket, behaviour), "upload-server");
-				serving.setDaemon(true);
-				serving.start();
-			}
-			catch (IOException ex) {
-				// the test has ended
-			}
-		}
-	}
-
-	private static void answer(ServerSocket listening, Socket socket, Behaviour behaviour) {
-		try (socket) {
-			InputStream in = socket.getInputStream();
-			StringBuilder head = new StringBuilder();
-			while (head.indexOf("\r\n\r\n") < 0) {
-				head.append((char) in.read());
-			}
-			String text = behaviour.answer.replace("ID", RawHttp.header(head.toString(), "id"));
-			socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-			behaviour.end(listening, socket, in);
-		}
-		catch (IOException ex) {
-			// the host has closed the connection
-		}
-	}
-
 	private static String upload(GatewayFixture fixture, String path) throws Exception {
 		try (GatewayFixture.Client client = fixture.connect()) {
 			client.raw("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nid: up1\r\nkey: k\r\ncontent-length: "
@@ -78,6 +49,17 @@
 		}
 	}
 
+	// Without a connection nothing is sent, and the host says that the request has not
+	// run.
+	private static String uploadToServer(GatewayFixture fixture, UploadServer server, String path) throws Exception {
+		int before = server.requests.get();
+		String response = upload(fixture, path);
+		while (server.requests.get() == before && !server.listening.isClosed()) {
+			response = upload(fixture, path);
+		}
+		return response;
+	}
+
 	private static long brokenAttempts(GatewayFixture fixture) throws Exception {
 		AtomicLong attempts = new AtomicLong();
 		fixture.onLoop(() -> attempts
@@ -88,51 +70,46 @@
 	// The server's socket takes only a small part of the upload before the server reads
 	// it.
 	private static void play(Behaviour behaviour, boolean throughHost, Play play) throws Exception {
-		try (ServerSocket listening = new ServerSocket();
+		try (UploadServer server = new UploadServer(behaviour);
 				GatewayFixture fixture = GatewayFixture.withLargeBodies((call) -> {
 				}, (call) -> {
 				})) {
-			listening.setReceiveBufferSize(8 << 10);
-			listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-			Thread serving = new Thread(() -> serve(listening, behaviour), "upload-accept");
-			serving.setDaemon(true);
-			serving.start();
-			InetSocketAddress server = new InetSocketAddress(InetAddress.getLoopbackAddress(),
-					listening.getLocalPort());
 			if (throughHost) {
 				fixture.startHelpingHost();
-				fixture.directHelpingHost(server);
+				fixture.directHelpingHost(server.address());
 				fixture.setCutOff(true);
 			}
 			else {
-				fixture.setCutOff(server);
+				fixture.setCutOff(server.address());
 			}
 			for (int i = 0; i < REPETITIONS; i++) {
-				play.play(fixture);
+				play.play(fixture, (path) -> uploadToServer(fixture, server, path));
 			}
 		}
 	}
 
 	@ParameterizedTest(name = "{0} after {1} ms, through a host: {2}")
 	@CsvSource({ "RESET, 0, false", "RESET, 1, false", "RESET, 40, false", "END_THEN_RESET, 0, false",
-			"END_THEN_RESET, 40, false" })
+			"END_THEN_RESET, 40, false", "RESET, 0, true", "RESET, 1, true", "RESET, 40, true",
+			"END_THEN_RESET, 0, true", "END_THEN_RESET, 40, true" })
 	@Timeout(60)
 	void partOfAnAnswerWithoutALengthIsNotComplete(End end, int millis, boolean throughHost) throws Exception {
 		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n" + "p".repeat(1000);
-		play(new Behaviour(part, end, millis), throughHost, (fixture) -> {
-			String response = upload(fixture, "/once/x");
+		play(new Behaviour(part, end, millis), throughHost, (fixture, upload) -> {
+			String response = upload.send("/once/x");
 			assertThat(response).startsWith("HTTP/1.1 502 ");
 			assertThat(RawHttp.header(response, "seal")).isNull();
 		});
 	}
 
 	@ParameterizedTest(name = "{0} after {1} ms, through a host: {2}")
-	@CsvSource({ "RESET, 0, false", "RESET, 40, false", "END_THEN_RESET, 40, false" })
+	@CsvSource({ "RESET, 0, false", "RESET, 40, false", "END_THEN_RESET, 40, false", "RESET, 40, true",
+			"END_THEN_RESET, 40, true" })
 	@Timeout(60)
 	void partOfAStreamWithoutALengthIsNotComplete(End end, int millis, boolean throughHost) throws Exception {
 		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n" + EVENT;
 		play(new Behaviour(part, end, millis), throughHost,
-				(fixture) -> assertThat(upload(fixture, "/firm/x")).doesNotContain("\r\n0\r\n\r\n"));
+				(fixture, upload) -> assertThat(upload.send("/firm/x")).doesNotContain("\r\n0\r\n\r\n"));
 	}
 
 	@ParameterizedTest(name = "{0} after {1} ms, through a host: {2}")
@@ -143,8 +120,8 @@
 	void answerWithoutALengthIsDeliveredIfTheUploadIsRead(End end, int millis, boolean throughHost) throws Exception {
 		String body = "w".repeat(1000);
 		String whole = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n" + body;
-		play(new Behaviour(whole, end, millis), throughHost, (fixture) -> {
-			String response = upload(fixture, "/once/x");
+		play(new Behaviour(whole, end, millis), throughHost, (fixture, upload) -> {
+			String response = upload.send("/once/x");
 			assertThat(response).startsWith("HTTP/1.1 200 ");
 			assertThat(RawHttp.body(response)).isEqualTo(body);
 		});
@@ -156,8 +133,8 @@
 	void earlyAnswerWithALengthIsDelivered(int status, boolean throughHost) throws Exception {
 		String whole = "HTTP/1.1 " + status + " X\r\nid: ID\r\nseal: s\r\ncontent-length: 15\r\n\r\n" + EVENT;
 		for (End end : List.of(End.RESET, End.END_THEN_RESET, End.READ_THEN_CLOSE)) {
-			play(new Behaviour(whole, end, 0), throughHost, (fixture) -> {
-				String response = upload(fixture, "/once/x");
+			play(new Behaviour(whole, end, 0), throughHost, (fixture, upload) -> {
+				String response = upload.send("/once/x");
 				assertThat(RawHttp.status(response)).as(end.name()).isEqualTo(status);
 				assertThat(RawHttp.header(response, "seal")).isEqualTo("s");
 				assertThat(RawHttp.body(response)).isEqualTo(EVENT);
@@ -172,7 +149,7 @@
 		String notRun = "HTTP/1.1 503 X\r\nid: ID\r\nnot-run: 1\r\ncontent-length: 4\r\n\r\nfull";
 		for (End end : EnumSet.complementOf(EnumSet.of(End.CRASH))) {
 			play(new Behaviour(notRun, end, 0), throughHost,
-					(fixture) -> assertThat(upload(fixture, "/once/x")).as(end.name()).startsWith("HTTP/1.1 503 "));
+					(fixture, upload) -> assertThat(upload.send("/once/x")).as(end.name()).startsWith("HTTP/1.1 503 "));
 		}
 	}
 
@@ -181,9 +158,9 @@
 	@Timeout(60)
 	void requestThatMayBeRepeatedIsSentOnceMore(End end) throws Exception {
 		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\np";
-		play(new Behaviour(part, end, 10), false, (fixture) -> {
+		play(new Behaviour(part, end, 10), false, (fixture, upload) -> {
 			long before = brokenAttempts(fixture);
-			assertThat(upload(fixture, "/safe/x")).startsWith("HTTP/1.1 502 ").contains("outcome unknown");
+			assertThat(upload.send("/safe/x")).startsWith("HTTP/1.1 502 ").contains("outcome unknown");
 			assertThat(brokenAttempts(fixture) - before).isEqualTo(2);
 		});
 	}
@@ -193,19 +170,27 @@
 	@Timeout(60)
 	void serverThatRefusesConnectionsAfterwardsHasCrashed() throws Exception {
 		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\np";
-		play(new Behaviour(part, End.CRASH, 10), false, (fixture) -> {
-			assertThat(upload(fixture, "/once/x")).startsWith("HTTP/1.1 5");
+		play(new Behaviour(part, End.CRASH, 10), false, (fixture, upload) -> {
+			assertThat(upload.send("/once/x")).startsWith("HTTP/1.1 5");
 			while (fixture.published().isEmpty()) {
 				ScriptedServer.pause(20);
 			}
 		});
 	}
 
+	/** Sends an upload that reaches the server, unless that has crashed. */
+	@FunctionalInterface
+	private interface Upload {
+
+		String send(String path) throws Exception;
+
+	}
+
 	/** Plays a request. */
 	@FunctionalInterface
 	private interface Play {
 
-		void play(GatewayFixture fixture) throws Exception;
+		void play(GatewayFixture fixture, Upload upload) throws Exception;
 
 	}
 
@@ -213,16 +198,74 @@
 	 * What a server does once it has the head of a request. Immutable.
 	 */
 	private record Behaviour(String answer, End end, int millis) {
+	}
 
-		private void end(ServerSocket listening, Socket socket, InputStream in) throws IOException {
-			if (this.end == End.END_THEN_RESET || this.end == End.END_THEN_READ) {
+	/** A server that takes only a small part of a body before it reads it. */
+	private static final class UploadServer implements AutoCloseable {
+
+		private final ServerSocket listening = new ServerSocket();
+
+		private final Thread accepting = new Thread(this::accept, "upload-accept");
+
+		private final AtomicInteger requests = new AtomicInteger();
+
+		private final Behaviour behaviour;
+
+		private UploadServer(Behaviour behaviour) throws IOException {
+			this.behaviour = behaviour;
+			this.listening.setReceiveBufferSize(8 << 10);
+			this.listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+			this.accepting.setDaemon(true);
+			this.accepting.start();
+		}
+
+		private InetSocketAddress address() {
+			return new InetSocketAddress(InetAddress.getLoopbackAddress(), this.listening.getLocalPort());
+		}
+
+		private void accept() {
+			while (!this.listening.isClosed()) {
+				try {
+					Socket socket = this.listening.accept();
+					Thread serving = new Thread(() -> serve(socket), "upload-server");
+					serving.setDaemon(true);
+					serving.start();
+				}
+				catch (IOException ex) {
+					// the test has ended, or the server has crashed
+				}
+			}
+		}
+
+		private void serve(Socket socket) {
+			try (socket) {
+				InputStream in = socket.getInputStream();
+				StringBuilder head = new StringBuilder();
+				while (head.indexOf("\r\n\r\n") < 0) {
+					head.append((char) in.read());
+				}
+				this.requests.incrementAndGet();
+				String text = this.behaviour.answer.replace("ID", RawHttp.header(head.toString(), "id"));
+				socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+				end(socket, in);
+			}
+			catch (IOException | InterruptedException ex) {
+				// the host has closed the connection
+			}
+		}
+
+		private void end(Socket socket, InputStream in) throws IOException, InterruptedException {
+			End end = this.behaviour.end;
+			if (end == End.END_THEN_RESET || end == End.END_THEN_READ) {
 				socket.shutdownOutput();
 			}
-			ScriptedServer.pause(this.millis);
-			if (this.end == End.CRASH) {
-				listening.close();
+			Thread.sleep(this.behaviour.millis);
+			if (end == End.CRASH) {
+				this.listening.close();
+				// it takes connections until its thread has woken
+				this.accepting.join();
 			}
-			if (this.end == End.READ_THEN_CLOSE || this.end == End.END_THEN_READ) {
+			if (end == End.READ_THEN_CLOSE || end == End.END_THEN_READ) {
 				in.readNBytes(UPLOAD_BYTES);
 			}
 			else {
@@ -230,6 +273,11 @@
 			}
 		}
 
+		@Override
+		public void close() throws IOException {
+			this.listening.close();
+		}
+
 	}
 
 }
