Read a chunk's size without copying its line; end test servers at the end of input

The line before a chunk was copied for a pattern; chunks may have a few bytes, so it is read in place.

--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
@@ -39,7 +39,7 @@
 
 	private int ahead;
 
-	private long chunkLeft;
+	private int chunkLeft;
 
 	private boolean broken;
 
@@ -181,14 +181,14 @@
 		if (end < 0) {
 			return false;
 		}
-		this.chunkLeft = ChunkSize.parse(text(input, start, end));
+		this.chunkLeft = ChunkSize.parse(input, start, textEnd(input, start, end));
 		this.part = (this.chunkLeft > 0) ? Part.CHUNK : Part.TRAILERS;
 		advance(input, end);
 		return true;
 	}
 
 	private boolean chunk(ByteBuf input) {
-		int found = (int) Math.min(this.chunkLeft, input.readableBytes() - this.ahead);
+		int found = Math.min(this.chunkLeft, input.readableBytes() - this.ahead);
 		this.chunkLeft -= found;
 		this.ahead += found;
 		if (this.chunkLeft == 0) {
@@ -233,7 +233,11 @@
 		return octet == CARRIAGE_RETURN || octet == LINE_FEED;
 	}
 
-	private static boolean isBlankOrControl(byte octet) {
+	static boolean isBlank(byte octet) {
+		return octet == ' ' || octet == '\t';
+	}
+
+	static boolean isBlankOrControl(byte octet) {
 		return (octet >= 0 && octet <= ' ') || octet == DELETE;
 	}
 
--- a/gateway/src/test/java/io/sequoialink/gateway/http/EarlyAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/EarlyAnswerTests.java
@@ -50,11 +50,7 @@
 
 	private static void answerEarly(Socket socket, int status, int pauseMillis) throws IOException {
 		InputStream in = socket.getInputStream();
-		StringBuilder head = new StringBuilder();
-		while (head.indexOf("\r\n\r\n") < 0) {
-			head.append((char) in.read());
-		}
-		String id = RawHttp.header(head.toString(), "id");
+		String id = RawHttp.header(RawHttp.readHead(in), "id");
 		OutputStream out = socket.getOutputStream();
 		out.write(answer(status, id, "own").getBytes(StandardCharsets.US_ASCII));
 		ScriptedServer.pause(pauseMillis);
--- a/gateway/src/test/java/io/sequoialink/gateway/http/RawHttp.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/RawHttp.java
@@ -1,5 +1,6 @@
 package io.sequoialink.gateway.http;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -37,6 +38,24 @@
 		return text + ((length != null) ? readExactly(in, Integer.parseInt(length)) : "");
 	}
 
+	/**
+	 * Reads a head.
+	 * @param in the connection
+	 * @return the head with the empty line behind it
+	 * @throws IOException if the connection ended or was reset before
+	 */
+	static String readHead(InputStream in) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			int next = in.read();
+			if (next < 0) {
+				throw new EOFException("connection ended within a head");
+			}
+			head.append((char) next);
+		}
+		return head.toString();
+	}
+
 	private static String readChunks(InputStream in) throws IOException {
 		StringBuilder body = new StringBuilder();
 		while (true) {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
@@ -240,12 +240,9 @@
 		private void serve(Socket socket) {
 			try (socket) {
 				InputStream in = socket.getInputStream();
-				StringBuilder head = new StringBuilder();
-				while (head.indexOf("\r\n\r\n") < 0) {
-					head.append((char) in.read());
-				}
+				String head = RawHttp.readHead(in);
 				this.requests.incrementAndGet();
-				String text = this.behaviour.answer.replace("ID", RawHttp.header(head.toString(), "id"));
+				String text = this.behaviour.answer.replace("ID", RawHttp.header(head, "id"));
 				socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
 				end(socket, in);
 			}
