Refuse a request with a malformed first line, chunk or trailer

Cause: the decoder of requests skips control bytes and blanks before a request line and at the end of a target, takes any version, and reads chunks as leniently as in answers. Names with blanks, control bytes in fields, several lengths and a length beside chunks were refused already. Change: MessageSyntax checks requests too (RequestDecoder); MessageKind holds what differs: a folded field of a request is taken as before. Another major version gets 505, the rest 400; both end the connection.

--- /dev/null
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageKind.java
@@ -0,0 +1,56 @@
+package io.sequoialink.gateway.codec;
+
+/**
+ * What differs in the syntax of requests and responses.
+ */
+enum MessageKind {
+
+	/**
+	 * A folded field is taken, as one value (RFC 9112, section 5.2).
+	 */
+	REQUEST(StartLines::checkRequestLine, true),
+
+	/** A folded field is not taken. */
+	RESPONSE(StartLines::checkStatusLine, false);
+
+	private final StartLineCheck startLine;
+
+	private final boolean foldedFields;
+
+	MessageKind(StartLineCheck startLine, boolean foldedFields) {
+		this.startLine = startLine;
+		this.foldedFields = foldedFields;
+	}
+
+	/**
+	 * Returns the check of a message's first line.
+	 * @return the check
+	 */
+	StartLineCheck startLine() {
+		return this.startLine;
+	}
+
+	/**
+	 * Returns whether a field may go on in a line that begins with a blank.
+	 * @return whether it is taken
+	 */
+	boolean foldedFields() {
+		return this.foldedFields;
+	}
+
+	/**
+	 * Checks the first line of a message.
+	 */
+	@FunctionalInterface
+	interface StartLineCheck {
+
+		/**
+		 * Checks a line.
+		 * @param line the line without its end, one character a byte
+		 * @throws MalformedMessageException if it is malformed
+		 */
+		void check(String line) throws MalformedMessageException;
+
+	}
+
+}
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
@@ -31,7 +31,7 @@
 
 	private static final int DELETE = 0x7f;
 
-	private final StartLineCheck startLine;
+	private final MessageKind kind;
 
 	private final Supplier<HttpMessage> invalidMessage;
 
@@ -45,11 +45,11 @@
 
 	/**
 	 * Creates a check for a connection on which nothing was received.
-	 * @param startLine checks the first line of each message
+	 * @param kind kind of the messages
 	 * @param invalidMessage creates a message for a head that is malformed
 	 */
-	MessageSyntax(StartLineCheck startLine, Supplier<HttpMessage> invalidMessage) {
-		this.startLine = startLine;
+	MessageSyntax(MessageKind kind, Supplier<HttpMessage> invalidMessage) {
+		this.kind = kind;
 		this.invalidMessage = invalidMessage;
 	}
 
@@ -138,7 +138,7 @@
 		if (end < 0) {
 			return false;
 		}
-		this.startLine.check(text(input, start, end));
+		this.kind.startLine().check(text(input, start, end));
 		this.part = Part.FIELDS;
 		advance(input, end);
 		return true;
@@ -153,7 +153,7 @@
 		if (textEnd(input, start, end) == start) {
 			this.part = Part.UNCHECKED;
 		}
-		else {
+		else if (!(this.kind.foldedFields() && isBlank(input.getByte(start)))) {
 			checkField(input, start, end);
 		}
 		advance(input, end);
@@ -251,21 +251,6 @@
 
 	}
 
-	/**
-	 * Checks the first line of a message.
-	 */
-	@FunctionalInterface
-	interface StartLineCheck {
-
-		/**
-		 * Checks a line.
-		 * @param line the line without its end, one character a byte
-		 * @throws MalformedMessageException if it is malformed
-		 */
-		void check(String line) throws MalformedMessageException;
-
-	}
-
 	/**
 	 * Decodes a part of the input.
 	 */
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/ResponseDecoder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/ResponseDecoder.java
@@ -40,7 +40,7 @@
 	/** The decoder takes any word for the name of the protocol, and any blanks. */
 	private static final Pattern STATUS_LINE = Pattern.compile("/\\d+\\.\\d+\\s+0*\\d{3}(?!\\d)");
 
-	private final MessageSyntax syntax = new MessageSyntax(StartLines::checkStatusLine, this::createInvalidMessage);
+	private final MessageSyntax syntax = new MessageSyntax(MessageKind.RESPONSE, this::createInvalidMessage);
 
 	private final RequestWrites writes = new RequestWrites();
 
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/StartLines.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/StartLines.java
@@ -15,6 +15,9 @@
 
 	private static final String VERSION = "(?<version>HTTP/\\d\\.\\d)";
 
+	private static final Pattern REQUEST_LINE = Pattern
+		.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+[ \\t]+[!-~\\x80-\\xff]+[ \\t]+" + VERSION + "[ \\t]*");
+
 	private static final Pattern STATUS_LINE = Pattern
 		.compile(VERSION + "[ \\t]+(?<status>[^ \\t]+)([ \\t][\\t -~\\x80-\\xff]*)?");
 
@@ -26,6 +29,17 @@
 	private StartLines() {
 	}
 
+	/**
+	 * Checks the first line of a request.
+	 * @param line the line without its end, one character a byte
+	 * @throws MalformedMessageException if it is no request line
+	 */
+	static void checkRequestLine(String line) throws MalformedMessageException {
+		Matcher parts = REQUEST_LINE.matcher(line);
+		require(parts.matches(), Reason.START_LINE);
+		require(MAJOR_VERSION_1.matcher(parts.group("version")).matches(), Reason.VERSION);
+	}
+
 	/**
 	 * Checks the first line of a response; its reason phrase may be absent.
 	 * @param line the line without its end, one character a byte
--- a/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/ClientConnection.java
@@ -31,8 +31,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.sequoialink.gateway.fleet.ClientLimits;
 
@@ -210,10 +208,8 @@
 			rejectForMemory();
 			return;
 		}
-		boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
 		this.keepAlive = false;
-		sendLocalResponse(tooLong ? LocalResponse.of(431, "header too large")
-				: LocalResponse.of(400, "not readable as a request"), null);
+		sendLocalResponse(LocalResponse.ofMalformed(cause), null);
 	}
 
 	private void startRequest(HttpRequest request) {
--- a/gateway/src/main/java/io/sequoialink/gateway/http/GatedRequestDecoder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/GatedRequestDecoder.java
@@ -9,17 +9,14 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.sequoialink.gateway.codec.RequestDecoder;
 
 /**
  * Decodes requests only while their receiver takes them; what it does not take stays
  * undecoded, and reading from the connection stops. Many requests in one read therefore
- * cost no more than their bytes. Rejects messages with both a Content-Length and chunked
- * encoding, because another server could interpret the length differently (request
- * smuggling). Confined to the event loop.
+ * cost no more than their bytes. Confined to the event loop.
  */
-final class GatedRequestDecoder extends HttpRequestDecoder {
+final class GatedRequestDecoder extends RequestDecoder {
 
 	private static final int MAX_CHUNK_BYTES = 65536;
 
@@ -110,11 +107,6 @@
 		this.context.channel().config().setAutoRead(reads);
 	}
 
-	@Override
-	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-		throw new IllegalArgumentException("message has both Content-Length and chunked Transfer-Encoding");
-	}
-
 	/**
 	 * Takes the decoded parts of requests. Confined to the event loop.
 	 */
--- a/gateway/src/main/java/io/sequoialink/gateway/http/LocalResponse.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/LocalResponse.java
@@ -4,7 +4,10 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.sequoialink.decision.crash.CrashReports;
+import io.sequoialink.gateway.codec.MalformedMessageException;
 
 /**
  * A response that this host generates itself instead of a backend server. Immutable.
@@ -67,6 +70,20 @@
 		return new LocalResponse(status, reason, OptionalLong.empty());
 	}
 
+	/**
+	 * Returns the response to what can't be read as a request.
+	 * @param cause what is wrong with it
+	 * @return a rejection that says whose limit or version was missed
+	 */
+	static LocalResponse ofMalformed(Throwable cause) {
+		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
+			return of(431, "header too large");
+		}
+		boolean otherVersion = cause instanceof MalformedMessageException malformed
+				&& malformed.reason() == MalformedMessageException.Reason.VERSION;
+		return otherVersion ? of(505, "version not supported") : of(400, "not readable as a request");
+	}
+
 	static LocalResponse notRun(String reason, long retryAfterMillis) {
 		return new LocalResponse(503, reason, OptionalLong.of(retryAfterMillis));
 	}
