Refuse a transfer coding other than chunked

An answer in another coding was passed on as its bytes, without the head that names the coding, so not the server's body. Cause: the decoder takes a message for chunked if that word stands anywhere in the field, and for one without a coding otherwise; RequestDecoder refused only a length beside chunks. Change: TransferCodings takes 'chunked' alone, and in an answer 'identity', which is none; empty elements of the list mean nothing. A request whose last coding isn't chunked gets 400 and its connection ends (RFC 9112, 6.3), one with a coding before chunks 501; an answer is refused as unreadable.

--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MalformedMessageException.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MalformedMessageException.java
@@ -36,6 +36,12 @@
 		 */
 		CHUNK("a chunk is malformed"),
 
+		/** It has a transfer coding other than chunks. */
+		CODING("it has a transfer coding that is not known here"),
+
+		/** Its last transfer coding is not chunks, so that its length is unknown. */
+		CODING_ORDER("its last transfer coding is not chunked"),
+
 		/** A field has no name, or one with a blank or a control byte, or is folded. */
 		FIELD_NAME("a field has no name, or one with a blank or a control byte"),
 
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MessageKind.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageKind.java
@@ -1,5 +1,7 @@
 package io.sequoialink.gateway.codec;
 
+import io.netty.handler.codec.http.HttpHeaders;
+
 /**
  * What differs in the syntax of requests and responses.
  */
@@ -8,17 +10,20 @@
 	/**
 	 * A folded field is taken, as one value (RFC 9112, section 5.2).
 	 */
-	REQUEST(StartLines::checkRequestLine, true),
+	REQUEST(StartLines::checkRequestLine, TransferCodings::checkRequest, true),
 
 	/** A folded field is not taken. */
-	RESPONSE(StartLines::checkStatusLine, false);
+	RESPONSE(StartLines::checkStatusLine, TransferCodings::checkResponse, false);
 
 	private final StartLineCheck startLine;
 
+	private final HeadersCheck headers;
+
 	private final boolean foldedFields;
 
-	MessageKind(StartLineCheck startLine, boolean foldedFields) {
+	MessageKind(StartLineCheck startLine, HeadersCheck headers, boolean foldedFields) {
 		this.startLine = startLine;
+		this.headers = headers;
 		this.foldedFields = foldedFields;
 	}
 
@@ -30,6 +35,14 @@
 		return this.startLine;
 	}
 
+	/**
+	 * Returns the check of a message's headers, once they are decoded.
+	 * @return the check
+	 */
+	HeadersCheck headers() {
+		return this.headers;
+	}
+
 	/**
 	 * Returns whether a field may go on in a line that begins with a blank.
 	 * @return whether it is taken
@@ -53,4 +66,19 @@
 
 	}
 
+	/**
+	 * Checks the headers of a message.
+	 */
+	@FunctionalInterface
+	interface HeadersCheck {
+
+		/**
+		 * Checks headers.
+		 * @param headers the decoded headers
+		 * @throws MalformedMessageException if the message can't be read by them
+		 */
+		void check(HttpHeaders headers) throws MalformedMessageException;
+
+	}
+
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Checks the messages on one connection where Netty's decoder is more lenient than the
@@ -73,6 +74,7 @@
 		if (!this.broken) {
 			try {
 				inspect(input);
+				decodeInspected(input, out, decoder);
 			}
 			catch (MalformedMessageException ex) {
 				refuse(ex, out);
@@ -80,17 +82,36 @@
 		}
 		if (this.broken) {
 			input.skipBytes(input.readableBytes());
-			return;
 		}
+	}
+
+	private void decodeInspected(ByteBuf input, List<Object> out, Decoder decoder) throws Exception {
 		int start = input.readerIndex();
-		int decoded = out.size();
+		int first = out.size();
 		decoder.decode();
 		this.ahead = Math.max(0, this.ahead - (input.readerIndex() - start));
-		for (int i = decoded; i < out.size(); i++) {
+		for (int i = first; i < out.size(); i++) {
+			checkHeaders(out, i);
 			decoded((HttpObject) out.get(i));
 		}
 	}
 
+	private void checkHeaders(List<Object> out, int index) throws MalformedMessageException {
+		if (!(out.get(index) instanceof HttpMessage message) || message.decoderResult().isFailure()) {
+			return;
+		}
+		try {
+			this.kind.headers().check(message.headers());
+		}
+		catch (MalformedMessageException ex) {
+			this.part = Part.FIELDS;
+			while (out.size() > index) {
+				ReferenceCountUtil.release(out.remove(out.size() - 1));
+			}
+			throw ex;
+		}
+	}
+
 	private void refuse(MalformedMessageException cause, List<Object> out) {
 		boolean inHead = this.part == Part.START_LINE || this.part == Part.FIELDS;
 		HttpObject refused = inHead ? this.invalidMessage.get() : new DefaultLastHttpContent();
--- a/gateway/src/main/java/io/sequoialink/gateway/http/LocalResponse.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/http/LocalResponse.java
@@ -73,15 +73,24 @@
 	/**
 	 * Returns the response to what can't be read as a request.
 	 * @param cause what is wrong with it
-	 * @return a rejection that says whose limit or version was missed
+	 * @return a rejection that says what is too long or not supported
 	 */
 	static LocalResponse ofMalformed(Throwable cause) {
 		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
 			return of(431, "header too large");
 		}
-		boolean otherVersion = cause instanceof MalformedMessageException malformed
-				&& malformed.reason() == MalformedMessageException.Reason.VERSION;
-		return otherVersion ? of(505, "version not supported") : of(400, "not readable as a request");
+		if (cause instanceof MalformedMessageException malformed) {
+			return ofMalformed(malformed.reason());
+		}
+		return of(400, "not readable as a request");
+	}
+
+	private static LocalResponse ofMalformed(MalformedMessageException.Reason reason) {
+		return switch (reason) {
+			case VERSION -> of(505, "version not supported");
+			case CODING -> of(501, "transfer coding not supported");
+			default -> of(400, "not readable as a request");
+		};
 	}
 
 	static LocalResponse notRun(String reason, long retryAfterMillis) {
--- a/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
@@ -132,6 +132,17 @@
 		}
 	}
 
+	// Guards against a body that is passed on in a coding that its head no longer names.
+	@ParameterizedTest
+	@ValueSource(strings = { "gzip", "x", "chunked, gzip", "gzip, chunked", "chunked, chunked", "", "identity, chunked",
+			"chunked\r\ntransfer-encoding: gzip" })
+	@Timeout(30)
+	void transferCodingThatIsNotKnown(String codings) throws Exception {
+		String head = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ntransfer-encoding: " + codings + "\r\n\r\n";
+		assertRefused(head + EVENT);
+		assertRefused(head + "F\r\n" + EVENT + "\r\n0\r\n\r\n");
+	}
+
 	// Guards against a success that bears no server's signature.
 	@ParameterizedTest
 	@ValueSource(strings = { "seal:", "seal: ", "seal: \t " })
--- a/gateway/src/test/java/io/sequoialink/gateway/http/BrokenRequestTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/BrokenRequestTests.java
@@ -2,6 +2,7 @@
 
 import java.util.stream.Stream;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -64,12 +65,32 @@
 		assertRefused(400, LINE + FIELDS + "transfer-encoding: chunked\r\n\r\n" + chunks);
 	}
 
+	// Guards against a body that is read as the next request, as its length is unknown.
+	@ParameterizedTest
+	@CsvSource({ "400, x", "400, gzip", "400, identity", "400, 'chunked, gzip'", "400, 'chunked, chunked'", "400, ''",
+			"400, ','", "400, xchunked", "400, 'chunked;q=1'", "501, 'gzip, chunked'", "501, 'x, Chunked'" })
+	@Timeout(20)
+	void transferCodingThatIsNotKnown(int status, String codings) throws Exception {
+		assertRefused(status, LINE + FIELDS + "transfer-encoding: " + codings + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+		assertRefused(status, LINE + FIELDS + "transfer-encoding: " + codings + "\r\n\r\n");
+	}
+
+	@Test
+	@Timeout(20)
+	void transferCodingsInSeveralFields() throws Exception {
+		assertRefused(400, LINE + FIELDS + "transfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n\r\n");
+		assertRefused(400, LINE + FIELDS + "transfer-encoding: x\r\ncontent-length: 5\r\n\r\nhello");
+	}
+
 	static Stream<Arguments> rightRequests() {
 		String chunked = LINE + FIELDS + "transfer-encoding: chunked\r\n\r\n";
 		return Stream.of(Arguments.of("length", LINE + FIELDS + "content-length: 5\r\n\r\nhello"),
 				Arguments.of("chunks", chunked + "5\r\nhello\r\n0\r\n\r\n"),
 				Arguments.of("chunk extensions, padded sizes, trailers",
-						chunked + "0002;a=\"b c\"\r\nhe\r\n3  \r\nllo\r\n0 ; z\r\nx-sum: 1\r\n\r\n"),
+						(chunked + "0002;a=\"b c\"\r\nhe\r\n3  \r\nllo\r\n0 ; z\r\nx-sum: 1\r\n\r\n")
+							.replace("encoding: c", "Encoding: C")),
+				Arguments.of("empty element in a list",
+						LINE + FIELDS + "transfer-encoding: ,chunked,\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
 				Arguments.of("empty lines before", "\r\n\r\n" + LINE + FIELDS + "content-length: 5\r\n\r\nhello"),
 				Arguments.of("repeated blanks",
 						"POST  /safe/x  HTTP/1.1\r\n" + FIELDS + "content-length: 5\r\n\r\nhello"),
