Standalone product: take no answer that breaks the protocol

ServiceTalk's client refuses most of them by itself: names with blanks and control bytes, folded lines, statuses below 100 and of two or four digits, other versions, and the part of an answer to a call that is still being written. It took the statuses 600 and 999, a control byte in a value, and any transfer coding as none or as chunked. Cause: it checks the values of headers only if told so, a status for three digits only, and transfer codings for the word chunked. The clients of the demo and of the command line take a status from 600 on for no success already.

--- a/remote/src/main/java/io/sequoialink/remote/HttpCall.java
+++ b/remote/src/main/java/io/sequoialink/remote/HttpCall.java
@@ -91,11 +91,21 @@
 	/**
 	 * Sends the call and returns when the head of the answer has arrived.
 	 * @return the answer, whose body is still to be read
-	 * @throws BackendException if no head arrived
+	 * @throws BackendException if no head arrived, or one that breaks the protocol
 	 */
 	BlockingStreamingHttpResponse open() throws BackendException {
 		try {
-			return this.client.request(this.request);
+			BlockingStreamingHttpResponse response = this.client.request(this.request);
+			Optional<String> fault = AnswerHead.fault(response);
+			if (fault.isPresent()) {
+				response.payloadBody().iterator().close();
+				throw new BackendException(BackendException.Kind.INVALID, Effect.UNKNOWN,
+						this.address + " answered with " + fault.get());
+			}
+			return response;
+		}
+		catch (BackendException ex) {
+			throw ex;
 		}
 		catch (Exception ex) {
 			throw failure(ex);
