Let the socket of a long request hold little

Cause: an upload up to the size of the system's send buffer, which grows to megabytes, counts as written at once, and after the end of the server's output nothing tells the host of the reset. Change: connections get a send buffer of 64 KB before a request with a body above 64 KB is written; at a helping host, each connection to a server. Why it works: as long as more than that is unread, a write is under way when the server's output ends, and the answer waits for it.

--- a/gateway/src/main/java/io/sequoialink/gateway/codec/RequestWrites.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/RequestWrites.java
@@ -3,17 +3,33 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.netty.buffer.ByteBufHolder;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 
 /**
  * Tells whether all requests on a connection have been passed to the socket whole.
  * Confined to the event loop.
+ *
+ * <p>
+ * What the socket holds may still be lost, and nothing tells when that happens after the
+ * server has ended its output. The socket of a long request therefore holds little.
  */
 final class RequestWrites extends ChannelOutboundHandlerAdapter {
 
+	/** Body size from which a request counts as long, in bytes. */
+	private static final int LONG_BYTES = 64 << 10;
+
+	/**
+	 * Send buffer for long requests, in bytes; the system doubles it. Within a region it
+	 * is sent some hundred times a second.
+	 */
+	private static final int SEND_BUFFER_BYTES = 64 << 10;
+
 	private int pending;
 
 	private Optional<Throwable> failure = Optional.empty();
@@ -23,6 +39,9 @@
 
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+		if (message instanceof ByteBufHolder request && request.content().readableBytes() > LONG_BYTES) {
+			limitSendBuffer(context.channel());
+		}
 		this.pending++;
 		ChannelPromise observed = promise.unvoid();
 		observed.addListener((future) -> ended((ChannelFuture) future));
@@ -39,6 +58,14 @@
 		}
 	}
 
+	/**
+	 * Limits what the socket of a long request holds.
+	 * @param channel connection to the server
+	 */
+	static void limitSendBuffer(Channel channel) {
+		channel.config().setOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES);
+	}
+
 	private boolean settled() {
 		return this.pending == 0 || this.failure.isPresent();
 	}
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/ResponseDecoder.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/ResponseDecoder.java
@@ -8,6 +8,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -58,6 +59,15 @@
 		return bootstrap.option(ChannelOption.ALLOW_HALF_CLOSURE, true).option(ChannelOption.AUTO_CLOSE, false);
 	}
 
+	/**
+	 * Limits what the socket of a connection holds that is written for another host: so
+	 * much of a request may be lost without a sign once the server has ended its output.
+	 * @param channel connection to the server
+	 */
+	public static void limitSendBuffer(Channel channel) {
+		RequestWrites.limitSendBuffer(channel);
+	}
+
 	@Override
 	public void handlerAdded(ChannelHandlerContext context) throws Exception {
 		super.handlerAdded(context);
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
+import io.sequoialink.gateway.codec.ResponseDecoder;
 import io.sequoialink.gateway.fleet.ServerEntry;
 
 /**
@@ -165,6 +166,7 @@
 			}
 			this.connected = true;
 			this.server.config().setWriteBufferWaterMark(TunnelServer.WATER_MARK);
+			ResponseDecoder.limitSendBuffer(this.server);
 			this.client.writeAndFlush(TunnelFrames.answer(TunnelAnswer.CONNECTED));
 		});
 	}
--- a/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
@@ -41,10 +41,10 @@
 
 	}
 
-	private static String upload(GatewayFixture fixture, String path) throws Exception {
+	private static String upload(GatewayFixture fixture, int bytes, String path) throws Exception {
 		try (GatewayFixture.Client client = fixture.connect()) {
-			client.raw("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nid: up1\r\nkey: k\r\ncontent-length: "
-					+ UPLOAD_BYTES + "\r\n\r\n" + "x".repeat(UPLOAD_BYTES));
+			client.raw("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nid: up1\r\nkey: k\r\ncontent-length: " + bytes
+					+ "\r\n\r\n" + "x".repeat(bytes));
 			return path.startsWith("/firm/") ? client.readToEnd() : client.read();
 		}
 	}
@@ -53,9 +53,9 @@
 	// run.
 	private static String uploadToServer(GatewayFixture fixture, UploadServer server, String path) throws Exception {
 		int before = server.requests.get();
-		String response = upload(fixture, path);
+		String response = upload(fixture, server.behaviour.bytes, path);
 		while (server.requests.get() == before && !server.listening.isClosed()) {
-			response = upload(fixture, path);
+			response = upload(fixture, server.behaviour.bytes, path);
 		}
 		return response;
 	}
@@ -102,6 +102,17 @@
 		});
 	}
 
+	// Guards against an upload of which the system's buffers take all.
+	@ParameterizedTest(name = "{0} of {1} bytes, through a host: {2}")
+	@CsvSource({ "RESET, 1000000, false", "END_THEN_RESET, 1000000, false", "END_THEN_RESET, 400000, false",
+			"RESET, 1000000, true", "END_THEN_RESET, 1000000, true", "END_THEN_RESET, 400000, true" })
+	@Timeout(60)
+	void partOfAnAnswerToAShorterUploadIsNotComplete(End end, int bytes, boolean throughHost) throws Exception {
+		String part = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\np";
+		play(new Behaviour(part, end, 40, bytes), throughHost,
+				(fixture, upload) -> assertThat(upload.send("/once/x")).startsWith("HTTP/1.1 502 "));
+	}
+
 	@ParameterizedTest(name = "{0} after {1} ms, through a host: {2}")
 	@CsvSource({ "RESET, 0, false", "RESET, 40, false", "END_THEN_RESET, 40, false", "RESET, 40, true",
 			"END_THEN_RESET, 40, true" })
@@ -195,9 +206,15 @@
 	}
 
 	/**
-	 * What a server does once it has the head of a request. Immutable.
+	 * What a server does once it has the head of a request, which has a body of so many
+	 * bytes. Immutable.
 	 */
-	private record Behaviour(String answer, End end, int millis) {
+	private record Behaviour(String answer, End end, int millis, int bytes) {
+
+		private Behaviour(String answer, End end, int millis) {
+			this(answer, end, millis, UPLOAD_BYTES);
+		}
+
 	}
 
 	/** A server that takes only a small part of a body before it reads it. */
@@ -263,7 +280,7 @@
 				this.accepting.join();
 			}
 			if (end == End.READ_THEN_CLOSE || end == End.END_THEN_READ) {
-				in.readNBytes(UPLOAD_BYTES);
+				in.readNBytes(this.behaviour.bytes);
 			}
 			else {
 				socket.setSoLinger(true, 0);
