Soak: servers send answers that break the protocol, and cut long uploads

Sockets on the way hold little, so that the upload is still being written. The record of the run says so, and a client that gets anything with its seal breaks MIXED; so does a response that is no message of the protocol, which the soak's own reader took before.

--- a/entry/src/test/java/io/sequoialink/soak/Client.java
+++ b/entry/src/test/java/io/sequoialink/soak/Client.java
@@ -23,6 +23,11 @@
 
 	private static final int MAX_RETRIES = 2;
 
+	/** One in so many requests has a long body. */
+	private static final int LONG_UPLOADS = 80;
+
+	private static final int UPLOADS_SEED_MASK = 0x0B0D;
+
 	/** Time after the route's timeout at which the client gives up, in milliseconds. */
 	private static final int EXTRA_WAIT_MILLIS = 1500;
 
@@ -30,6 +35,9 @@
 
 	private final Random random;
 
+	/** Separate source of random numbers, so that the other draws stay the same. */
+	private final Random uploads;
+
 	private final String account;
 
 	private String crashingPart = "";
@@ -48,6 +56,7 @@
 		this.checker = checker;
 		this.account = account;
 		this.random = new Random(seed);
+		this.uploads = new Random(seed ^ UPLOADS_SEED_MASK);
 	}
 
 	/**
@@ -86,7 +95,9 @@
 	void sendWithRetries(HostLoadBalancer loadBalancer) {
 		TrackedRequest.Kind kind = TrackedRequest.Kind.values()[this.random.nextInt(3)];
 		String path = "/" + kind.name().toLowerCase(java.util.Locale.ROOT) + "/x" + this.random.nextInt(50);
-		sendWithRetries(loadBalancer, kind, path, "work " + this.random.nextInt(1000));
+		String body = "work " + this.random.nextInt(1000);
+		boolean isLong = kind.service.equals(BrokenAnswers.SERVICE) && this.uploads.nextInt(LONG_UPLOADS) == 0;
+		sendWithRetries(loadBalancer, kind, path, isLong ? body + " ".repeat(BrokenAnswers.UPLOAD_BYTES) : body);
 	}
 
 	void sendWithRetries(HostLoadBalancer loadBalancer, TrackedRequest.Kind kind, String path, String body) {
@@ -133,6 +144,11 @@
 		try {
 			return exchange(request, body);
 		}
+		catch (HttpMessages.MalformedException ex) {
+			this.checker.recordMalformedResponse(request, ex.getMessage());
+			close();
+			return new Result(0, true, 50);
+		}
 		catch (SocketTimeoutException ex) {
 			this.checker.recordTimeout(request);
 			close();
--- a/entry/src/test/java/io/sequoialink/soak/HttpMessages.java
+++ b/entry/src/test/java/io/sequoialink/soak/HttpMessages.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Reads and writes HTTP/1.1 messages on blocking sockets. Does not hide malformed or cut
@@ -17,6 +18,13 @@
  */
 final class HttpMessages {
 
+	private static final Pattern START_LINE = Pattern
+		.compile("HTTP/1\\.1 [1-5]\\d\\d( [ -~\\t]*)?|[A-Z]+ [!-~]+ HTTP/1\\.1");
+
+	private static final Pattern FIELD = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:[ -~\\t]*");
+
+	private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,7}");
+
 	private HttpMessages() {
 	}
 
@@ -30,9 +38,11 @@
 		if (startLine == null) {
 			return Optional.empty();
 		}
+		requireForm(START_LINE, startLine);
 		Map<String, String> headers = new HashMap<>();
 		String line = readLine(in);
 		while (line != null && !line.isEmpty()) {
+			requireForm(FIELD, line);
 			int colon = line.indexOf(':');
 			headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
 			line = readLine(in);
@@ -43,6 +53,12 @@
 		return Optional.of(new Head(startLine, headers));
 	}
 
+	private static void requireForm(Pattern form, String line) throws MalformedException {
+		if (!form.matcher(line).matches()) {
+			throw new MalformedException("line '" + line + "'");
+		}
+	}
+
 	private static String readLine(InputStream in) throws IOException {
 		ByteArrayOutputStream line = new ByteArrayOutputStream();
 		int next = in.read();
@@ -86,6 +102,7 @@
 		if (size == null) {
 			throw new EOFException("connection closed before the last chunk");
 		}
+		requireForm(CHUNK_SIZE, size);
 		int length = Integer.parseInt(size, 16);
 		byte[] bytes = in.readNBytes(length);
 		if (bytes.length < length || readLine(in) == null) {
@@ -99,6 +116,15 @@
 		out.flush();
 	}
 
+	/** Bytes that are no message in the protocol. */
+	static final class MalformedException extends IOException {
+
+		MalformedException(String message) {
+			super(message);
+		}
+
+	}
+
 	/**
 	 * Start line and headers of a message; header names are in lower case. Immutable.
 	 */
--- a/entry/src/test/java/io/sequoialink/soak/LinkProxy.java
+++ b/entry/src/test/java/io/sequoialink/soak/LinkProxy.java
@@ -29,6 +29,12 @@
 
 	private static final int BACKLOG = 200;
 
+	/**
+	 * Buffers of the sockets, so small that a long upload does not fit into them, in
+	 * bytes.
+	 */
+	private static final int BUFFER_BYTES = 32 << 10;
+
 	/** Connects that fill the queue of a socket that does not accept. */
 	private static final int MAX_FILLING = 16;
 
@@ -59,11 +65,18 @@
 	 */
 	LinkProxy(InetSocketAddress target, InetSocketAddress local) throws IOException {
 		this.target = target;
-		this.serverSocket = new ServerSocket(local.getPort(), BACKLOG, local.getAddress());
+		this.serverSocket = listen(local, BACKLOG);
 		this.address = new InetSocketAddress(local.getAddress(), this.serverSocket.getLocalPort());
 		this.acceptThread = startAccepting(this.serverSocket);
 	}
 
+	private static ServerSocket listen(InetSocketAddress local, int backlog) throws IOException {
+		ServerSocket socket = new ServerSocket();
+		socket.setReceiveBufferSize(BUFFER_BYTES);
+		socket.bind(local, backlog);
+		return socket;
+	}
+
 	private Thread startAccepting(ServerSocket socket) {
 		return DaemonThreads.start("link", () -> acceptConnections(socket));
 	}
@@ -86,7 +99,7 @@
 			return;
 		}
 		int backlog = (taking == NewConnections.SILENT) ? 1 : BACKLOG;
-		this.serverSocket = new ServerSocket(this.address.getPort(), backlog, this.address.getAddress());
+		this.serverSocket = listen(this.address, backlog);
 		if (taking == NewConnections.SILENT) {
 			fillQueue();
 		}
@@ -153,6 +166,7 @@
 		}
 		try {
 			Socket outbound = new Socket();
+			outbound.setSendBufferSize(BUFFER_BYTES);
 			this.sockets.add(outbound);
 			outbound.connect(this.target, 1000);
 			DaemonThreads.start("link-requests", () -> forward(inbound, outbound, false));
--- a/entry/src/test/java/io/sequoialink/soak/Operator.java
+++ b/entry/src/test/java/io/sequoialink/soak/Operator.java
@@ -93,7 +93,7 @@
 				+ service("app") + ',' + service("models") + ',' + service("small") + ','
 				+ service(SecondAnswers.SERVICE) + "],\"tenants\":[{\"name\":\"acme\",\"api_keys\":"
 				+ "[\"key-acme\"]},{\"name\":\"bolt\",\"api_keys\":[\"key-bolt\"]}" + extra + "],\"limits\":"
-				+ "{\"max_header_bytes\":8192,\"max_body_bytes\":65536,\"header_timeout_ms\":2000,"
+				+ "{\"max_header_bytes\":8192,\"max_body_bytes\":4194304,\"header_timeout_ms\":2000,"
 				+ "\"idle_timeout_ms\":5000}}";
 	}
 
--- a/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseChecker.java
@@ -135,6 +135,28 @@
 		this.runs.answered(seal, status, body);
 	}
 
+	/**
+	 * Records that a server answers with something that is no answer in the protocol, or
+	 * with a part that looks whole.
+	 * @param id identifier of the request
+	 * @param seal seal of the run
+	 * @param how name of the counter
+	 */
+	synchronized void recordBroken(String id, String seal, String how) {
+		this.runs.broken(seal);
+		increment(how);
+		recordBrokenOff(id);
+	}
+
+	/**
+	 * Records that a client got something that is no response in the protocol.
+	 * @param request the request
+	 * @param detail what is wrong with it
+	 */
+	synchronized void recordMalformedResponse(TrackedRequest request, String detail) {
+		reportViolation("MIXED", request.id, "got what is no response: " + detail);
+	}
+
 	private void checkExecution(TrackedRequest request, String server, String service, HttpMessages.Head head) {
 		String id = request.id;
 		if (!request.kind.retryable && request.executions > 0) {
--- a/entry/src/test/java/io/sequoialink/soak/PromiseCheckerTests.java
+++ b/entry/src/test/java/io/sequoialink/soak/PromiseCheckerTests.java
@@ -60,6 +60,19 @@
 		return new HttpMessages.Head("POST /x/1 HTTP/1.1", headers);
 	}
 
+	// Guards against a host that hands on what its server's answer was not, with whatever
+	// status.
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 200, 502, 600 })
+	void noAnswerOfARunThatWasAnsweredWithSomethingBrokenIsRight(int status) {
+		TrackedRequest request = sendRequest(TrackedRequest.Kind.SAFE);
+		String seal = this.checker.recordExecution("q1", "i-1", "app", requestHead());
+		this.checker.recordBroken("q1", seal, "malformed answers");
+		this.checker.checkResponseHead(request, status, Optional.of(seal), 0, true);
+		assertThat(this.checker.violations()).singleElement()
+			.satisfies((violation) -> assertThat(violation.toString()).contains("MIXED"));
+	}
+
 	static Stream<Arguments> violations() {
 		return Stream.of(violation("TWICE", TrackedRequest.Kind.ONCE, (test) -> {
 			test.recordExecution("i-1", "app", requestHead());
--- a/entry/src/test/java/io/sequoialink/soak/ServerRuns.java
+++ b/entry/src/test/java/io/sequoialink/soak/ServerRuns.java
@@ -39,6 +39,14 @@
 		}
 	}
 
+	/**
+	 * A server answers with something that no client may get.
+	 * @param seal seal of the run
+	 */
+	void broken(String seal) {
+		this.bySeal.get(seal).broken = true;
+	}
+
 	/**
 	 * Compares the head that a client received with the record.
 	 * @param id identifier of the client's request
@@ -58,6 +66,9 @@
 		if (!run.id.equals(id)) {
 			return Optional.of(received + ", which is that of a run of " + run.id);
 		}
+		if (run.broken) {
+			return Optional.of(received + ", whose run was answered with something broken");
+		}
 		return (run.status == status) ? Optional.empty()
 				: Optional.of(received + ", whose run was answered with " + run.status);
 	}
@@ -98,6 +109,8 @@
 
 		private int status;
 
+		private boolean broken;
+
 		private Optional<String> body = Optional.empty();
 
 		private Run(String id, String server) {
--- a/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
+++ b/entry/src/test/java/io/sequoialink/soak/SimulatedBackendServer.java
@@ -40,6 +40,8 @@
 
 	private static final double NO_LIMIT = -1;
 
+	private static final int BACKLOG = 200;
+
 	private static final Logger logger = LoggerFactory.getLogger(SimulatedBackendServer.class);
 
 	/** One in so many answers of the plain services is cut in its head or body. */
@@ -104,6 +106,8 @@
 
 	private final SecondAnswers secondAnswers;
 
+	private final BrokenAnswers brokenAnswers;
+
 	private final ColdStart coldStart;
 
 	private volatile Runnable closing = () -> {
@@ -123,13 +127,21 @@
 		this.laterFaults = new Random(seed ^ LATER_FAULTS_SEED_MASK);
 		this.cutHeads = new Random(seed ^ CUT_HEADS_SEED_MASK);
 		this.secondAnswers = new SecondAnswers(service, seed, checker);
+		this.brokenAnswers = new BrokenAnswers(service, seed);
 		this.coldStart = new ColdStart(service, name, seed, checker);
-		this.serverSocket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+		this.serverSocket = listen();
 		this.link = new LinkProxy(
 				new InetSocketAddress(InetAddress.getLoopbackAddress(), this.serverSocket.getLocalPort()));
 		this.acceptThread = DaemonThreads.start("server", this::acceptConnections);
 	}
 
+	private static ServerSocket listen() throws IOException {
+		ServerSocket socket = new ServerSocket();
+		socket.setReceiveBufferSize(BrokenAnswers.RECEIVE_BUFFER_BYTES);
+		socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+		return socket;
+	}
+
 	String name() {
 		return this.name;
 	}
@@ -222,6 +234,10 @@
 			InputStream in = new BufferedInputStream(socket.getInputStream());
 			Optional<HttpMessages.Head> head = HttpMessages.readHead(in);
 			while (head.isPresent()) {
+				if (this.brokenAnswers.cutsUpload(head.get())) {
+					cutUpload(socket, head.get());
+					return;
+				}
 				String body = HttpMessages.readBody(in, head.get());
 				handleRequest(socket, in, head.get(), body);
 				socket.setSoTimeout(0);
@@ -237,6 +253,25 @@
 		}
 	}
 
+	// Answers before the body is read, without a length, and resets the connection.
+	private void cutUpload(Socket socket, HttpMessages.Head head) throws IOException {
+		String id = head.header(HeaderNames.REQUEST_ID).orElse("");
+		if (!head.header(HeaderNames.EXPECTED_INSTANCE).equals(Optional.of(this.name))) {
+			reject(socket.getOutputStream(), id, 421, "");
+			return;
+		}
+		this.checker.checkArrival(id, this.name, this.drainAcceptedNanos);
+		this.checker.checkZoneArrival(id, this.name, this.zone);
+		Run run = new Run(id, this.checker.recordExecution(id, this.name, this.service, head));
+		this.checker.recordBroken(run.id(), run.seal(), "uploads cut");
+		HttpMessages.write(socket.getOutputStream(), responseHead(run, 200) + "\r\npart of the answer");
+		if (this.brokenAnswers.endsOutputFirst()) {
+			socket.shutdownOutput();
+		}
+		DaemonThreads.sleep(this.brokenAnswers.millisBeforeReset());
+		socket.setSoLinger(true, 0);
+	}
+
 	private void handleRequest(Socket socket, InputStream in, HttpMessages.Head head, String body) throws IOException {
 		String id = head.header(HeaderNames.REQUEST_ID).orElse("");
 		OutputStream out = socket.getOutputStream();
@@ -350,6 +385,12 @@
 	private void answer(Socket socket, Run run, int status) throws IOException {
 		String body = "answer to " + run.id();
 		String whole = wholeAnswer(run, status, body);
+		if (this.brokenAnswers.nextIsMalformed()) {
+			this.checker.recordBroken(run.id(), run.seal(), "malformed answers");
+			HttpMessages.write(socket.getOutputStream(), this.brokenAnswers.malformed(whole));
+			socket.close();
+			return;
+		}
 		this.checker.recordAnswer(run.seal(), status, Optional.of(body));
 		if (this.cutHeads.nextInt(CUT_HEADS) == 0) {
 			this.checker.recordBrokenOff(run.id());
