Standalone product: refuse a request with another transfer coding than chunked

'chunked, gzip', 'gzip, chunked' and codings in two fields were taken for chunked and ran, and a control byte in a value was taken. Names with blanks, malformed first lines, several lengths and a length beside chunks end the connection already. Cause: ServiceTalk's server looks for the word chunked anywhere among the codings, and checks values only if told so. Change: a request with another coding gets 400 and its connection ends; values are checked.

--- a/daemon/src/main/java/io/sequoialink/daemon/http/Frontend.java
+++ b/daemon/src/main/java/io/sequoialink/daemon/http/Frontend.java
@@ -20,6 +20,8 @@
 import io.servicetalk.concurrent.api.Executors;
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
 import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
+import io.servicetalk.http.api.DefaultHttpHeadersFactory;
+import io.servicetalk.http.api.HttpHeadersFactory;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
@@ -36,6 +38,9 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(Frontend.class);
 
+	/** Checks names, cookies and, other than by default, values of headers. */
+	private static final HttpHeadersFactory VALIDATING = new DefaultHttpHeadersFactory(true, true, true);
+
 	private static final int SPARE_WORKERS = 64;
 
 	private static final int CORE_WORKERS = 16;
@@ -94,7 +99,10 @@
 	public int start(String ip, int port) throws Exception {
 		this.server = HttpServers.forAddress(new InetSocketAddress(ip, port))
 			.executor(Executors.from(this.workers))
-			.protocols(HttpProtocolConfigs.h1().maxHeaderFieldLength(this.maxHeaderBytes).build())
+			.protocols(HttpProtocolConfigs.h1()
+				.headersFactory(VALIDATING)
+				.maxHeaderFieldLength(this.maxHeaderBytes)
+				.build())
 			.listenBlockingStreamingAndAwait(this::handle);
 		InetSocketAddress address = (InetSocketAddress) this.server.listenAddress();
 		LOG.info(HttpEvents.LISTENING, address);
@@ -105,6 +113,7 @@
 			BlockingStreamingHttpServerResponse response) throws Exception {
 		Exchange exchange = new Exchange(context, request, response, this.ids.get());
 		try {
+			CallerHeaders.requireKnownLength(request.headers());
 			Route route = find(exchange);
 			if (route.counted()) {
 				counted(route, exchange);
