Design note on broken answers; writes tell their end once; the reason of an unreadable answer is tested

RequestWrites calls its receiver exactly once, and a helping host that has told a loss does not stop reading the other host again.

--- a/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/MessageSyntax.java
@@ -181,9 +181,8 @@
 		return true;
 	}
 
-	// The decoder shortens a name at a blank and appends a line that begins with one to
-	// the
-	// value before. It checks the other characters of names and values itself.
+	// The decoder shortens a name at a blank, and appends a line that begins with one to
+	// the value before. It checks the other characters itself.
 	private static void checkField(ByteBuf input, int start, int end) throws MalformedMessageException {
 		int colon = input.indexOf(start, end, COLON);
 		if (colon <= start) {
--- a/gateway/src/main/java/io/sequoialink/gateway/codec/RequestWrites.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/codec/RequestWrites.java
@@ -34,8 +34,7 @@
 
 	private Optional<Throwable> failure = Optional.empty();
 
-	private Consumer<Optional<Throwable>> waiting = (cause) -> {
-	};
+	private Optional<Consumer<Optional<Throwable>>> waiting = Optional.empty();
 
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
@@ -54,7 +53,9 @@
 			this.failure = Optional.of(write.cause());
 		}
 		if (settled()) {
-			this.waiting.accept(this.failure);
+			Optional<Consumer<Optional<Throwable>>> receiver = this.waiting;
+			this.waiting = Optional.empty();
+			receiver.ifPresent((each) -> each.accept(this.failure));
 		}
 	}
 
@@ -72,15 +73,15 @@
 
 	/**
 	 * Waits for the writes under way.
-	 * @param receiver receives why one failed, or empty once all have succeeded; called
-	 * at once if none is under way
+	 * @param receiver receives why one failed, or empty once all have succeeded, exactly
+	 * once; called at once if none is under way
 	 */
 	void whenSettled(Consumer<Optional<Throwable>> receiver) {
 		if (settled()) {
 			receiver.accept(this.failure);
 			return;
 		}
-		this.waiting = receiver;
+		this.waiting = Optional.of(receiver);
 	}
 
 }
--- a/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
+++ b/gateway/src/main/java/io/sequoialink/gateway/path/TunnelServerHandler.java
@@ -213,7 +213,9 @@
 
 		@Override
 		public void channelWritabilityChanged(ChannelHandlerContext context) {
-			TunnelServerHandler.this.client.config().setAutoRead(context.channel().isWritable());
+			if (!TunnelServerHandler.this.lost) {
+				TunnelServerHandler.this.client.config().setAutoRead(context.channel().isWritable());
+			}
 		}
 
 		@Override
--- a/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/BrokenAnswerTests.java
@@ -74,9 +74,7 @@
 	}
 
 	// Guards against a line that is passed on under another name, and against a length or
-	// a
-	// seal that the server did not name so. The line stands in the place of one of the
-	// right head.
+	// a seal that the server did not name so. It replaces the right line of its name.
 	@ParameterizedTest
 	@ValueSource(strings = { "x-own field: v", "x-own\tfield: v", "x-own : v", "x-own\t: v", " x-own: v", "\tx-own: v",
 			": v", "no colon", "x-o\u0001wn: v", "x-o\u0000wn: v", "x-own\u007f: v", "x-own: a\u0001b",
@@ -93,9 +91,8 @@
 		}
 	}
 
-	// Guards against a body that is not the server's, and against trailers that are
-	// passed
-	// on or ignored though their names are malformed.
+	// Guards against a body that is not the server's, and against trailers whose names
+	// are malformed.
 	@ParameterizedTest
 	@ValueSource(strings = { "5 5\r\nid: 1|", "F x\r\nE|0\r\n\r\n", "Fx\r\nE|0\r\n\r\n", " F\r\nE|0\r\n\r\n",
 			"F ;a\u0001\r\nE|0\r\n\r\n", "-F\r\nE|0\r\n\r\n", "0xF\r\nE|0\r\n\r\n", "\r\nE|0\r\n\r\n",
--- a/gateway/src/test/java/io/sequoialink/gateway/http/UnexpectedHeadTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/UnexpectedHeadTests.java
@@ -69,6 +69,22 @@
 						+ request + " on it, awaited by request r" + request + ": " + reason);
 	}
 
+	// Guards against a complaint that can't be led back to what the server sent.
+	@ParameterizedTest
+	@CsvSource({ "HTTP/1.1 000 X, its status code is not between 100 and 599",
+			"HTTP/2.0 200 X, its version is not HTTP/1", "200 OK, its first line is malformed" })
+	@Timeout(10)
+	void whatCanNotBeReadIsLoggedWithTheReason(String line, String reason) throws Exception {
+		ScriptedServer.Script script = (call) -> call
+			.write(line + "\r\nid: r1\r\nseal: s\r\ncontent-length: 0\r\n\r\n");
+		try (GatewayFixture fixture = GatewayFixture.withServers(script);
+				GatewayFixture.Client client = fixture.connect()) {
+			send(client, "r1", "/once/first");
+		}
+		assertThat(logged().get(0).replaceAll("port \\d+", "port P")).isEqualTo("SL-3118 server s1: bytes (" + reason
+				+ ") not taken, port P, request 1 on it, awaited by request r1: can't be read as a response");
+	}
+
 	// Guards against a second answer that leaves no trace because no request waits.
 	@ParameterizedTest
 	@CsvSource({ "200, r1", "500, ''" })
--- a/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
+++ b/gateway/src/test/java/io/sequoialink/gateway/http/UploadAnswerTests.java
@@ -49,8 +49,7 @@
 		}
 	}
 
-	// Without a connection nothing is sent, and the host says that the request has not
-	// run.
+	// Without a connection nothing is sent, and the host says that it has not run.
 	private static String uploadToServer(GatewayFixture fixture, UploadServer server, String path) throws Exception {
 		int before = server.requests.get();
 		String response = upload(fixture, server.behaviour.bytes, path);
@@ -67,8 +66,7 @@
 		return attempts.get();
 	}
 
-	// The server's socket takes only a small part of the upload before the server reads
-	// it.
+	// The server's socket takes only a small part of the upload by itself.
 	private static void play(Behaviour behaviour, boolean throughHost, Play play) throws Exception {
 		try (UploadServer server = new UploadServer(behaviour);
 				GatewayFixture fixture = GatewayFixture.withLargeBodies((call) -> {
