Review: a version half of whose answers break off is completed

Claim: EXPOSURE is broken. Answers that break off are counted neither as good nor as bad, so the roll-out completes on the other half.

--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -484,6 +484,8 @@
 
 		volatile String state = "ready";
 
+		volatile String version = "v1";
+
 		Runner(Rig rig, String id, String service, String zone, Work work) throws IOException {
 			this.rig = rig;
 			this.id = id;
@@ -522,7 +524,7 @@
 
 		int beat() {
 			return this.rig.store.put("servers", this.id, "{\"service\":\"" + this.service + "\",\"address\":\"127.0.0.1:" + this.port
-					+ "\",\"zone\":\"" + this.zone + "\",\"version\":\"v1\",\"slots\":6,\"state\":\"" + this.state
+					+ "\",\"zone\":\"" + this.zone + "\",\"version\":\"" + this.version + "\",\"slots\":6,\"state\":\"" + this.state
 					+ "\",\"cold_left_ms\":0,\"born\":" + this.born + ",\"call_seq\":" + this.callSeq++ + "}");
 		}
 
