--- a/review/rig-2/Poison.java
+++ b/review/rig-2/Poison.java
@@ -96,8 +96,13 @@
 		synchronized (arrivals) {
 			double third = (arrivals.size() >= 3) ? arrivals.get(2) : Double.MAX_VALUE;
 			long late = arrivals.stream().filter((at) -> at > third + STABLE_WINDOW).count();
-			rig.note("%d runs of the request; the third crash at %.3f; %d runs later than %.0f s after it, allowed %d",
-					arrivals.size(), third, late, STABLE_WINDOW, ALLOWED_LATE_RETRIES);
+			if (trouble) {
+				rig.note("%d runs of the request; the third crash at %.3f; %d runs later than %.0f s after it, allowed %d",
+						arrivals.size(), third, late, STABLE_WINDOW, ALLOWED_LATE_RETRIES);
+			}
+			else {
+				rig.note("%d runs of the request, no runner crashed", arrivals.size());
+			}
 			return (trouble && late > ALLOWED_LATE_RETRIES) ? 1 : 0;
 		}
 	}
