--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -24,7 +24,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * Stand-ins of the platform's store, of runners and of clients, and the start of entry
@@ -34,6 +36,10 @@
 
 	static final String HOST = "shop.example";
 
+	private static final int FIRST_PORT = 20_000;
+
+	private static final int PORTS = 12_000;
+
 	final Store store = new Store();
 
 	final List<EntryProcess> hosts = new ArrayList<>();
@@ -121,16 +127,33 @@
 		this.runners.forEach(Runner::crash);
 		this.store.close();
 		this.record.flush();
+		deleteFolder();
+	}
+
+	private void deleteFolder() {
+		try (Stream<Path> files = Files.list(this.folder)) {
+			for (Path file : files.toList()) {
+				Files.delete(file);
+			}
+			Files.delete(this.folder);
+		}
+		catch (IOException ex) {
+			// the system removes it some day
+		}
 	}
 
+	// Below the ports that outgoing connections get, which would take one that is free now
+	// before a host binds it.
 	static int freePort(String ip) throws IOException {
-		for (int i = 0; i < 50; i++) {
-			try (ServerSocket tcp = new ServerSocket(0, 1, InetAddress.getByName(ip));
-					DatagramSocket udp = new DatagramSocket(tcp.getLocalPort(), InetAddress.getByName(ip))) {
+		InetAddress address = InetAddress.getByName(ip);
+		for (int i = 0; i < 200; i++) {
+			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+			try (ServerSocket tcp = new ServerSocket(port, 1, address);
+					DatagramSocket udp = new DatagramSocket(port, address)) {
 				return udp.getLocalPort();
 			}
 			catch (IOException ex) {
-				// the port is taken by the other protocol
+				// the port is taken
 			}
 		}
 		throw new IOException("no free port at " + ip);
