--- a/review/rig-2/BrokenVersion.java
+++ b/review/rig-2/BrokenVersion.java
@@ -3,6 +3,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -40,6 +42,8 @@
 
 	private final List<Arrival> arrivals = new ArrayList<>();
 
+	private final Map<String, Double> sent = new ConcurrentHashMap<>();
+
 	private final List<Double> badAnswers = new ArrayList<>();
 
 	private final AtomicInteger ids = new AtomicInteger();
@@ -75,7 +79,7 @@
 	private boolean work(Rig.Runner runner, Rig.Message request, Socket socket) throws IOException {
 		double now = this.rig.seconds();
 		synchronized (this.arrivals) {
-			this.arrivals.add(new Arrival(now, runner.version));
+			this.arrivals.add(new Arrival(now, this.sent.getOrDefault(request.header("X-Sequoialink-Request-Id"), now), runner.version));
 		}
 		Rig.sleep(20);
 		boolean bad = this.trouble && runner.version.equals("v2")
@@ -146,6 +150,7 @@
 		while (!this.over) {
 			String id = "r-" + this.ids.incrementAndGet();
 			Rig.EntryProcess host = this.rig.hosts.get(client % HOSTS);
+			this.sent.put(id, this.rig.seconds());
 			try {
 				Rig.Message answer = host.call("POST", "/charge/" + id, id, "n2ctnfzs989anu6wsjnb", 1000, "{}".getBytes());
 				if (answer.status() != 200 || !answer.incomplete.isEmpty()) {
@@ -170,18 +175,20 @@
 			double fiftieth = (this.badAnswers.size() >= BAD_ANSWERS) ? this.badAnswers.get(BAD_ANSWERS - 1)
 					: Double.MAX_VALUE;
 			long late = this.arrivals.stream()
-				.filter((each) -> each.version().equals("v2") && each.at() > fiftieth + ROLLBACK_SECONDS)
+				.filter((each) -> each.version().equals("v2") && each.sent() > fiftieth + ROLLBACK_SECONDS)
 				.count();
 			this.rig.note("until the deadline v2 got %d of %d requests, allowed %.0f", exposed, all, allowed);
 			this.rig.note("%d answers of v2 broke off, the 50th at %.3f; v2 got %d requests later than %.0f s after it",
 					this.badAnswers.size(), Math.min(fiftieth, 999), late, ROLLBACK_SECONDS);
 			this.rig.note("%d of %d requests of clients weren't answered with success", this.failures.get(),
 					this.ids.get());
-			return (this.trouble && (late > 0 || exposed > allowed)) ? 1 : 0;
+			// a version without a bad answer may get any share
+			boolean bad = !this.badAnswers.isEmpty();
+			return (late > 0 || (bad && exposed > allowed)) ? 1 : 0;
 		}
 	}
 
-	private record Arrival(double at, String version) {
+	private record Arrival(double at, double sent, String version) {
 	}
 
 }
--- a/review/rig-2/Poison.java
+++ b/review/rig-2/Poison.java
@@ -1,6 +1,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -30,6 +31,8 @@
 
 	private static final int ALLOWED_LATE_RETRIES = 3;
 
+	private static final List<Double> crashes = Collections.synchronizedList(new ArrayList<>());
+
 	private static final AtomicInteger ids = new AtomicInteger();
 
 	private Poison() {
@@ -59,8 +62,9 @@
 				}
 				if (trouble) {
 					runner.crash();
+					crashes.add(rig.seconds());
 					rig.note("runner %s has crashed", runner.id);
-					Rig.background(() -> comeBack(rig, runner.id, arrivals));
+					Rig.background(() -> comeBack(rig, runner, arrivals));
 					return false;
 				}
 			}
@@ -70,11 +74,13 @@
 		}).start();
 	}
 
-	private static void comeBack(Rig rig, String crashed, List<Double> arrivals) throws IOException {
+	private static void comeBack(Rig rig, Rig.Runner crashed, List<Double> arrivals) throws IOException {
+		Rig.background(() -> {
+			Rig.sleep((long) (1000 * (crashed.lastBeat() - rig.seconds())) + THREE_HEARTBEATS);
+			rig.store.put("servers", crashed.id, "");
+		});
 		Rig.sleep(DOWN);
 		startRunner(rig, true, arrivals);
-		Rig.sleep(THREE_HEARTBEATS - DOWN);
-		rig.store.put("servers", crashed, "");
 	}
 
 	private static int run(Rig rig, boolean trouble) throws IOException {
@@ -94,16 +100,16 @@
 			Rig.sleep(PERIOD);
 		}
 		synchronized (arrivals) {
-			double third = (arrivals.size() >= 3) ? arrivals.get(2) : Double.MAX_VALUE;
+			double third = (crashes.size() >= 3) ? crashes.get(2) : Double.MAX_VALUE;
 			long late = arrivals.stream().filter((at) -> at > third + STABLE_WINDOW).count();
-			if (trouble) {
+			if (crashes.size() >= 3) {
 				rig.note("%d runs of the request; the third crash at %.3f; %d runs later than %.0f s after it, allowed %d",
 						arrivals.size(), third, late, STABLE_WINDOW, ALLOWED_LATE_RETRIES);
 			}
 			else {
-				rig.note("%d runs of the request, no runner crashed", arrivals.size());
+				rig.note("%d runs of the request, %d runners crashed", arrivals.size(), crashes.size());
 			}
-			return (trouble && late > ALLOWED_LATE_RETRIES) ? 1 : 0;
+			return (late > ALLOWED_LATE_RETRIES) ? 1 : 0;
 		}
 	}
 
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -40,6 +40,9 @@
 
 	private static final int PORTS = 12_000;
 
+	/** Time after which a case that hangs is ended, in milliseconds. */
+	private static final long LONGEST_MILLIS = 110_000;
+
 	final Store store = new Store();
 
 	final List<EntryProcess> hosts = new ArrayList<>();
@@ -56,6 +59,10 @@
 		this.record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
 		this.folder = Files.createTempDirectory("review-2");
 		Runtime.getRuntime().addShutdownHook(new Thread(this::killHosts));
+		background(() -> {
+			sleep(LONGEST_MILLIS);
+			System.exit(2);
+		});
 	}
 
 	double seconds() {
@@ -505,6 +512,8 @@
 
 		private int callSeq;
 
+		private volatile double lastBeat;
+
 		volatile String state = "ready";
 
 		volatile String version = "v1";
@@ -545,7 +554,12 @@
 			});
 		}
 
+		double lastBeat() {
+			return this.lastBeat;
+		}
+
 		int beat() {
+			this.lastBeat = this.rig.seconds();
 			return this.rig.store.put("servers", this.id, "{\"service\":\"" + this.service + "\",\"address\":\"127.0.0.1:" + this.port
 					+ "\",\"zone\":\"" + this.zone + "\",\"version\":\"" + this.version + "\",\"slots\":6,\"state\":\"" + this.state
 					+ "\",\"cold_left_ms\":0,\"born\":" + this.born + ",\"call_seq\":" + this.callSeq++ + "}");
@@ -693,9 +707,10 @@
 			this.rig.note("host %s started, process %d", this.name, this.process.pid());
 		}
 
-		void signal(String signal) throws IOException {
-			this.rig.note("SIG%s to host %s", signal, this.name);
-			new ProcessBuilder("kill", "-" + signal, String.valueOf(this.process.pid())).start();
+		/** Sends SIGTERM, as the platform does for a planned stop. */
+		void terminate() {
+			this.rig.note("SIGTERM to host %s", this.name);
+			this.process.destroy();
 		}
 
 		boolean alive() {
--- a/review/rig-2/SlowReader.java
+++ b/review/rig-2/SlowReader.java
@@ -11,9 +11,15 @@
  */
 final class SlowReader {
 
-	private static final int BYTES = Integer.getInteger("bytes", 7_000_000);
+	private static final int BYTES = 8_200_000;
 
-	private static final int READ_MILLIS = 6000;
+	/** Time for which the client's line is slow, and bytes that it carries meanwhile. */
+	private static final int SLOW_MILLIS = 3500;
+
+	private static final int SLOW_BYTES = 1_400_000;
+
+	/** Time in which it carries the rest. */
+	private static final int REST_MILLIS = 3000;
 
 	private SlowReader() {
 	}
@@ -56,6 +62,7 @@
 
 	private static int read(Rig rig, Rig.EntryProcess host, boolean trouble, byte[] sent) throws IOException {
 		try (Socket socket = host.connectSlowly()) {
+			socket.setSoTimeout(20_000);
 			Rig.write(socket.getOutputStream(),
 					Rig.head("POST", "/export/all", "r-1", "n2ctnfzs989anu6wsjnb", 20000, 2), "{}".getBytes());
 			rig.note("client has sent its request");
@@ -67,11 +74,11 @@
 			}
 			Rig.sleep(300);
 			if (trouble) {
-				host.signal("TERM");
+				host.terminate();
 			}
 			long began = System.nanoTime();
 			int read = 0;
-			byte[] piece = new byte[sent.length / (READ_MILLIS / 20)];
+			byte[] piece = new byte[8000];
 			String end = "complete";
 			try {
 				while (read < sent.length) {
@@ -81,8 +88,7 @@
 						end = "cut: end of the connection";
 						break;
 					}
-					long due = (long) (READ_MILLIS * 1_000_000.0 * read / sent.length);
-					Rig.sleep((due - (System.nanoTime() - began)) / 1_000_000);
+					Rig.sleep(dueMillis(read) - (System.nanoTime() - began) / 1_000_000);
 				}
 			}
 			catch (IOException ex) {
@@ -94,4 +100,9 @@
 		}
 	}
 
+	private static long dueMillis(int read) {
+		return (read <= SLOW_BYTES) ? (long) SLOW_MILLIS * read / SLOW_BYTES
+				: SLOW_MILLIS + (long) REST_MILLIS * (read - SLOW_BYTES) / (BYTES - SLOW_BYTES);
+	}
+
 }
